--- /dev/null
+++ b/copperloom/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Loops that bring seen state to wanted state."""
--- /dev/null
+++ b/copperloom/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon."""
--- /dev/null
+++ b/copperloom/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tools."""
--- /dev/null
+++ b/copperloom/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The chain of filters that every request passes."""
--- /dev/null
+++ b/copperloom/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries."""
--- /dev/null
+++ b/copperloom/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's table service, object store and instance list."""
--- /dev/null
+++ b/copperloom/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, for tests and trials."""
--- /dev/null
+++ b/copperloom/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/copperloom/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package as a whole, and shared fixtures."""
--- /dev/null
+++ b/copperloom/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers shared by the subpackages."""
