Decisions: queueing, admission, placement and reservations behind the facade

Cause: the thin scheduler sends all at once to the target with least in flight, so that short work waits behind long work. Change: fair queue, admission by predicted wait, pools with a moving border, short placement by sampled cost, long placement with a Book of reservations, groups, adaptive limits, ejection, retry budget, organisations' limits, and the baselines by name; [decisions] section in the entry's settings.

--- a/copperloom/daemons/options.py
+++ b/copperloom/daemons/options.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 
+from copperloom.decisions import policies
 from copperloom.settings import setting
 
 __all__ = [
+    "DecisionsSection",
     "EntrySection",
     "EntrySettings",
     "LimitsSection",
@@ -179,6 +181,23 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class DecisionsSection:
+    """How requests are placed; for experiments, not for operation."""
+
+    policy: str = setting(
+        "copperloom",
+        "Policy of placement; all but copperloom are baselines.",
+        choices=policies.POLICIES,
+    )
+    disable: tuple[str, ...] = setting(
+        (),
+        "Mechanisms to switch off, out of: "
+        + ", ".join(sorted(policies.MECHANISMS))
+        + ".",
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class EntrySettings:
     """All settings of `copperloom-entry`."""
@@ -188,3 +207,4 @@
     membership: MembershipSection
     limits: LimitsSection
     targets: TargetsSection
+    decisions: DecisionsSection = DecisionsSection()
--- /dev/null
+++ b/copperloom/decisions/pool.py
@@ -0,0 +1,148 @@
+"""State of the targets that serve one model or one plain service."""
+
+import dataclasses
+
+from copperloom import configuration
+from copperloom.decisions import affinity, border, concurrency, fairqueue, load
+
+__all__ = [
+    "Pool",
+    "Residence",
+    "capacity",
+    "divide",
+    "learn",
+    "set_targets",
+    "stay",
+    "throughput",
+]
+
+RESIDENCE_GAIN = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class Residence:
+    """How long work of one class stays at its target.
+
+    Attributes:
+        in_flight: Estimated tokens in flight.
+        cost: Average tokens of a request.
+        cost_seconds: Average of tokens times seconds at the target.
+        seconds: Average seconds at the target.
+        samples: Requests seen.
+    """
+
+    in_flight: int = 0
+    cost: float = 0.0
+    cost_seconds: float = 0.0
+    seconds: float = 0.0
+    samples: int = 0
+
+
+class Pool:
+    """Targets of one model or service, and what waits for them.
+
+    Attributes:
+        kind: Engines or plain services.
+        targets: All usable targets in the shared order.
+        by_name: The same by name.
+        long_part: Those that take long work.
+        short_part: Those kept free of it; the whole pool without pools.
+        long_names: Names in `long_part`.
+        ring: Homes of prefixes among `short_part`.
+        border: Where the parts meet.
+        short: Queue of short work.
+        long: Queue of long work.
+        pace: First-token times.
+        short_stay: Time at the target of short work.
+        long_stay: Time at the target of long work.
+        most_kv_tokens: KV memory of the largest engine.
+        group_tokens: Most KV tokens that a group of engines can give.
+        engine_tokens: Most KV tokens that one engine gives to long work.
+    """
+
+    def __init__(self, kind: configuration.TargetKind, *, fair: bool = True):
+        self.kind = kind
+        self.targets: list[load.TargetLoad] = []
+        self.by_name: dict[str, load.TargetLoad] = {}
+        self.long_part: list[load.TargetLoad] = []
+        self.short_part: list[load.TargetLoad] = []
+        self.long_names: frozenset[str] = frozenset()
+        self.ring = affinity.make([])
+        self.border = border.Border()
+        self.short = fairqueue.FairQueue(fair=fair)
+        self.long = fairqueue.FairQueue(fair=fair)
+        self.pace = concurrency.Pace()
+        self.short_stay = Residence()
+        self.long_stay = Residence()
+        self.most_kv_tokens = 0
+        self.group_tokens = 0
+        self.engine_tokens = 0
+
+
+def set_targets(pool: Pool, targets: list[load.TargetLoad]) -> None:
+    """Replaces the targets; `divide` must follow."""
+    pool.targets = sorted(targets, key=lambda t: t.rank)
+    pool.by_name = {t.name: t for t in pool.targets}
+    pool.most_kv_tokens = max((t.kv_tokens for t in targets), default=0)
+
+
+def divide(
+    pool: Pool,
+    preset: configuration.Preset,
+    now: float,
+    *,
+    split: bool,
+    group_most: int,
+) -> None:
+    """Makes the parts anew after targets, preset or border changed.
+
+    Args:
+        pool: The pool.
+        preset: The preset in force.
+        now: Monotonic seconds.
+        split: Whether long work is kept to a part of the targets.
+        group_most: Most engines in a group.
+    """
+    count = len(pool.targets)
+    border.move(pool.border, count, preset.short_floor, now)
+    size = pool.border.size if split else count
+    pool.long_part = pool.targets[:size]
+    pool.long_names = frozenset(t.name for t in pool.long_part)
+    rest = pool.targets[size:] if split else pool.targets
+    pool.short_part = rest or pool.targets
+    pool.ring = affinity.make([t.name for t in pool.short_part])
+    most = border.most_long(count, preset.short_floor) if split else count
+    kv = [capacity(t, preset) for t in pool.targets[:most]]
+    pool.engine_tokens = max(kv, default=0)
+    pool.group_tokens = sum(sorted(kv, reverse=True)[:group_most])
+
+
+def stay(pool: Pool, *, long: bool) -> Residence:
+    """Returns the time at the target of one class of work."""
+    return pool.long_stay if long else pool.short_stay
+
+
+def capacity(tgt: load.TargetLoad, preset: configuration.Preset) -> int:
+    """Returns the KV tokens of a target that long work may hold."""
+    return int(tgt.kv_tokens * preset.long_share)
+
+
+def learn(stay: Residence, cost: int, seconds: float) -> None:
+    """Learns from work that finished."""
+    stay.samples += 1
+    gain = max(RESIDENCE_GAIN, 1.0 / stay.samples)
+    stay.cost += gain * (cost - stay.cost)
+    stay.cost_seconds += gain * (cost * seconds - stay.cost_seconds)
+    stay.seconds += gain * (seconds - stay.seconds)
+
+
+def throughput(stay: Residence) -> float:
+    """Returns the tokens a second that leave, by Little's law; 0 if unknown.
+
+    Little's law needs no measuring interval: work in flight over its time in
+    flight, both weighted by tokens, so it follows a change of load at once.
+    """
+    if stay.samples == 0 or stay.cost_seconds <= 0.0:
+        return 0.0
+    weighted_s = stay.cost_seconds / max(stay.cost, 1e-9)
+    return stay.in_flight / weighted_s
--- a/copperloom/decisions/scheduler.py
+++ b/copperloom/decisions/scheduler.py
@@ -1,17 +1,32 @@
-"""Thin scheduler: first come, least in flight; to be replaced by measurement.
+"""The decisions of one entry behind one set of functions.
 
-The entry calls these functions on one thread. Nothing here reads a clock or
-touches a socket.
+The entry offers each request, lets `dispatch` place or refuse what is queued,
+and tells what became of it. It calls these functions on one thread. Nothing
+here reads a clock or touches a socket: the present time, in monotonic seconds,
+is an argument.
 """
 
-import collections
-
 from copperloom import configuration, messages
+from copperloom.decisions import (
+    admission,
+    border,
+    ejection,
+    fairqueue,
+    flights,
+    limits,
+    load,
+    queueing,
+    retries,
+    state,
+)
+from copperloom.decisions import pool as pool_module
+from copperloom.decisions.state import Scheduler
 from copperloom.targets import interface
 
 __all__ = [
     "Scheduler",
     "backlog",
+    "demand",
     "dispatch",
     "finished",
     "first_token",
@@ -22,53 +37,91 @@
     "requeue",
     "set_configuration",
     "set_leaving",
+    "set_limit_shares",
     "set_peer_loads",
     "target_failed",
 ]
 
-
-class Scheduler:
-    """State of all decisions of one entry."""
-
-    def __init__(self, *, seed: int = 0):
-        self.seed = seed
-        self.cfg = configuration.Configuration()
-        self.queue: collections.deque[messages.Request] = collections.deque()
-        self.in_flight: dict[str, int] = {}
-        self.leaving: frozenset[str] = frozenset()
+# An owner that refused memory is asked again after this time.
+FULL_S = 0.5
+# Look again though nothing of ours ended: limits and reports change.
+QUEUED_WAKE_S = 0.25
 
 
 def set_configuration(
     sched: Scheduler, cfg: configuration.Configuration, now: float
 ) -> None:
     """Adopts a version of the configuration."""
+    changed = cfg.targets is not sched.cfg.targets
     sched.cfg = cfg
+    if changed:
+        state.rebuild(sched, now)
+    state.refresh(sched, now)
 
 
 def set_leaving(sched: Scheduler, leaving: frozenset[str], now: float) -> None:
     """Names the targets that get no new work, queued work included."""
-    sched.leaving = leaving
+    if leaving != sched.leaving:
+        sched.leaving = leaving
+        state.rebuild(sched, now)
+        state.refresh(sched, now)
 
 
 def set_peer_loads(
     sched: Scheduler, loads: dict[str, tuple[int, int]], now: float
 ) -> None:
     """Tells what peers have at each target: (streams, prefill tokens)."""
+    for name in sched.peer_names - loads.keys():
+        _set_peers(sched, name, (0, 0))
+    for name, told in loads.items():
+        _set_peers(sched, name, told)
+    sched.peer_names = set(loads)
+
+
+def set_limit_shares(
+    sched: Scheduler, shares: dict[str, float], now: float
+) -> None:
+    """Sets this entry's share of organisations' limits, from 0 to 1.
+
+    Organisations not named have a share of 1. `limits.shares` works the
+    shares out of the demand of this entry and its peers.
+    """
+    sched.limits.shares = dict(shares)
+
+
+def demand(sched: Scheduler, now: float) -> dict[str, float]:
+    """Returns tokens a second asked for here, by limited organisation."""
+    return limits.demand(sched.limits, now)
 
 
 def report(
-    sched: Scheduler, target: str, load: interface.LoadReport, now: float
+    sched: Scheduler, target: str, load_report: interface.LoadReport, now: float
 ) -> None:
     """Takes in a target's lagging load report."""
+    tgt = sched.targets.get(target)
+    if tgt is not None:
+        load.take_report(tgt, load_report, now)
 
 
 def offer(
     sched: Scheduler, req: messages.Request, now: float
 ) -> messages.Refusal | None:
-    """Queues a request, or refuses it at once."""
-    if not _candidates(sched, req):
-        return messages.Refusal(req, "NoTargetError", "no target admitted", 1.0)
-    sched.queue.append(req)
+    """Queues a request, or refuses it at once.
+
+    Refusals: NoTargetError, PromptTooLargeError, LimitExceededError,
+    OverloadedError (short work) and CapacityExceededError (long work).
+    """
+    pool = state.pool_of(sched, req)
+    if pool is None:
+        return _no_target(sched, req)
+    long = state.is_long(sched, req)
+    refusal = _refusal(sched, pool, req, now, long=long)
+    if refusal is not None:
+        return refusal
+    cost = admission.cost_of(req)
+    limits.charge(sched.limits, req.organisation, cost)
+    border.count(pool.border, cost, now, long=long)
+    queueing.push(sched, pool, req, now, long=long)
     return None
 
 
@@ -79,21 +132,14 @@
 
     A placement counts as in flight from here until `finished`.
     """
-    out = []
-    while sched.queue:
-        req = sched.queue.popleft()
-        names = _candidates(sched, req)
-        if not names:
-            out.append(
-                messages.Refusal(
-                    req, "NoTargetError", "no target admitted", 1.0
-                )
-            )
+    out: list[messages.Placement | messages.Refusal] = []
+    for pool in sched.pools.values():
+        if not pool.short and not pool.long:
             continue
-        name = min(names, key=lambda n: sched.in_flight.get(n, 0))
-        sched.in_flight[name] = sched.in_flight.get(name, 0) + 1
-        tokens = (req.prompt_tokens + req.max_tokens,)
-        out.append(messages.Placement(req, (name,), tokens, 0))
+        state.refresh_pool(sched, pool, now)
+        queueing.give_up(sched, pool, now, out)
+        queueing.dispatch_short(sched, pool, now, out)
+        queueing.dispatch_long(sched, pool, now, out)
     return out
 
 
@@ -106,6 +152,10 @@
 ) -> messages.Refusal | None:
     """Takes back a placement that was not run.
 
+    Long work whose memory an owner refused is queued again without a charge
+    to the retry budget: nothing was sent to a target, and the answer came
+    from an entry. All else pays from the budget and keeps its deadline.
+
     Args:
         sched: The state.
         placement: What was placed; no longer in flight.
@@ -116,50 +166,134 @@
         None if it is queued again, else the refusal (retry budget spent, time
         too short).
     """
-    finished(sched, placement, now, ok=False)
-    return offer(sched, placement.request, now)
+    req = placement.request
+    flight = sched.flights.get(req.id)
+    flights.land(sched, req.id)
+    pool = state.pool_of(sched, req)
+    if pool is None:
+        return _no_target(sched, req)
+    long = flight.long if flight else state.is_long(sched, req)
+    if now >= req.deadline - admission.MARGIN_S:
+        return _overloaded(sched, req, "no time left to retry")
+    if placement.long and avoid in sched.targets:
+        sched.targets[avoid].full_until = now + FULL_S
+    elif sched.uses("retries") and not retries.spend(sched.budget):
+        return _overloaded(sched, req, "the retry budget is spent")
+    elif avoid:
+        _avoid(sched, pool, req, avoid)
+    queueing.push(sched, pool, req, now, long=long, again=True)
+    return None
 
 
 def forget(sched: Scheduler, req: messages.Request) -> None:
     """Drops a queued request whose caller has gone."""
-    sched.queue = collections.deque(r for r in sched.queue if r.id != req.id)
+    pool = sched.pools.get((req.kind, req.model or req.deployment))
+    if pool is not None:
+        fairqueue.remove(pool.short, req.id)
+        fairqueue.remove(pool.long, req.id)
+    sched.avoid.pop(req.id, None)
 
 
 def first_token(
     sched: Scheduler, placement: messages.Placement, now: float, *, sent: float
 ) -> None:
     """Notes that the first token came; `sent` is when the work was sent."""
+    flight = sched.flights.get(placement.request.id)
+    if flight is not None and flight.waiting:
+        flights.first_token(sched, flight, now, now - sent)
 
 
 def finished(
     sched: Scheduler, placement: messages.Placement, now: float, *, ok: bool
 ) -> None:
     """Notes that a placement is over and its memory free."""
-    for name in placement.targets:
-        sched.in_flight[name] -= 1
+    flight = sched.flights.get(placement.request.id)
+    if flight is None:
+        return
+    if ok:
+        flights.succeed(sched, flight, now)
+    flights.land(sched, placement.request.id)
+    sched.avoid.pop(placement.request.id, None)
 
 
 def target_failed(sched: Scheduler, target: str, now: float) -> None:
     """Notes a refused connection, a broken stream or a timeout."""
+    tgt = sched.targets.get(target)
+    if tgt is not None and sched.uses("ejection"):
+        pools = [p for p in sched.pools.values() if target in p.by_name]
+        others = max((p.targets for p in pools), key=len, default=[])
+        ejection.eject_failing(tgt, others, now)
 
 
 def next_wake(sched: Scheduler, now: float) -> float | None:
     """Returns when `dispatch` must run again though nothing happens."""
-    return None
+    times = []
+    for pool in sched.pools.values():
+        for queue in (pool.short, pool.long):
+            if queue:
+                times.append(queue.expiry[0][0])
+                times.append(now + QUEUED_WAKE_S)
+    return max(now, min(times)) if times else None
 
 
 def backlog(sched: Scheduler) -> dict[str, tuple[int, int]]:
     """Returns (streams, prefill tokens) of this entry at each target."""
-    return {name: (n, 0) for name, n in sched.in_flight.items() if n}
-
-
-def _candidates(sched: Scheduler, req: messages.Request) -> list[str]:
-    serves = req.model or req.deployment
-    return [
-        t.name
-        for t in sched.cfg.targets.values()
-        if t.kind is req.kind
-        and t.state is configuration.TargetState.ADMITTED
-        and t.name not in sched.leaving
-        and serves in t.serves
-    ]
+    return {
+        tgt.name: (tgt.streams, tgt.prefill_tokens + tgt.long_prefill_tokens)
+        for tgt in sched.targets.values()
+        if tgt.streams
+    }
+
+
+def _set_peers(sched: Scheduler, name: str, told: tuple[int, int]) -> None:
+    tgt = sched.targets.get(name)
+    if tgt is not None:
+        tgt.peer_streams, tgt.peer_prefill_tokens = told
+
+
+def _avoid(
+    sched: Scheduler, pool: pool_module.Pool, req: messages.Request, name: str
+) -> None:
+    names = sched.avoid.get(req.id, frozenset()) | {name}
+    # Once all have failed it, the first one may be better again.
+    if len(names) >= len(pool.targets):
+        names = frozenset()
+    sched.avoid[req.id] = names
+
+
+def _overloaded(
+    sched: Scheduler, req: messages.Request, text: str
+) -> messages.Refusal:
+    return queueing.refuse(sched, req, "OverloadedError", text, 0.5)
+
+
+def _no_target(sched: Scheduler, req: messages.Request) -> messages.Refusal:
+    return queueing.refuse(sched, req, "NoTargetError", "no target", 1.0)
+
+
+def _refusal(
+    sched: Scheduler,
+    pool: pool_module.Pool,
+    req: messages.Request,
+    now: float,
+    *,
+    long: bool,
+) -> messages.Refusal | None:
+    cost = admission.cost_of(req)
+    if req.kind is configuration.TargetKind.ENGINE and cost > pool.group_tokens:
+        text = f"no group of engines can hold {cost} tokens"
+        return messages.Refusal(req, "PromptTooLargeError", text, 0.0)
+    preset = sched.cfg.preset
+    if long and not preset.admit_long:
+        after_s = admission.RETRY_MOST_S
+        return admission.capacity_refusal(req, after_s, sched.rng)
+    org = sched.cfg.organisations.get(req.organisation)
+    over = limits.seconds_over(sched.limits, org, cost, now) if org else 0.0
+    if over > 0.0:
+        text = "the organisation is over its limit of tokens"
+        return queueing.refuse(sched, req, "LimitExceededError", text, over)
+    if not sched.uses("admission"):
+        return None
+    return admission.overload_refusal(
+        pool, req, preset, now, sched.rng, long=long
+    )
--- /dev/null
+++ b/copperloom/decisions/tests/world.py
@@ -0,0 +1,453 @@
+"""Entries with a Scheduler each, before fake engines, and what callers see."""
+
+import dataclasses
+import math
+import random
+
+from copperloom import configuration, messages
+from copperloom.decisions import reservation, scheduler
+from copperloom.decisions.tests import engines
+from copperloom.targets.interface import LoadReport
+
+REPORT_S = 0.5
+EXCHANGE_S = 0.5
+LOOK_S = 1.0
+OWNER_DELAY_S = 0.003
+RESERVATION_S = 10.0
+KV_TOKENS = 400_000
+LIMIT_S = 20.0
+LONG_LIMIT_S = 240.0
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What became of one request; `error` is "" if it was answered."""
+
+    request: messages.Request
+    error: str = "lost"
+    first_s: float = math.inf
+    total_s: float = math.inf
+    decided_s: float = math.inf
+    retry_after_s: float = 0.0
+    outcomes: int = 0
+
+    @property
+    def short(self) -> bool:
+        return self.request.prompt_tokens <= 16_000
+
+
+def make_configuration(count, *, preset=None, organisations=(), kv=KV_TOKENS):
+    targets = {
+        f"e{i}": configuration.Target(
+            f"e{i}", "127.0.0.1:1", serves=("m",), kv_tokens=kv
+        )
+        for i in range(count)
+    }
+    return configuration.Configuration(
+        1,
+        organisations={o.name: o for o in organisations},
+        targets=targets,
+        preset=preset or configuration.Preset("day"),
+    )
+
+
+class World:
+    """Entries, engines, the owners' books, reports and digests."""
+
+    def __init__(
+        self,
+        *,
+        count=15,
+        entries=1,
+        seed=0,
+        policy="copperloom",
+        disable=frozenset(),
+        preset=None,
+        organisations=(),
+        slow=None,
+        report_lag_s=REPORT_S,
+        reports=True,
+        kv=KV_TOKENS,
+    ):
+        self.clock = engines.Clock()
+        self.cfg = make_configuration(
+            count, preset=preset, organisations=organisations, kv=kv
+        )
+        slow = slow or {}
+        self.engines = {
+            name: engines.Engine(self.clock, name, kv, slow.get(name, 1.0))
+            for name in self.cfg.targets
+        }
+        self.book = reservation.Book()
+        for name in self.engines:
+            share = self.cfg.preset.long_share
+            reservation.open_target(
+                self.book, name, kv, share, RESERVATION_S, -RESERVATION_S
+            )
+            reservation.seen(self.book, name, [], 0.0)
+        self.scheds = [
+            scheduler.Scheduler(seed=seed + i, policy=policy, disable=disable)
+            for i in range(entries)
+        ]
+        self.told = [{} for _ in self.scheds]
+        self.woken = [math.inf] * entries
+        self.outcomes: dict[str, Outcome] = {}
+        self.denied = 0
+        self.lag_s = report_lag_s
+        for sched in self.scheds:
+            scheduler.set_configuration(sched, self.cfg, 0.0)
+        if reports:
+            self.clock.at(REPORT_S, self._report)
+        self.clock.at(EXCHANGE_S, self._exchange)
+        self.clock.at(LOOK_S, self._look)
+
+    def run(self, requests, until):
+        """Plays requests at the entries in turn; returns the outcomes."""
+        for i, req in enumerate(requests):
+            index = i % len(self.scheds)
+            self.clock.at(
+                req.arrived, lambda r=req, k=index: self._arrive(r, k)
+            )
+        self.clock.run(until)
+        return list(self.outcomes.values())
+
+    def _arrive(self, req, index):
+        self.outcomes[req.id] = Outcome(req)
+        refusal = scheduler.offer(self.scheds[index], req, self.clock.now)
+        if refusal is not None:
+            self._refused(refusal)
+        self._dispatch(index)
+
+    def _dispatch(self, index):
+        sched = self.scheds[index]
+        for decided in scheduler.dispatch(sched, self.clock.now):
+            if isinstance(decided, messages.Refusal):
+                self._refused(decided)
+            else:
+                self._placed(decided, index)
+        self._plan_wake(index)
+
+    def _plan_wake(self, index):
+        when = scheduler.next_wake(self.scheds[index], self.clock.now)
+        if when is None or when >= self.woken[index] - 1e-9:
+            return
+        self.woken[index] = when
+        self.clock.at(
+            max(when, self.clock.now + 0.01), lambda: self._wake(index)
+        )
+
+    def _wake(self, index):
+        self.woken[index] = math.inf
+        self._dispatch(index)
+
+    def _refused(self, refusal):
+        self._end(refusal.request, refusal.error, refusal.retry_after_s)
+
+    def _end(self, req, error, retry_after_s=0.0):
+        outcome = self.outcomes[req.id]
+        outcome.outcomes += 1
+        outcome.error = error
+        outcome.decided_s = self.clock.now - req.arrived
+        outcome.retry_after_s = retry_after_s
+        if not error:
+            outcome.total_s = outcome.decided_s
+
+    def _placed(self, placement, index):
+        if not placement.long:
+            self._send(placement, index)
+            return
+        self.clock.at(
+            self.clock.now + OWNER_DELAY_S,
+            lambda: self._reserve(placement, index),
+        )
+
+    def _reserve(self, placement, index):
+        req = placement.request
+        taken = []
+        for name, tokens in zip(
+            placement.targets, placement.tokens, strict=True
+        ):
+            grant = reservation.reserve(
+                self.book, name, req.id, tokens, RESERVATION_S, self.clock.now
+            )
+            if not grant.granted:
+                self.denied += 1
+                for other in taken:
+                    reservation.release(self.book, other, [req.id])
+                self._again(placement, index, name)
+                return
+            taken.append(name)
+        self._send(placement, index)
+
+    def _again(self, placement, index, avoid):
+        sched = self.scheds[index]
+        now = self.clock.now
+        refusal = scheduler.requeue(sched, placement, now, avoid=avoid)
+        if refusal is not None:
+            self._refused(refusal)
+        self.clock.at(now + 0.001, lambda: self._dispatch(index))
+
+    def _send(self, placement, index):
+        flight = _Flight(self, placement, index, self.clock.now)
+        flight.start()
+
+    def _report(self):
+        seen = {n: e.load() for n, e in self.engines.items() if not e.down}
+        self.clock.at(self.clock.now + self.lag_s, lambda: self._reported(seen))
+        self.clock.at(self.clock.now + REPORT_S, self._report)
+
+    def _reported(self, seen: dict[str, LoadReport]):
+        for sched in self.scheds:
+            for name, load in seen.items():
+                load = dataclasses.replace(load, age_s=self.lag_s)
+                scheduler.report(sched, name, load, self.clock.now)
+
+    def _exchange(self):
+        now = self.clock.now
+        told = [scheduler.backlog(s) for s in self.scheds]
+        for i, sched in enumerate(self.scheds):
+            loads = {}
+            for other in told[:i] + told[i + 1 :]:
+                for name, (streams, prefill) in other.items():
+                    had = loads.get(name, (0, 0))
+                    loads[name] = (had[0] + streams, had[1] + prefill)
+            scheduler.set_peer_loads(sched, loads, now)
+        self.clock.at(now + EXCHANGE_S, self._exchange)
+
+    def _look(self):
+        for name, engine in self.engines.items():
+            reservation.seen(
+                self.book,
+                name,
+                engine.streams(),
+                self.clock.now,
+                short_tokens=17_000,
+            )
+            for stream in engine.waiting:
+                reservation.renew(
+                    self.book, name, stream.name, RESERVATION_S, self.clock.now
+                )
+        self.clock.at(self.clock.now + LOOK_S, self._look)
+
+
+class _Flight:
+    """One placement at its engines, with its time limit."""
+
+    def __init__(self, world, placement, index, sent):
+        self.world = world
+        self.placement = placement
+        self.index = index
+        self.sent = sent
+        self.filled = 1
+        self.over = False
+
+    def start(self):
+        req = self.placement.request
+        self.world.clock.at(req.deadline, self._late)
+        names = self.placement.targets
+        for name, tokens in zip(
+            names[1:], self.placement.tokens[1:], strict=True
+        ):
+            if not self._open(name, tokens, tokens, 0, self._part_filled):
+                return
+        if len(names) == 1:
+            self._lead()
+
+    def _part_filled(self):
+        self.filled += 1
+        if self.filled == len(self.placement.targets) and not self.over:
+            self._lead()
+
+    def _lead(self):
+        req = self.placement.request
+        tokens = self.placement.tokens[0]
+        prompt = max(1, tokens - req.max_tokens)
+        self._open(
+            self.placement.targets[0],
+            tokens,
+            prompt,
+            req.max_tokens,
+            self._first,
+        )
+
+    def _open(self, name, need, prompt, answer, on_first):
+        req = self.placement.request
+        stream = engines.Stream(
+            req.id,
+            need,
+            prompt,
+            answer,
+            self.placement.priority,
+            req.prefix,
+            on_first,
+            self._done,
+        )
+        if self.world.engines[name].open(stream):
+            return True
+        self._close()
+        sched = self.world.scheds[self.index]
+        scheduler.target_failed(sched, name, self.world.clock.now)
+        self.world._again(self.placement, self.index, name)
+        return False
+
+    def _first(self):
+        now = self.world.clock.now
+        req = self.placement.request
+        self.world.outcomes[req.id].first_s = now - req.arrived
+        scheduler.first_token(
+            self.world.scheds[self.index], self.placement, now, sent=self.sent
+        )
+
+    def _done(self):
+        self._finish("", ok=True)
+
+    def _late(self):
+        if not self.over:
+            self._finish("TimeLimitPassedError", ok=False)
+
+    def _close(self):
+        self.over = True
+        for name in self.placement.targets:
+            self.world.engines[name].close(self.placement.request.id)
+            reservation.release(
+                self.world.book, name, [self.placement.request.id]
+            )
+
+    def _finish(self, error, *, ok):
+        self._close()
+        world = self.world
+        scheduler.finished(
+            world.scheds[self.index], self.placement, world.clock.now, ok=ok
+        )
+        world._end(self.placement.request, error)
+        world._dispatch(self.index)
+
+
+def requests(
+    seed,
+    rate,
+    seconds,
+    *,
+    long_share=0.02,
+    organisations=10,
+    large=0.3,
+    hot=0.0,
+    limit_s=LIMIT_S,
+    start=0.0,
+):
+    """Draws open-loop arrivals.
+
+    Short prompts have 500 to 16,000 tokens (median 2,500), long ones 100,000
+    to a million (evenly in the logarithm). A long request takes the place of
+    a drawn short one, so that the same seed without long work gives the same
+    short requests.
+    """
+    rng = random.Random(seed)
+    now = start
+    out = []
+    while True:
+        now += rng.expovariate(rate)
+        if now > start + seconds:
+            return out
+        tokens = int(min(16_000, max(500, rng.lognormvariate(7.8, 0.8))))
+        answer = rng.randint(20, 200)
+        first = rng.random() < large
+        org = 0 if first else rng.randrange(1, max(2, organisations))
+        long_tokens = int(100_000 * 10 ** rng.random())
+        is_long = rng.random() < long_share
+        prefix = f"o{org}p{rng.randrange(4)}"
+        if rng.random() < hot:
+            prefix = "hot"
+        out.append(
+            make_request(
+                f"s{seed}.{start}.{len(out)}",
+                f"o{org}",
+                long_tokens if is_long else tokens,
+                answer,
+                now,
+                LONG_LIMIT_S if is_long else limit_s,
+                "" if is_long else prefix,
+            )
+        )
+
+
+def make_request(name, org, tokens, answer, now, limit_s, prefix=""):
+    return messages.Request(
+        name,
+        org,
+        1.0,
+        "d",
+        configuration.TargetKind.ENGINE,
+        "m",
+        tokens,
+        answer,
+        now,
+        now + limit_s,
+        1,
+        prefix,
+    )
+
+
+def work_s(req):
+    """Returns about the engine seconds that a request takes."""
+    return req.prompt_tokens * engines.PREFILL_S + req.max_tokens * (
+        engines.STEP_S / 16 + engines.DECODE_S
+    )
+
+
+def rate_for(load, count, *, seed=99, long_share=0.02):
+    """Returns the arrivals a second that load the engines so much."""
+    drawn = requests(seed, 100.0, 100.0, long_share=long_share)
+    mean = sum(map(work_s, drawn)) / len(drawn)
+    return load * count / mean
+
+
+def quantile(values, q):
+    values = sorted(values)
+    if not values:
+        return math.inf
+    return values[min(len(values) - 1, int(q * len(values)))]
+
+
+@dataclasses.dataclass(frozen=True)
+class Summary:
+    """What the callers of a run saw; an unanswered one counts as infinite."""
+
+    offered: int
+    answered: int
+    late: int
+    refused: int
+    lost: int
+    long_answered: float
+    first_p50: float
+    first_p99: float
+    total_p99: float
+    goodput: float
+    slowest_refusal_s: float
+
+
+def summarise(outcomes, *, since=0.0, until=math.inf):
+    """Sums up requests that arrived between two times."""
+    part = [o for o in outcomes if since <= o.request.arrived < until]
+    short = [o for o in part if o.short]
+    long = [o for o in part if not o.short]
+    answered = [o for o in part if not o.error]
+    late = [o for o in part if o.error == "TimeLimitPassedError"]
+    lost = [o for o in part if o.outcomes != 1]
+    refused = [o for o in part if o.error and o not in late and o not in lost]
+    ok = [o for o in short if not o.error]
+    done = sum(o.request.prompt_tokens + o.request.max_tokens for o in answered)
+    span = max((o.request.arrived for o in part), default=1.0) - since
+    return Summary(
+        len(part),
+        len(answered),
+        len(late),
+        len(refused),
+        len(lost),
+        sum(not o.error for o in long) / max(1, len(long)),
+        quantile([o.first_s for o in short], 0.5),
+        quantile([o.first_s for o in short], 0.99),
+        quantile([o.total_s for o in ok], 0.99),
+        done / span,
+        max((o.decided_s for o in refused), default=0.0),
+    )
