--- /dev/null
+++ b/copperloom/controllers/dispatcher.py
@@ -0,0 +1,71 @@
+"""Hands the scheduler's decisions to the requests that wait for them."""
+
+import asyncio
+
+from copperloom import exception, messages
+from copperloom.daemons.state import EntryState
+from copperloom.decisions import scheduler
+
+__all__ = ["error_of", "expect", "run", "step", "unexpect"]
+
+
+def expect(state: EntryState, request_id: str) -> asyncio.Future:
+    """Returns the future that gets the request's placement or error."""
+    future = asyncio.get_running_loop().create_future()
+    state.waiting[request_id] = future
+    return future
+
+
+def unexpect(state: EntryState, request_id: str) -> None:
+    """Forgets the future."""
+    state.waiting.pop(request_id, None)
+
+
+async def run(state: EntryState) -> None:
+    """Dispatches whenever the scheduler may have something to say."""
+    loop = asyncio.get_running_loop()
+    while True:
+        state.wake.clear()
+        step(state, loop.time())
+        wake_at = scheduler.next_wake(state.sched, loop.time())
+        if wake_at is None:
+            await state.wake.wait()
+            continue
+        try:
+            async with asyncio.timeout_at(wake_at):
+                await state.wake.wait()
+        except TimeoutError:
+            pass
+
+
+def step(state: EntryState, now: float) -> None:
+    """Dispatches once."""
+    for decision in scheduler.dispatch(state.sched, now):
+        _deliver(state, decision, now)
+
+
+def _deliver(
+    state: EntryState,
+    decision: messages.Placement | messages.Refusal,
+    now: float,
+) -> None:
+    """Resolves the waiting request's future.
+
+    A request may have gone in the same turn of the loop; a placement that
+    nobody takes is given back, or the target's count would stay too high.
+    """
+    future = state.waiting.get(decision.request.id)
+    if future is None or future.done():
+        if isinstance(decision, messages.Placement):
+            scheduler.finished(state.sched, decision, now, ok=False)
+        return
+    if isinstance(decision, messages.Placement):
+        future.set_result(decision)
+        return
+    future.set_exception(error_of(decision))
+
+
+def error_of(refusal: messages.Refusal) -> exception.CopperloomError:
+    """Makes the error that a refusal names."""
+    cls = getattr(exception, refusal.error)
+    return cls(refusal.message, retry_after_s=refusal.retry_after_s)
--- /dev/null
+++ b/copperloom/daemons/entry.py
@@ -0,0 +1,200 @@
+"""copperloom-entry: one entry instance.
+
+Usage:
+  copperloom-entry --settings FILE
+  copperloom-entry --help
+
+Stops gracefully on SIGTERM or SIGINT: first it tells that it is not ready,
+goes on accepting while the balancer learns that, then finishes the requests
+in progress and ends.
+"""
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import Awaitable, Callable
+
+import docopt
+import mode
+from aiohttp import web
+
+from copperloom import logs, settings
+from copperloom.controllers import (
+    config,
+    dispatcher,
+    leaving,
+    loads,
+    members,
+    owners,
+    reclaim,
+)
+from copperloom.daemons import http, options
+from copperloom.daemons.state import EntryState
+from copperloom.peers import server
+from copperloom.platform import http as platform_http
+from copperloom.targets import http as targets_http
+
+__all__ = ["EntryService", "main", "start"]
+
+_DRAIN_POLL_S = 0.02
+_KEEPALIVE_S = 75.0
+_STOP_S = 2.0
+
+Step = Callable[[EntryState, float], Awaitable[None]]
+
+
+def _controllers(state: EntryState) -> list[tuple[str, Step, float]]:
+    """Lists name, step and seconds between steps of each controller."""
+    own = state.settings
+    return [
+        ("config", config.step, own.platform.head_poll_s),
+        ("members", members.step, own.membership.exchange_s),
+        ("leaving", leaving.step, own.platform.instances_poll_s),
+        ("loads", loads.step, own.targets.load_poll_s),
+        ("owners", owners.step, own.targets.reservation_s / 4),
+        ("reclaim", reclaim.step, own.targets.reclaim_poll_s),
+    ]
+
+
+class EntryService(mode.Service):
+    """The entry as a service: start it, stop it gracefully.
+
+    Attributes:
+        state: What the entry holds in memory.
+        listen: IP:port for callers, once started.
+        peers: IP:port for other entries, once started.
+    """
+
+    def __init__(self, own: options.EntrySettings):
+        super().__init__()
+        self.own = own
+        self.state: EntryState | None = None
+        self.listen = ""
+        self.peers = ""
+        self.runner: web.AppRunner | None = None
+        self.server = None
+
+    async def on_start(self) -> None:
+        """Connects, listens and starts the controllers."""
+        state = EntryState(
+            self.own,
+            platform_http.connect(self.own.platform.address),
+            targets_http.connect(connect_s=self.own.targets.connect_s),
+        )
+        self.state = state
+        self.server, self.peers = await server.serve(state)
+        self.runner, self.listen = await _listen(state)
+        self.add_future(dispatcher.run(state))
+        for name, step, every_s in _controllers(state):
+            self.add_future(_repeat(state, name, step, every_s))
+        logs.event(
+            "started", boot=state.boot, listen=self.listen, peers=self.peers
+        )
+
+    async def on_stop(self) -> None:
+        """Drains, then closes everything."""
+        await drain(self.state)
+        await self.runner.cleanup()
+        if self.state.background:
+            await asyncio.wait(self.state.background, timeout=_STOP_S)
+        self.server.close()
+        await self.server.wait_closed()
+        logs.event("stopped", boot=self.state.boot)
+
+    async def on_shutdown(self) -> None:
+        """Closes the clients, once the controllers have ended."""
+        await self.state.targets.close()
+        await self.state.platform.close()
+
+
+async def drain(state: EntryState) -> None:
+    """Waits until this instance may end without cutting a request.
+
+    The balancer goes on sending for a while after /ready fails; an instance
+    that refused or closed at once would cut those requests.
+    """
+    loop = asyncio.get_running_loop()
+    state.draining = True
+    logs.event("draining", active=state.active)
+    own = state.settings.entry
+    end = loop.time() + own.drain_limit_s
+    quiet_at = loop.time() + own.drain_lag_s
+    while loop.time() < end:
+        if loop.time() >= quiet_at and not state.active:
+            break
+        await asyncio.sleep(_DRAIN_POLL_S)
+    if state.active:
+        logs.event("drain_limit", level="ERROR", cut=state.active)
+
+
+async def _listen(state: EntryState) -> tuple[web.AppRunner, str]:
+    runner = web.AppRunner(
+        http.make_app(state),
+        access_log=None,
+        handler_cancellation=True,
+        keepalive_timeout=_KEEPALIVE_S,
+        shutdown_timeout=_STOP_S,
+    )
+    await runner.setup()
+    host, _, port = state.settings.entry.listen.rpartition(":")
+    site = web.TCPSite(runner, host, int(port))
+    await site.start()
+    address = runner.addresses[0]
+    return runner, f"{address[0]}:{address[1]}"
+
+
+async def _repeat(
+    state: EntryState, name: str, step: Step, every_s: float
+) -> None:
+    """Runs a controller's step for ever; a failed step is tried again.
+
+    A controller that ended with its first unforeseen error would leave the
+    entry serving with a configuration or list of members that never moves.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        try:
+            await step(state, loop.time())
+        except Exception as error:
+            logs.event(
+                "step_failed", level="ERROR", controller=name, error=repr(error)
+            )
+        await asyncio.sleep(every_s)
+
+
+async def start(own: options.EntrySettings) -> EntryService:
+    """Starts an entry on the running loop; stop it with `await x.stop()`."""
+    service = EntryService(own)
+    await service.start()
+    return service
+
+
+async def _run(own: options.EntrySettings) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # A second signal changes nothing: it must not cut what the first one
+        # promised to finish.
+        loop.add_signal_handler(number, stopping.set)
+    service = await start(own)
+    print(f"ready listen={service.listen} peers={service.peers}", flush=True)
+    crashed = asyncio.ensure_future(service._crashed.wait())
+    stop = asyncio.ensure_future(stopping.wait())
+    await asyncio.wait([crashed, stop], return_when=asyncio.FIRST_COMPLETED)
+    for task in (crashed, stop):
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+    await service.stop()
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Runs the program."""
+    args = docopt.docopt(__doc__, argv)
+    own = settings.load_or_exit(args["--settings"], options.EntrySettings)
+    logs.setup(own.entry.log_level, instance=own.entry.instance)
+    asyncio.run(_run(own))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/copperloom/daemons/http.py
@@ -0,0 +1,97 @@
+"""The callers' side of an entry: HTTP routes."""
+
+import asyncio
+import time
+
+import prometheus_client
+from aiohttp import web
+
+from copperloom.daemons import admin
+from copperloom.daemons.state import EntryState
+from copperloom.filters import chain, exchange
+
+__all__ = ["make_app"]
+
+
+def make_app(state: EntryState) -> web.Application:
+    """Returns the application that serves callers and operators."""
+    app = web.Application()
+    app.add_routes(
+        [
+            web.post("/v1/chat/completions", _through(state, chain.CHAT)),
+            web.get("/v1/models", _models(state)),
+            web.get(
+                "/v1/streams/{target}/{stream}", _through(state, chain.RESUME)
+            ),
+            web.route(
+                "*",
+                "/v1/services/{name}/{path:.*}",
+                _through(state, chain.SERVICE),
+            ),
+            web.get("/health", _health),
+            web.get("/ready", _ready(state)),
+            web.get("/metrics", _metrics(state)),
+        ]
+    )
+    app.add_routes(admin.routes(state))
+    return app
+
+
+def _through(state: EntryState, filters: tuple[exchange.Filter, ...]):
+    """Returns a handler that passes requests through a chain."""
+
+    async def handle(http: web.Request) -> web.StreamResponse:
+        now = asyncio.get_running_loop().time()
+        ex = exchange.Exchange(state, http, now)
+        await chain.run(filters, ex)
+        if ex.response is None:
+            # The caller went away before anything was sent to it.
+            return web.Response(status=499)
+        if state.draining and not ex.response.prepared:
+            ex.response.headers["Connection"] = "close"
+        return ex.response
+
+    return handle
+
+
+def _models(state: EntryState):
+    async def handle(http: web.Request) -> web.Response:
+        models = [
+            {
+                "id": name,
+                "object": "model",
+                "created": int(time.time()),
+                "owned_by": "copperloom",
+            }
+            for name, deployment in sorted(state.cfg.deployments.items())
+            if deployment.model
+        ]
+        return web.json_response({"object": "list", "data": models})
+
+    return handle
+
+
+async def _health(http: web.Request) -> web.Response:
+    return web.Response(text="ok\n")
+
+
+def _ready(state: EntryState):
+    async def handle(http: web.Request) -> web.Response:
+        if state.draining:
+            return web.Response(status=503, text="draining\n")
+        if not state.cfg_loaded:
+            return web.Response(status=503, text="no configuration\n")
+        return web.Response(text="ready\n")
+
+    return handle
+
+
+def _metrics(state: EntryState):
+    async def handle(http: web.Request) -> web.Response:
+        data = prometheus_client.generate_latest(state.metrics.registry)
+        return web.Response(
+            body=data,
+            headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
+        )
+
+    return handle
--- a/copperloom/daemons/state.py
+++ b/copperloom/daemons/state.py
@@ -5,7 +5,8 @@
 import secrets
 
 from copperloom import configuration
-from copperloom.daemons import options
+from copperloom.controllers import batch
+from copperloom.daemons import metrics, options
 from copperloom.decisions import scheduler
 from copperloom.platform.interface import Platform
 from copperloom.targets.interface import Targets
@@ -32,6 +33,10 @@
         leaving_targets: Target names to the monotonic time learnt.
         draining: Whether this entry is stopping.
         active: Requests in progress.
+        waiting: Futures of queued requests, by request id.
+        batcher: Gathers row writes into transactions.
+        background: Tasks that outlive their request; a stop waits for them.
+        metrics: Counters and histograms of this entry.
         wake: Set when the dispatcher has something to look at.
     """
 
@@ -54,6 +59,12 @@
         self.leaving_targets: dict[str, float] = {}
         self.draining = False
         self.active = 0
+        self.waiting: dict[str, asyncio.Future] = {}
+        self.batcher = batch.Batcher(
+            platform, timeout_s=settings.platform.timeout_s
+        )
+        self.background: set[asyncio.Task] = set()
+        self.metrics = metrics.EntryMetrics()
         self.wake = asyncio.Event()
         self._sequence = itertools.count(1)
 
--- /dev/null
+++ b/copperloom/filters/schedule.py
@@ -0,0 +1,72 @@
+"""Waits for the scheduler to place a request.
+
+The dispatcher (copperloom.controllers.dispatcher) resolves the future that a
+request waits on with a placement or a refusal.
+"""
+
+import asyncio
+
+from copperloom.controllers import dispatcher
+from copperloom.decisions import scheduler
+from copperloom.filters import exchange
+
+__all__ = ["place_again", "schedule"]
+
+
+async def schedule(ex: exchange.Exchange, nxt: exchange.Next) -> None:
+    """Sets ex.placement, and tells the scheduler when the work is over."""
+    now = asyncio.get_running_loop().time()
+    refusal = scheduler.offer(ex.state.sched, ex.request, now)
+    if refusal is not None:
+        raise dispatcher.error_of(refusal)
+    await _wait(ex)
+    ok = False
+    try:
+        await nxt(ex)
+        ok = True
+    finally:
+        now = asyncio.get_running_loop().time()
+        if ex.placement is not None:
+            scheduler.finished(ex.state.sched, ex.placement, now, ok=ok)
+        ex.state.wake.set()
+
+
+async def place_again(ex: exchange.Exchange, *, avoid: str) -> None:
+    """Gives back a placement that was not run and waits for another.
+
+    Raises:
+        copperloom.exception.CopperloomError: The scheduler gave it up.
+    """
+    now = asyncio.get_running_loop().time()
+    placement, ex.placement = ex.placement, None
+    refusal = scheduler.requeue(ex.state.sched, placement, now, avoid=avoid)
+    if refusal is not None:
+        raise dispatcher.error_of(refusal)
+    await _wait(ex)
+
+
+async def _wait(ex: exchange.Exchange) -> None:
+    future = dispatcher.expect(ex.state, ex.request.id)
+    ex.state.wake.set()
+    try:
+        ex.placement = await future
+    except asyncio.CancelledError:
+        _give_back(ex, future)
+        raise
+    finally:
+        dispatcher.unexpect(ex.state, ex.request.id)
+
+
+def _give_back(ex: exchange.Exchange, future: asyncio.Future) -> None:
+    """Leaves the queue, also if the placement came as the caller went.
+
+    Without the second case a caller that goes in the very turn of the loop in
+    which its request is placed would leave the target's count too high for
+    good.
+    """
+    placed = future.done() and not future.cancelled()
+    if placed and future.exception() is None:
+        now = asyncio.get_running_loop().time()
+        scheduler.finished(ex.state.sched, future.result(), now, ok=False)
+        return
+    scheduler.forget(ex.state.sched, ex.request)
