--- /dev/null
+++ b/copperloom/experiments/tests/test_client.py
@@ -0,0 +1,70 @@
+"""The client tells whole answers, coded errors and lost requests apart."""
+
+import dataclasses
+import unittest
+
+import msgspec
+
+from copperloom.experiments import arrivals, client, result
+from copperloom.experiments.tests import fake, samples
+
+
+async def outcome(case, answer, **changes) -> result.Sample:
+    mix = samples.mix(time_limit_s=0.2, grace_s=0.1)
+    address, _ = await fake.start_entry(case, answer)
+    request = dataclasses.replace(samples.REQUEST, **changes)
+    (sample,) = await client.run(mix, [request], [address])
+    return sample
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    async def test_whole(self):
+        sample = await outcome(self, fake.whole)
+        self.assertEqual(sample.code, result.OK, sample.problem)
+        self.assertEqual(sample.request, "r1")
+        self.assertLessEqual(sample.first_s, sample.total_s)
+
+    async def test_cut_answer_is_lost_though_it_looks_ended(self):
+        sample = await outcome(self, fake.cut)
+        self.assertEqual(sample.code, result.LOST)
+
+    async def test_pieces_of_another_answer(self):
+        sample = await outcome(self, fake.crossed)
+        self.assertEqual(sample.code, result.WRONG)
+
+    async def test_refusal(self):
+        sample = await outcome(self, fake.refuse)
+        self.assertEqual((sample.code, sample.run), (3001, "not_run"))
+
+    async def test_error_within_the_stream(self):
+        sample = await outcome(self, fake.fail_late)
+        self.assertEqual((sample.code, sample.run), (4004, "may_have_run"))
+
+    async def test_no_outcome_in_time(self):
+        sample = await outcome(self, fake.hang)
+        self.assertEqual(sample.code, result.LOST)
+
+    async def test_entry_gone(self):
+        mix = samples.mix()
+        (sample,) = await client.run(mix, [samples.REQUEST], ["127.0.0.1:1"])
+        self.assertEqual(sample.code, result.LOST)
+
+    async def test_service_call(self):
+        sample = await outcome(
+            self, fake.whole, group=arrivals.SERVICE, prompt_tokens=0
+        )
+        self.assertEqual(sample.code, result.OK)
+
+    async def test_body_and_headers(self):
+        address, seen = await fake.start_entry(self, fake.whole)
+        request = dataclasses.replace(samples.REQUEST, prefix=1, key="k")
+        mix = samples.mix()
+        await client.run(mix, [request], [address])
+        headers = seen[0]["headers"]
+        self.assertEqual(headers["Idempotency-Key"], "k")
+        self.assertEqual(headers["X-Copperloom-Not-Repeatable"], "true")
+        self.assertEqual(headers["Authorization"], "Bearer token-org-00")
+        body = msgspec.json.decode(seen[0]["body"])
+        content = body["messages"][0]["content"]
+        self.assertEqual(len(content), 2000 * mix.load.bytes_per_token)
+        self.assertEqual(body["max_tokens"], 32)
