--- /dev/null
+++ b/copperloom/history/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the history checkers."""
