--- a/copperloom/decisions/admission.py
+++ b/copperloom/decisions/admission.py
@@ -3,7 +3,7 @@
 import random
 
 from copperloom import configuration, messages
-from copperloom.decisions import concurrency, fairqueue
+from copperloom.decisions import concurrency, fairqueue, load
 from copperloom.decisions import pool as pool_module
 
 __all__ = [
@@ -38,19 +38,19 @@
 
 
 def wait_s(
-    pool: pool_module.Pool, req: messages.Request, *, long: bool
+    pool: pool_module.Pool, req: messages.Request, now: float, *, long: bool
 ) -> float:
     """Predicts how long a request would be queued if it came now.
 
-    The tokens that would go before it, by the fair queue's order, over the
-    tokens a second that leave.
+    Short work: the tokens that would go before it, by the fair queue's order,
+    over the tokens a second that leave. Long work: see `_long_wait_s`.
     """
-    queue = pool.long if long else pool.short
-    stay = pool.long_stay if long else pool.short_stay
-    ahead = fairqueue.tokens_ahead(queue, req.organisation)
+    if long:
+        return _long_wait_s(pool, req, now)
+    ahead = fairqueue.tokens_ahead(pool.short, req.organisation)
     if ahead <= 0.0:
         return 0.0
-    rate = pool_module.throughput(stay)
+    rate = pool_module.throughput(pool.short_stay)
     if rate <= 0.0:
         return ahead * pool.pace.quick_s / max(1, len(pool.targets))
     return ahead / rate
@@ -71,7 +71,8 @@
 ) -> float:
     """Returns when a queued request is refused though no prediction said so."""
     bound = _wait_bound_s(req, preset, now, long=long)
-    return min(req.deadline - MARGIN_S, now + OVERRUN * bound)
+    overrun = 1.0 if long else OVERRUN
+    return min(req.deadline - MARGIN_S, now + overrun * bound)
 
 
 def overload_refusal(
@@ -91,7 +92,7 @@
     worked off. The bound is in predicted seconds, since a length in requests
     means milliseconds or minutes according to the prompts in it.
     """
-    wait = wait_s(pool, req, long=long)
+    wait = wait_s(pool, req, now, long=long)
     if wait <= 0.0:
         return None
     bound = _wait_bound_s(req, preset, now, long=long)
@@ -134,6 +135,22 @@
     return messages.Refusal(req, error, text, after_s)
 
 
+def _long_wait_s(pool, req, now):
+    """Predicts the wait of long work.
+
+    An entry has a few long requests at most, so its own throughput says
+    little; what all entries have at the engines does, from their reports. The
+    wait of the one at the head is a bound from below that needs no estimate.
+    """
+    if not pool.long:
+        return 0.0
+    ahead = fairqueue.tokens_ahead(pool.long, req.organisation)
+    ahead += sum(load.prefill_tokens(t, now) for t in pool.long_part)
+    head = fairqueue.first(pool.long, 1)[0]
+    worked_off = ahead * pool.long_pace.quick_s / max(1, len(pool.long_part))
+    return max(worked_off, now - head.queued_at)
+
+
 def _wait_bound_s(req, preset, now, *, long):
     bound = preset.max_queue_wait_s
     if long:
--- a/copperloom/decisions/border.py
+++ b/copperloom/decisions/border.py
@@ -10,37 +10,36 @@
 
 import xxhash
 
-__all__ = ["Border", "count", "most_long", "move", "rank"]
+__all__ = ["Border", "is_due", "most_long", "move", "rank"]
 
-# Demand is averaged over about a minute: with one long prompt in fifty, less
-# would follow single prompts.
-DEMAND_HALF_LIFE_S = 60.0
+LOOK_INTERVAL_S = 1.0
+# Use is averaged over some seconds, about one long prompt's time.
+USE_HALF_LIFE_S = 10.0
 # At most one step in this time; a step moves a twentieth of the pool.
 MOVE_INTERVAL_S = 5.0
 STEP_SHARE = 0.05
-# The border stays until demand is this many engines past it (hysteresis): an
-# engine that changes sides back and forth serves neither side.
-HYSTERESIS_ENGINES = 0.75
+# Hysteresis: at the lower bound, taking one engine of two away doubles the
+# use of the other, which is still below the upper bound.
+GROW_USE = 0.6
+SHRINK_USE = 0.25
 
 
 @dataclasses.dataclass(slots=True)
 class Border:
-    """Where the border stands, and the demand that moves it.
+    """Where the border stands, and the use that moves it.
 
     Attributes:
         size: Targets, from the start of the order, that take long work; -1
             before the first look.
         moved_at: When it last moved.
-        short_tokens: Decayed tokens of short work.
-        long_tokens: Decayed tokens of long work.
-        counted_at: When the demand was last counted.
+        use: Averaged share of the long part's memory in use.
+        looked_at: When the use was last looked at.
     """
 
     size: int = -1
     moved_at: float = float("-inf")
-    short_tokens: float = 0.0
-    long_tokens: float = 0.0
-    counted_at: float = 0.0
+    use: float = 0.5
+    looked_at: float = float("-inf")
 
 
 def rank(target: str) -> int:
@@ -57,41 +56,47 @@
     return max(1, targets - math.ceil(targets * short_floor))
 
 
-def count(border: Border, tokens: int, now: float, *, long: bool) -> None:
-    """Counts the demand of one request."""
-    faded = 0.5 ** (max(0.0, now - border.counted_at) / DEMAND_HALF_LIFE_S)
-    border.short_tokens = border.short_tokens * faded + (not long) * tokens
-    border.long_tokens = border.long_tokens * faded + long * tokens
-    border.counted_at = now
+def is_due(border: Border, now: float) -> bool:
+    """Tells whether it is time to look at the use again."""
+    return now - border.looked_at >= LOOK_INTERVAL_S
 
 
-def move(border: Border, targets: int, short_floor: float, now: float) -> None:
+def move(
+    border: Border, targets: int, most: int, use: float, now: float
+) -> None:
     """Moves the border a step towards the measured demand.
 
     Made for demand that shifts over minutes, as a day's manifests coming in.
-    The share of tokens is used and not their number, so that entries that
-    each see a part of the requests come to about the same border.
+    Demand is measured by the memory in use in the long part, which all
+    entries read from the same reports: entries that each counted their own
+    few long prompts stood at borders far apart, and short work was placed by
+    one on engines that another gave long work.
+
+    It starts at the most and shrinks: an engine that leaves the long part
+    only drains, but one that joins it holds up the short answers there.
 
     Args:
         border: The border.
         targets: Targets in the pool.
-        short_floor: The preset's least share of targets for short work alone.
+        most: Most targets that may take long work.
+        use: Share of the long part's memory in use now; 1 if long work waits.
         now: Monotonic seconds.
     """
-    most = most_long(targets, short_floor)
     if border.size < 0:
-        border.size = max(1, most // 2)
+        border.size = most
         border.moved_at = now
+        border.looked_at = now
+    age = min(now - border.looked_at, USE_HALF_LIFE_S)
+    border.use += (use - border.use) * (1.0 - 0.5 ** (age / USE_HALF_LIFE_S))
+    border.looked_at = now
     border.size = min(border.size, most)
-    total = border.short_tokens + border.long_tokens
-    if total <= 0.0 or now - border.moved_at < MOVE_INTERVAL_S:
-        return
-    wanted = targets * border.long_tokens / total
-    wanted = min(max(wanted, 1.0), float(most))
-    if abs(wanted - border.size) < HYSTERESIS_ENGINES:
+    if now - border.moved_at < MOVE_INTERVAL_S:
         return
     step = max(1, int(targets * STEP_SHARE))
-    side = 1 if wanted > border.size else -1
-    away = max(1, int(abs(wanted - border.size)))
-    border.size = min(max(border.size + side * min(step, away), 1), most)
+    if border.use > GROW_USE:
+        border.size = min(most, border.size + step)
+    elif border.use < SHRINK_USE:
+        border.size = max(1, border.size - step)
+    else:
+        return
     border.moved_at = now
--- a/copperloom/decisions/concurrency.py
+++ b/copperloom/decisions/concurrency.py
@@ -13,7 +13,7 @@
 
 from copperloom.decisions import load
 
-__all__ = ["Pace", "observe", "slowness"]
+__all__ = ["Pace", "learn", "observe", "slowness"]
 
 # Fixed part of a first token's time, as prompt tokens.
 OVERHEAD_TOKENS = 500
@@ -71,8 +71,7 @@
             so that streams in progress are held up less.
         adapt: Whether the limit moves.
     """
-    unit = max(first_token_s, 1e-6) / (prompt_tokens + OVERHEAD_TOKENS)
-    _learn(pace, unit)
+    unit = learn(pace, prompt_tokens, first_token_s)
     ratio = unit / pace.quick_s
     if tgt.samples == 0:
         tgt.ratio = ratio
@@ -92,7 +91,9 @@
     return max(0.5, 1.0 + excess * faded)
 
 
-def _learn(pace: Pace, unit: float) -> None:
+def learn(pace: Pace, prompt_tokens: int, first_token_s: float) -> float:
+    """Learns from a first-token time; returns its seconds per token."""
+    unit = max(first_token_s, 1e-6) / (prompt_tokens + OVERHEAD_TOKENS)
     pace.samples += 1
     if pace.samples == 1:
         pace.quick_s = unit
@@ -105,6 +106,7 @@
     above = unit / pace.quick_s > pace.median
     pace.median *= 1.0 + (step if above else -step)
     pace.median = max(1.0, pace.median)
+    return unit
 
 
 def _adapt(tgt: load.TargetLoad, late: bool, now: float) -> None:
--- a/copperloom/decisions/ejection.py
+++ b/copperloom/decisions/ejection.py
@@ -11,7 +11,8 @@
 
 __all__ = ["eject_failing", "eject_slow", "is_out", "succeeded"]
 
-FAILURES_TO_EJECT = 2
+# A full engine refuses now and then and answers in between.
+FAILURES_TO_EJECT = 3
 # Work spreads within a factor of two or three by its own; four is a fault.
 SLOW_RATIO = 4.0
 SLOW_SAMPLES = 5
--- a/copperloom/decisions/flights.py
+++ b/copperloom/decisions/flights.py
@@ -55,6 +55,11 @@
     _started(sched, flight)
     if not flight.long:
         _observe(sched, flight, now, seconds)
+        return
+    concurrency.learn(flight.pool.long_pace, flight.prompts[0], seconds)
+    for name in flight.placement.targets:
+        if name in sched.targets:
+            sched.targets[name].denials = 0
 
 
 def succeed(sched: state.Scheduler, flight: state.Flight, now: float) -> None:
--- a/copperloom/decisions/load.py
+++ b/copperloom/decisions/load.py
@@ -13,6 +13,7 @@
     "TargetLoad",
     "add",
     "kv_in_use",
+    "prefill_tokens",
     "remove",
     "started",
     "take_report",
@@ -55,6 +56,7 @@
         failures: Failures in a row.
         ejections: Ejections in a row.
         ejected_until: Monotonic time until which it gets no work.
+        denials: Refusals of memory in a row by its owner.
         full_until: Monotonic time until which it gets no long work.
     """
 
@@ -80,6 +82,7 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = float("-inf")
+    denials: int = 0
     full_until: float = float("-inf")
 
 
@@ -175,6 +178,16 @@
     )
 
 
+def prefill_tokens(tgt: TargetLoad, now: float) -> float:
+    """Estimates the prompt tokens of all entries that wait for prefill."""
+    own = tgt.prefill_tokens + tgt.long_prefill_tokens
+    if tgt.report is None:
+        return own + tgt.peer_prefill_tokens
+    weight = 0.5 ** (max(0.0, now - tgt.reported_at) / REPORT_HALF_LIFE_S)
+    seen = tgt.report.prefill_tokens * weight
+    return max(own + tgt.peer_prefill_tokens, seen)
+
+
 def kv_in_use(tgt: TargetLoad) -> int:
     """Estimates the KV tokens in use: the last report and our work since."""
     if tgt.report is None:
--- a/copperloom/decisions/placement.py
+++ b/copperloom/decisions/placement.py
@@ -6,7 +6,7 @@
 from copperloom.decisions import affinity, concurrency, ejection, groups, load
 from copperloom.decisions import pool as pool_module
 
-__all__ = ["choose_long", "choose_short", "free_long_tokens"]
+__all__ = ["choose_long", "choose_short", "free_long_tokens", "gather"]
 
 # The better of two sampled targets is nearly as good as the best of all and
 # does not herd: entries that share a stale view still spread
@@ -17,10 +17,12 @@
 SCAN_MOST = 32
 # Part of a prompt's prefill that its prefix is taken to save at its home.
 AFFINITY_SAVED = 0.5
-# What long work at an engine adds to a short prompt there, as prompt tokens.
-# First tokens wait for a piece of its prefill; a whole answer is stretched
-# many times over, as each of its steps shares the engine with such a piece.
-LONG_WORK_TOKENS = {"first_token": 4_000, "slowdown": 40_000}
+# A step of an engine that prefills long work takes as long as this many
+# prompt tokens. A short prompt there waits one such step for its first token,
+# and one for each token of its answer.
+LONG_STEP_TOKENS = 4_000
+# What a later step weighs against the first one, by the preset's objective.
+ANSWER_WEIGHT = {"first_token": 0.02, "slowdown": 0.5}
 NO_AVOID: frozenset[str] = frozenset()
 
 
@@ -56,7 +58,8 @@
         The target, or None if all that were looked at are full.
     """
     need = req.prompt_tokens + req.max_tokens
-    penalty = LONG_WORK_TOKENS[objective]
+    later = ANSWER_WEIGHT[objective] * req.max_tokens
+    penalty = LONG_STEP_TOKENS * (1.0 + later)
 
     def usable(tgt):
         return tgt.name not in avoid and _has_room(tgt, need, now)
@@ -64,12 +67,14 @@
     def cost(tgt):
         return _cost(pool, tgt, req, now, penalty)
 
-    spread = objective == "first_token"
-    candidates = pool.targets if spread else pool.short_part
-    found = [t for t in _sample(candidates, rng) if usable(t)]
+    candidates = _sample(pool.short_part, rng, SAMPLES)
+    beside_long = _ends_beside_long(pool, req, now)
+    if beside_long and objective == "first_token":
+        candidates = candidates + _sample(pool.long_part, rng, 1)
+    found = [t for t in candidates if usable(t)]
     if not found:
-        found = _scan(candidates, rng, usable)
-    if not found and not spread:
+        found = _scan(pool.short_part, rng, usable)
+    if not found and beside_long:
         found = _scan(pool.long_part, rng, usable)
     if not found:
         return None
@@ -117,36 +122,75 @@
         return free_long_tokens(tgt, preset)
 
     if need > pool.engine_tokens:
-        return groups.choose(_group_part(pool, preset), need, free)
-    part = pool.long_part
-    if len(part) > SCAN_MOST:
-        part = rng.sample(part, SCAN_MOST)
+        return groups.choose(_group_part(pool, preset, need), need, free)
+    part = _sample(pool.long_part, rng, SCAN_MOST)
     found = [t for t in part if free(t) >= need]
     if not found:
         return []
-    if len(found) > SAMPLES:
-        found = rng.sample(found, SAMPLES)
-    best = min(found, key=lambda t: _long_cost(pool, t, now))
+    best = min(
+        _sample(found, rng, SAMPLES), key=lambda t: _long_cost(pool, t, now)
+    )
     return [(best, need)]
 
 
+def gather(
+    pool: pool_module.Pool,
+    req: messages.Request,
+    *,
+    preset: configuration.Preset,
+    avoid: frozenset[str] = NO_AVOID,
+) -> frozenset[str]:
+    """Names the engines whose memory is kept for long work that waits.
+
+    The ones with the most free memory, as many as the work needs when they
+    are empty. They stay the same ones, since only they gain by being kept.
+    """
+    need = req.prompt_tokens + req.max_tokens
+    part = pool.long_part
+    if need > pool.engine_tokens:
+        part = _group_part(pool, preset, need)
+    part = [t for t in part if t.name not in avoid]
+    part.sort(key=lambda t: -free_long_tokens(t, preset))
+    names = []
+    for tgt in part[: groups.GROUP_MOST]:
+        if need <= 0:
+            break
+        names.append(tgt.name)
+        need -= pool_module.capacity(tgt, preset)
+    return frozenset(names)
+
+
 def free_long_tokens(tgt: load.TargetLoad, preset: configuration.Preset) -> int:
-    """Estimates the KV tokens that long work could take at a target."""
-    share = pool_module.capacity(tgt, preset) - tgt.long_tokens
-    return min(share, tgt.kv_tokens - load.kv_in_use(tgt))
+    """Estimates the KV tokens that long work could take at a target.
 
+    All memory in use counts against long work's share, since a report does
+    not tell whose it is; else an entry goes on asking for memory that the
+    owner knows to be held by the long work of others.
+    """
+    return pool_module.capacity(tgt, preset) - load.kv_in_use(tgt)
 
-def _group_part(pool, preset):
-    # A group may need more engines than the border gives long work just now,
-    # but leaves the floor of short work alone.
-    most = max(len(pool.long_part), _most_long(pool, preset))
-    return pool.targets[:most]
 
+def _ends_beside_long(pool, req, now):
+    """Tells whether short work can end in time on an engine with long work.
 
-def _most_long(pool, preset):
-    if len(pool.long_part) == len(pool.targets):
-        return len(pool.targets)
-    return pool_module.border.most_long(len(pool.targets), preset.short_floor)
+    Its first token would come soon, but if its answer is stretched beyond its
+    time limit, the caller is better off waiting for another engine.
+    """
+    if pool.short_part is pool.targets:
+        return False
+    step_s = LONG_STEP_TOKENS * pool.pace.quick_s
+    return req.max_tokens * step_s < req.deadline - now
+
+
+def _group_part(pool, preset, need):
+    # A group may need more engines than the border gives long work just now,
+    # but no more of them than it needs, and it leaves the floor alone.
+    size = len(pool.long_part)
+    room = sum(pool_module.capacity(t, preset) for t in pool.long_part)
+    while room < need and size < pool.most_long:
+        room += pool_module.capacity(pool.targets[size], preset)
+        size += 1
+    return pool.targets[:size]
 
 
 def _has_room(tgt: load.TargetLoad, need: int, now: float) -> bool:
@@ -157,10 +201,10 @@
     return not tgt.kv_tokens or load.kv_in_use(tgt) + need <= tgt.kv_tokens
 
 
-def _sample(targets, rng):
-    if len(targets) <= SAMPLES:
+def _sample(targets, rng, count):
+    if len(targets) <= count:
         return targets
-    return rng.sample(targets, SAMPLES)
+    return rng.sample(targets, count)
 
 
 def _scan(targets, rng, usable):
@@ -177,9 +221,9 @@
 
 def _cost(pool, tgt, req, now, penalty):
     own = req.prompt_tokens + concurrency.OVERHEAD_TOKENS
-    if tgt.name in pool.long_names:
-        wait = load.wait_tokens(tgt, now, most_foreign=penalty)
-        wait += penalty if tgt.long_prefill_tokens else 0
+    if tgt.name in pool.long_names or tgt.long_streams:
+        # Also where no long work is just now: it comes while this runs.
+        wait = load.wait_tokens(tgt, now, most_foreign=penalty) + penalty
     else:
         wait = load.wait_tokens(tgt, now)
     return (wait + own) * concurrency.slowness(pool.pace, tgt, now)
--- a/copperloom/decisions/pool.py
+++ b/copperloom/decisions/pool.py
@@ -11,12 +11,15 @@
     "capacity",
     "divide",
     "learn",
+    "look",
     "set_targets",
     "stay",
     "throughput",
 ]
 
 RESIDENCE_GAIN = 0.1
+# Long work that waits longer shows that its part is too small.
+LONG_WAITS_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,12 +50,14 @@
         by_name: The same by name.
         long_part: Those that take long work.
         short_part: Those kept free of it; the whole pool without pools.
-        long_names: Names in `long_part`.
+        long_names: Names in `long_part`, and the one next to it.
+        most_long: Most targets that may take long work.
         ring: Homes of prefixes among `short_part`.
         border: Where the parts meet.
         short: Queue of short work.
         long: Queue of long work.
-        pace: First-token times.
+        pace: First-token times of short work.
+        long_pace: First-token times of long work.
         short_stay: Time at the target of short work.
         long_stay: Time at the target of long work.
         most_kv_tokens: KV memory of the largest engine.
@@ -67,11 +72,13 @@
         self.long_part: list[load.TargetLoad] = []
         self.short_part: list[load.TargetLoad] = []
         self.long_names: frozenset[str] = frozenset()
+        self.most_long = 0
         self.ring = affinity.make([])
         self.border = border.Border()
         self.short = fairqueue.FairQueue(fair=fair)
         self.long = fairqueue.FairQueue(fair=fair)
         self.pace = concurrency.Pace()
+        self.long_pace = concurrency.Pace()
         self.short_stay = Residence()
         self.long_stay = Residence()
         self.most_kv_tokens = 0
@@ -87,36 +94,52 @@
 
 
 def divide(
-    pool: Pool,
-    preset: configuration.Preset,
-    now: float,
-    *,
-    split: bool,
-    group_most: int,
+    pool: Pool, preset: configuration.Preset, *, split: bool, group_most: int
 ) -> None:
     """Makes the parts anew after targets, preset or border changed.
 
+    The engine next to the border counts as one with long work when short work
+    is placed, since other entries may have moved the border a step already.
+
     Args:
         pool: The pool.
         preset: The preset in force.
-        now: Monotonic seconds.
         split: Whether long work is kept to a part of the targets.
         group_most: Most engines in a group.
     """
     count = len(pool.targets)
-    border.move(pool.border, count, preset.short_floor, now)
-    size = pool.border.size if split else count
+    most = border.most_long(count, preset.short_floor) if split else count
+    pool.most_long = most
+    size = min(pool.border.size, most) if split else count
     pool.long_part = pool.targets[:size]
-    pool.long_names = frozenset(t.name for t in pool.long_part)
-    rest = pool.targets[size:] if split else pool.targets
+    guarded = pool.targets[: min(size + 1, most)]
+    pool.long_names = frozenset(t.name for t in guarded)
+    rest = pool.targets[len(guarded) :] if split else pool.targets
     pool.short_part = rest or pool.targets
     pool.ring = affinity.make([t.name for t in pool.short_part])
-    most = border.most_long(count, preset.short_floor) if split else count
     kv = [capacity(t, preset) for t in pool.targets[:most]]
     pool.engine_tokens = max(kv, default=0)
     pool.group_tokens = sum(sorted(kv, reverse=True)[:group_most])
 
 
+def look(pool: Pool, preset: configuration.Preset, now: float) -> bool:
+    """Looks at the long part's use and moves the border; True if it moved."""
+    size = pool.border.size
+    count = len(pool.targets)
+    most = border.most_long(count, preset.short_floor)
+    border.move(pool.border, count, most, _use(pool, preset, now), now)
+    return pool.border.size != size
+
+
+def _use(pool: Pool, preset: configuration.Preset, now: float) -> float:
+    head = fairqueue.first(pool.long, 1)
+    if head and now - head[0].queued_at > LONG_WAITS_S:
+        return 1.0
+    room = sum(capacity(t, preset) for t in pool.long_part)
+    held = sum(load.kv_in_use(t) for t in pool.long_part)
+    return min(1.0, held / room) if room else 0.0
+
+
 def stay(pool: Pool, *, long: bool) -> Residence:
     """Returns the time at the target of one class of work."""
     return pool.long_stay if long else pool.short_stay
--- a/copperloom/decisions/queueing.py
+++ b/copperloom/decisions/queueing.py
@@ -15,7 +15,7 @@
 __all__ = ["dispatch_long", "dispatch_short", "give_up", "push", "refuse"]
 
 # Long work behind one that finds no memory may pass it, so far back.
-LOOK_AHEAD = 4
+LOOK_AHEAD = 16
 # It is passed for so long at most, else small long work would starve it.
 PASS_S = 3.0
 # Requests handed out of one queue at a time, so that a burst does not hold
@@ -63,7 +63,7 @@
     for queue, long in ((pool.short, False), (pool.long, True)):
         while queue and (queue.expiry[0][0] <= now or not pool.targets):
             item = fairqueue.remove(queue, queue.expiry[0][1])
-            out.append(_given_up(sched, pool, item.request, long=long))
+            out.append(_given_up(sched, pool, item.request, now, long=long))
 
 
 def dispatch_short(
@@ -76,7 +76,7 @@
         item = fairqueue.first(pool.short, 1)[0]
         if _is_doomed(sched, pool, item, now, long=False):
             fairqueue.pop(pool.short, item)
-            out.append(_given_up(sched, pool, item.request, long=False))
+            out.append(_given_up(sched, pool, item.request, now, long=False))
             continue
         chosen = _choose_short(sched, pool, item.request, now)
         if not chosen:
@@ -91,36 +91,44 @@
     """Places long work as memory allows.
 
     Made for a prompt that needs several engines while smaller ones keep
-    coming: those may use memory that is too small for it, but only for
-    `PASS_S`; then the memory that comes free gathers for the large one.
+    coming: those may pass it, but after `PASS_S` only at other engines than
+    those whose memory then gathers for it. To let nobody pass at all would
+    leave the whole pool idle until these engines are free.
     """
     skipped = 0
+    held: frozenset[str] = frozenset()
     while skipped < LOOK_AHEAD and skipped < len(pool.long):
         item = fairqueue.first(pool.long, skipped + 1)[skipped]
         if _is_doomed(sched, pool, item, now, long=True):
             fairqueue.pop(pool.long, item)
-            out.append(_given_up(sched, pool, item.request, long=True))
+            out.append(_given_up(sched, pool, item.request, now, long=True))
             continue
-        chosen = _choose_long(sched, pool, item.request, now)
+        req = item.request
+        avoid = held | sched.avoid.get(req.id, placement.NO_AVOID)
+        preset = sched.cfg.preset
+        chosen = placement.choose_long(
+            pool, req, now, rng=sched.rng, preset=preset, avoid=avoid
+        )
         if chosen:
             fairqueue.pop(pool.long, item)
             out.append(flights.place(sched, pool, item, chosen, now, long=True))
             continue
-        if now - item.queued_at > PASS_S:
-            return
         skipped += 1
+        if not held and now - item.queued_at > PASS_S:
+            held = placement.gather(pool, req, preset=preset)
 
 
 def _given_up(
     sched: state.Scheduler,
     pool: pool_module.Pool,
     req: messages.Request,
+    now: float,
     *,
     long: bool,
 ) -> messages.Refusal:
     if not pool.targets:
         return refuse(sched, req, "NoTargetError", "no target admitted", 1.0)
-    after_s = max(admission.wait_s(pool, req, long=long), 1.0)
+    after_s = max(admission.wait_s(pool, req, now, long=long), 1.0)
     if long:
         sched.avoid.pop(req.id, None)
         return admission.capacity_refusal(req, after_s, sched.rng)
@@ -159,19 +167,3 @@
         use_affinity=sched.uses("affinity"),
     )
     return [(tgt, need)] if tgt is not None else []
-
-
-def _choose_long(
-    sched: state.Scheduler,
-    pool: pool_module.Pool,
-    req: messages.Request,
-    now: float,
-) -> list[tuple[load.TargetLoad, int]]:
-    return placement.choose_long(
-        pool,
-        req,
-        now,
-        rng=sched.rng,
-        preset=sched.cfg.preset,
-        avoid=sched.avoid.get(req.id, placement.NO_AVOID),
-    )
--- a/copperloom/decisions/scheduler.py
+++ b/copperloom/decisions/scheduler.py
@@ -9,7 +9,6 @@
 from copperloom import configuration, messages
 from copperloom.decisions import (
     admission,
-    border,
     ejection,
     fairqueue,
     flights,
@@ -42,8 +41,11 @@
     "target_failed",
 ]
 
-# An owner that refused memory is asked again after this time.
+# An owner that refused memory is asked again after this time, doubled with
+# each refusal: long work holds its memory for tens of seconds, and every
+# entry with a queue of it asks.
 FULL_S = 0.5
+LONGEST_FULL_S = 4.0
 # Look again though nothing of ours ended: limits and reports change.
 QUEUED_WAKE_S = 0.25
 
@@ -120,7 +122,6 @@
         return refusal
     cost = admission.cost_of(req)
     limits.charge(sched.limits, req.organisation, cost)
-    border.count(pool.border, cost, now, long=long)
     queueing.push(sched, pool, req, now, long=long)
     return None
 
@@ -134,9 +135,9 @@
     """
     out: list[messages.Placement | messages.Refusal] = []
     for pool in sched.pools.values():
+        state.refresh_pool(sched, pool, now)
         if not pool.short and not pool.long:
             continue
-        state.refresh_pool(sched, pool, now)
         queueing.give_up(sched, pool, now, out)
         queueing.dispatch_short(sched, pool, now, out)
         queueing.dispatch_long(sched, pool, now, out)
@@ -176,7 +177,7 @@
     if now >= req.deadline - admission.MARGIN_S:
         return _overloaded(sched, req, "no time left to retry")
     if placement.long and avoid in sched.targets:
-        sched.targets[avoid].full_until = now + FULL_S
+        _full(sched, sched.targets[avoid], now)
     elif sched.uses("retries") and not retries.spend(sched.budget):
         return _overloaded(sched, req, "the retry budget is spent")
     elif avoid:
@@ -251,6 +252,12 @@
         tgt.peer_streams, tgt.peer_prefill_tokens = told
 
 
+def _full(sched: Scheduler, tgt: load.TargetLoad, now: float) -> None:
+    span = min(LONGEST_FULL_S, FULL_S * 2**tgt.denials)
+    tgt.denials += 1
+    tgt.full_until = now + span * (0.5 + sched.rng.random())
+
+
 def _avoid(
     sched: Scheduler, pool: pool_module.Pool, req: messages.Request, name: str
 ) -> None:
--- a/copperloom/decisions/state.py
+++ b/copperloom/decisions/state.py
@@ -127,29 +127,25 @@
 def refresh(sched: Scheduler, now: float) -> None:
     """Adopts targets and preset in all pools."""
     for pool in sched.pools.values():
-        pool_module.divide(
-            pool,
-            sched.cfg.preset,
-            now,
-            split=_splits(sched, pool),
-            group_most=groups.GROUP_MOST,
-        )
+        pool_module.look(pool, sched.cfg.preset, now)
+        _divide(sched, pool)
 
 
 def refresh_pool(sched: Scheduler, pool: pool_module.Pool, now: float) -> None:
     """Moves the border of a pool if that is due."""
-    size = pool.border.size
-    floor = sched.cfg.preset.short_floor
-    border.move(pool.border, len(pool.targets), floor, now)
-    if pool.border.size != size:
-        split = _splits(sched, pool)
-        pool_module.divide(
-            pool,
-            sched.cfg.preset,
-            now,
-            split=split,
-            group_most=groups.GROUP_MOST,
-        )
+    if not border.is_due(pool.border, now):
+        return
+    if pool_module.look(pool, sched.cfg.preset, now):
+        _divide(sched, pool)
+
+
+def _divide(sched: Scheduler, pool: pool_module.Pool) -> None:
+    pool_module.divide(
+        pool,
+        sched.cfg.preset,
+        split=_splits(sched, pool),
+        group_most=groups.GROUP_MOST,
+    )
 
 
 def _splits(sched: Scheduler, pool: pool_module.Pool) -> bool:
