--- a/copperloom/decisions/border.py
+++ b/copperloom/decisions/border.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-__all__ = ["Border", "is_due", "most_long", "move", "rank"]
+__all__ = ["Border", "is_due", "likely", "most_long", "move", "rank"]
 
 LOOK_INTERVAL_S = 1.0
 # Use is averaged over some seconds, about one long prompt's time.
@@ -33,12 +33,14 @@
             before the first look.
         moved_at: When it last moved.
         use: Averaged share of the long part's memory in use.
+        peak: The same, following a rise at once.
         looked_at: When the use was last looked at.
     """
 
     size: int = -1
     moved_at: float = float("-inf")
-    use: float = 0.5
+    use: float = 0.0
+    peak: float = 0.0
     looked_at: float = float("-inf")
 
 
@@ -61,6 +63,15 @@
     return now - border.looked_at >= LOOK_INTERVAL_S
 
 
+def likely(border: Border) -> float:
+    """Returns how likely long work is in its part, from 0 to 1.
+
+    Without long work its part is as good for short work as the other; waiting
+    for the border to move there, step by step, would leave engines idle.
+    """
+    return min(1.0, border.peak / SHRINK_USE)
+
+
 def move(
     border: Border, targets: int, most: int, use: float, now: float
 ) -> None:
@@ -87,7 +98,9 @@
         border.moved_at = now
         border.looked_at = now
     age = min(now - border.looked_at, USE_HALF_LIFE_S)
-    border.use += (use - border.use) * (1.0 - 0.5 ** (age / USE_HALF_LIFE_S))
+    faded = 0.5 ** (age / USE_HALF_LIFE_S)
+    border.use += (use - border.use) * (1.0 - faded)
+    border.peak = max(use, border.peak * faded)
     border.looked_at = now
     border.size = min(border.size, most)
     if now - border.moved_at < MOVE_INTERVAL_S:
--- a/copperloom/decisions/concurrency.py
+++ b/copperloom/decisions/concurrency.py
@@ -3,7 +3,7 @@
 Made for an engine that is offered more than it can prefill or hold: work that
 waits at the engine can't be reordered, moved or refused any more, so it is
 kept here, where the queue is fair and sees deadlines. The limit grows by
-about one a round while first tokens come quickly and shrinks by a tenth
+a few streams a round while first tokens come quickly and shrinks by a tenth
 when they come late (additive increase, multiplicative decrease, as in
 Chiu and Jain 1989), so that entries that share an engine converge to equal
 shares without a message.
@@ -13,7 +13,7 @@
 
 from copperloom.decisions import load
 
-__all__ = ["Pace", "learn", "observe", "slowness"]
+__all__ = ["Pace", "ended", "learn", "observe", "slowness"]
 
 # Fixed part of a first token's time, as prompt tokens.
 OVERHEAD_TOKENS = 500
@@ -22,8 +22,15 @@
 CUT = 0.9
 # One cut for the answers of one round; a burst of late ones is one event.
 CUT_INTERVAL_S = 0.5
-# Late is this many times the quick time; see `Pace.quick_s`.
-LATE_RATIO = {"first_token": 4.0, "slowdown": 2.5}
+# Late is this many times the pool's median, and by so many seconds: a prompt
+# whose prefix was not cached takes four times as long without any queue.
+LATE_RATIO = 4.0
+LATE_EXCESS_S = 0.5
+# Streams added in a round of quick answers.
+GROWTH = 4.0
+# An answer that takes this share of its time limit at the target is late too:
+# a large batch gives first tokens soon and every later one slowly.
+LATE_SHARE = 0.4
 RATIO_GAIN = 0.2
 # An old verdict on a target that gets no work fades, so that it returns.
 RATIO_HALF_LIFE_S = 10.0
@@ -56,7 +63,6 @@
     first_token_s: float,
     now: float,
     *,
-    objective: str,
     adapt: bool = True,
 ) -> None:
     """Learns from one first-token time of short work.
@@ -67,8 +73,6 @@
         prompt_tokens: Tokens of the prompt.
         first_token_s: Seconds from sending to the first token.
         now: Monotonic seconds.
-        objective: The preset's objective; "slowdown" keeps batches smaller,
-            so that streams in progress are held up less.
         adapt: Whether the limit moves.
     """
     unit = learn(pace, prompt_tokens, first_token_s)
@@ -79,7 +83,24 @@
     tgt.ratio_at = now
     tgt.samples += 1
     if adapt:
-        _adapt(tgt, ratio > LATE_RATIO[objective] * pace.median, now)
+        usual_s = first_token_s * pace.median / ratio
+        late = ratio > LATE_RATIO * pace.median
+        _adapt(tgt, late and first_token_s > usual_s + LATE_EXCESS_S, now)
+
+
+def ended(
+    tgt: load.TargetLoad, stay_s: float, limit_s: float, now: float
+) -> None:
+    """Cuts the limit if an answer took a large share of its time limit.
+
+    Args:
+        tgt: The target.
+        stay_s: Seconds at the target.
+        limit_s: The request's whole time limit.
+        now: Monotonic seconds.
+    """
+    if stay_s > LATE_SHARE * limit_s:
+        _adapt(tgt, True, now)
 
 
 def slowness(pace: Pace, tgt: load.TargetLoad, now: float) -> float:
@@ -114,4 +135,4 @@
         tgt.limit = max(LIMIT_LEAST, tgt.limit * CUT)
         tgt.limit_cut_at = now
     elif not late and tgt.streams * 2 >= tgt.limit:
-        tgt.limit = min(LIMIT_MOST, tgt.limit + 1.0 / tgt.limit)
+        tgt.limit = min(LIMIT_MOST, tgt.limit + GROWTH / tgt.limit)
--- a/copperloom/decisions/ejection.py
+++ b/copperloom/decisions/ejection.py
@@ -1,21 +1,22 @@
-"""Ejection of a failing or slow target, and its slow return.
+"""Ejection of a failing target, and its slow return.
 
-Made for one target out of many that refuses connections or has become several
-times slower than the others: without it the target keeps its share of the
-requests, and just these see the failure. At most a share of a pool is out at
-once, since a fault that hits many targets is rarely the targets' own, and
-the rest could not carry the load.
+Made for one target out of many that refuses connections or breaks its streams:
+without it the target, which has nothing in flight, looks like the best one and
+draws requests that all fail. At most a share of a pool is out at once, since a
+fault that hits many targets is rarely the targets' own, and the rest could not
+carry the load.
+
+A slow target is not ejected: its slowness raises its cost at once and fades
+with time (see `copperloom.decisions.concurrency.slowness`). Ejection by a
+threshold was tried and did harm, see docs/design/decisions.md.
 """
 
 from copperloom.decisions import load
 
-__all__ = ["eject_failing", "eject_slow", "is_out", "succeeded"]
+__all__ = ["eject_failing", "is_out", "succeeded"]
 
 # A full engine refuses now and then and answers in between.
 FAILURES_TO_EJECT = 3
-# Work spreads within a factor of two or three by its own; four is a fault.
-SLOW_RATIO = 4.0
-SLOW_SAMPLES = 5
 FIRST_EJECTION_S = 2.0
 LONGEST_EJECTION_S = 60.0
 # A target that comes back is tried with little, and its limit grows from it.
@@ -45,25 +46,6 @@
     return _eject(tgt, others, now)
 
 
-def eject_slow(
-    tgt: load.TargetLoad,
-    others: list[load.TargetLoad],
-    slowness: float,
-    now: float,
-) -> bool:
-    """Ejects the target if it is much slower than its pool.
-
-    Args:
-        tgt: The target.
-        others: All targets of its pool.
-        slowness: Its first-token time over the pool's median.
-        now: Monotonic seconds.
-    """
-    if tgt.samples < SLOW_SAMPLES or slowness < SLOW_RATIO:
-        return False
-    return _eject(tgt, others, now)
-
-
 def _eject(
     tgt: load.TargetLoad, others: list[load.TargetLoad], now: float
 ) -> bool:
@@ -78,5 +60,5 @@
     tgt.failures = 0
     tgt.samples = 0
     tgt.ratio = 0.0
-    tgt.limit = RETURN_LIMIT
+    tgt.limit = min(tgt.limit, RETURN_LIMIT)
     return True
--- a/copperloom/decisions/flights.py
+++ b/copperloom/decisions/flights.py
@@ -11,7 +11,7 @@
 )
 from copperloom.decisions import pool as pool_module
 
-__all__ = ["first_token", "land", "place", "succeed"]
+__all__ = ["ended", "first_token", "land", "place", "succeed"]
 
 # Priorities at the engine.
 SHORT_PRIORITY = 10
@@ -75,6 +75,16 @@
     pool_module.learn(stay, flight.cost, seconds)
 
 
+def ended(sched: state.Scheduler, flight: state.Flight, now: float) -> None:
+    """Learns from how long work stayed at its target, however it ended."""
+    req = flight.placement.request
+    tgt = sched.targets.get(flight.placement.targets[0])
+    if tgt is None or flight.long or not sched.uses("concurrency"):
+        return
+    stay_s = now - flight.placed_at
+    concurrency.ended(tgt, stay_s, req.deadline - req.arrived, now)
+
+
 def land(sched: state.Scheduler, request_id: str) -> None:
     """Counts work that is over, however it ended; safe to repeat."""
     flight = sched.flights.pop(request_id, None)
@@ -118,9 +128,5 @@
         flight.prompts[0],
         seconds,
         now,
-        objective=sched.cfg.preset.objective,
         adapt=sched.uses("concurrency"),
     )
-    if sched.uses("ejection"):
-        slow = concurrency.slowness(pool.pace, tgt, now)
-        ejection.eject_slow(tgt, pool.targets, slow, now)
--- a/copperloom/decisions/load.py
+++ b/copperloom/decisions/load.py
@@ -13,6 +13,7 @@
     "TargetLoad",
     "add",
     "kv_in_use",
+    "long_kv_in_use",
     "prefill_tokens",
     "remove",
     "started",
@@ -194,3 +195,16 @@
         return tgt.held_tokens
     since = max(0, tgt.held_tokens - tgt.held_at_report)
     return max(tgt.held_tokens, tgt.report.kv_used + since)
+
+
+def long_kv_in_use(tgt: TargetLoad, short_tokens: int) -> int:
+    """Estimates the KV tokens that long work of all entries holds.
+
+    A report tells the tokens and the streams but not whose they are; each
+    stream is taken for a short one of `short_tokens`, and what is held beyond
+    is long work's.
+    """
+    if tgt.report is None:
+        return tgt.long_tokens
+    beyond = tgt.report.kv_used - tgt.report.running * short_tokens
+    return max(tgt.long_tokens, beyond)
--- a/copperloom/decisions/placement.py
+++ b/copperloom/decisions/placement.py
@@ -3,7 +3,14 @@
 import random
 
 from copperloom import configuration, messages
-from copperloom.decisions import affinity, concurrency, ejection, groups, load
+from copperloom.decisions import (
+    affinity,
+    border,
+    concurrency,
+    ejection,
+    groups,
+    load,
+)
 from copperloom.decisions import pool as pool_module
 
 __all__ = ["choose_long", "choose_short", "free_long_tokens", "gather"]
@@ -22,7 +29,14 @@
 # and one for each token of its answer.
 LONG_STEP_TOKENS = 4_000
 # What a later step weighs against the first one, by the preset's objective.
-ANSWER_WEIGHT = {"first_token": 0.02, "slowdown": 0.5}
+# Measured: docs/design/decisions.md, "The two objectives".
+ANSWER_WEIGHT = {"first_token": 0.005, "slowdown": 0.1}
+# What it weighs that long work holds up a stream that decodes at an engine: a
+# fraction of a second later for long work is nothing beside a short answer
+# that takes several times as long.
+HELD_UP_TOKENS = 8_000
+# Below this likelihood of long work its part is like the other.
+LIKELY_LEAST = 0.2
 NO_AVOID: frozenset[str] = frozenset()
 
 
@@ -42,8 +56,9 @@
     message and no scan per request. The cost of a target is its predicted
     wait, so a prefix's home is taken as long as the prefill that it saves is
     more than the wait that it adds; this bounds what a hot prefix can pile up
-    there. With the objective "slowdown" engines with long work are used only
-    if the others are full.
+    there. An engine with long work gives a first token soon, since short work
+    passes it there, but stretches the answer: the objective tells what that
+    weighs.
 
     Args:
         pool: The targets.
@@ -59,7 +74,7 @@
     """
     need = req.prompt_tokens + req.max_tokens
     later = ANSWER_WEIGHT[objective] * req.max_tokens
-    penalty = LONG_STEP_TOKENS * (1.0 + later)
+    penalty = LONG_STEP_TOKENS * (1.0 + later) * border.likely(pool.border)
 
     def usable(tgt):
         return tgt.name not in avoid and _has_room(tgt, need, now)
@@ -69,7 +84,7 @@
 
     candidates = _sample(pool.short_part, rng, SAMPLES)
     beside_long = _ends_beside_long(pool, req, now)
-    if beside_long and objective == "first_token":
+    if beside_long:
         candidates = candidates + _sample(pool.long_part, rng, 1)
     found = [t for t in candidates if usable(t)]
     if not found:
@@ -178,6 +193,8 @@
     """
     if pool.short_part is pool.targets:
         return False
+    if border.likely(pool.border) < LIKELY_LEAST:
+        return True
     step_s = LONG_STEP_TOKENS * pool.pace.quick_s
     return req.max_tokens * step_s < req.deadline - now
 
@@ -230,7 +247,9 @@
 
 
 def _long_cost(pool, tgt, now):
+    running = tgt.report.running if tgt.report else 0
     wait = load.wait_tokens(tgt, now, long=True)
+    wait += HELD_UP_TOKENS * max(running, tgt.streams - tgt.long_streams)
     return wait * concurrency.slowness(pool.pace, tgt, now)
 
 
--- a/copperloom/decisions/pool.py
+++ b/copperloom/decisions/pool.py
@@ -136,7 +136,8 @@
     if head and now - head[0].queued_at > LONG_WAITS_S:
         return 1.0
     room = sum(capacity(t, preset) for t in pool.long_part)
-    held = sum(load.kv_in_use(t) for t in pool.long_part)
+    typical = preset.short_prompt_tokens // 2
+    held = sum(load.long_kv_in_use(t, typical) for t in pool.long_part)
     return min(1.0, held / room) if room else 0.0
 
 
--- a/copperloom/decisions/scheduler.py
+++ b/copperloom/decisions/scheduler.py
@@ -211,6 +211,7 @@
     flight = sched.flights.get(placement.request.id)
     if flight is None:
         return
+    flights.ended(sched, flight, now)
     if ok:
         flights.succeed(sched, flight, now)
     flights.land(sched, placement.request.id)
--- /dev/null
+++ b/copperloom/decisions/tests/ablation.py
@@ -0,0 +1,158 @@
+"""Compares policies and mechanisms on the fake engines.
+
+    python -m copperloom.decisions.tests.ablation [SCENARIO...]
+
+Prints the medians of three seeds for each policy, and for copperloom with each
+mechanism switched off alone.
+"""
+
+import dataclasses
+import sys
+
+from copperloom import configuration
+from copperloom.decisions import policies
+from copperloom.decisions.tests import world
+
+SEEDS = (1, 2, 3)
+SECONDS = 120.0
+SETTLE_S = 10.0
+DRAIN_S = world.LONG_LIMIT_S + 20.0
+COUNT = 15
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """A load, its mix and its faults."""
+
+    load: float
+    entries: int = 3
+    long_share: float = 0.02
+    large: float = 0.3
+    hot: float = 0.0
+    slow: tuple[tuple[str, float], ...] = ()
+    down: tuple[str, ...] = ()
+    objective: str = "first_token"
+    limit_s: float = world.LIMIT_S
+    max_queue_wait_s: float = 30.0
+
+
+SCENARIOS = {
+    "mix": Scenario(0.7),
+    "alone": Scenario(0.7, entries=1),
+    "nine": Scenario(0.7, entries=9),
+    "mix110": Scenario(1.1),
+    "slowdown110": Scenario(1.1, objective="slowdown"),
+    "full130": Scenario(1.3, max_queue_wait_s=5.0),
+    "saturated": Scenario(2.6, long_share=0.0, max_queue_wait_s=5.0),
+    "skew": Scenario(2.0, long_share=0.0, large=0.5, max_queue_wait_s=5.0),
+    "hot": Scenario(0.7, long_share=0.0, hot=0.6),
+    "slow": Scenario(0.6, long_share=0.0, slow=(("e3", 8.0),)),
+    "down": Scenario(0.6, long_share=0.0, down=("e3", "e4")),
+}
+
+
+def play(
+    scenario,
+    seed,
+    *,
+    policy="copperloom",
+    disable=frozenset(),
+    long=True,
+    **options,
+):
+    """Plays a scenario; returns the world and the outcomes."""
+    share = scenario.long_share
+    rate = world.rate_for(scenario.load, COUNT, long_share=share)
+    reqs = world.requests(
+        seed,
+        rate,
+        SECONDS,
+        long_share=share,
+        large=scenario.large,
+        hot=scenario.hot,
+        limit_s=scenario.limit_s,
+    )
+    if not long:
+        reqs = [r for r in reqs if r.prompt_tokens <= 16_000]
+    preset = configuration.Preset(
+        "p",
+        objective=scenario.objective,
+        max_queue_wait_s=scenario.max_queue_wait_s,
+    )
+    made = world.World(
+        count=COUNT,
+        entries=scenario.entries,
+        seed=seed,
+        policy=policy,
+        disable=disable,
+        preset=preset,
+        slow=dict(scenario.slow),
+        **options,
+    )
+    for name in scenario.down:
+        made.engines[name].down = True
+    return made, made.run(reqs, SECONDS + DRAIN_S)
+
+
+def measure(scenario, seed, **options):
+    """Returns the figures of one run."""
+    made, outcomes = play(scenario, seed, **options)
+    summary = world.summarise(outcomes, since=SETTLE_S)
+    small = [o for o in outcomes if o.request.organisation != "o0" and o.short]
+    small = [o for o in small if o.request.arrived >= SETTLE_S]
+    answered = [o for o in small if not o.error]
+    _, alone = play(scenario, seed, long=False, **options)
+    return {
+        "first p50": summary.first_p50,
+        "first p99": summary.first_p99,
+        "slowdown p99": slowdown(outcomes, alone),
+        "late": summary.late,
+        "refused": summary.refused,
+        "small p99": world.quantile([o.first_s for o in answered], 0.99),
+        "small ok": len(answered) / max(1, len(small)),
+        "long ok": summary.long_answered,
+        "goodput": summary.goodput,
+        "denied": made.denied,
+        "lost": summary.lost,
+    }
+
+
+def slowdown(outcomes, alone, q=0.99):
+    """Returns a quantile of short answers' times over those without long."""
+    base = {o.request.id: o.total_s for o in alone if not o.error}
+    return world.quantile(
+        [
+            o.total_s / base[o.request.id]
+            for o in outcomes
+            if o.request.id in base and o.request.arrived >= SETTLE_S
+        ],
+        q,
+    )
+
+
+def main(names):
+    only = [n[1:] for n in names if n.startswith("=")]
+    names = [n for n in names if not n.startswith("=")]
+    variants = [(p, frozenset()) for p in policies.POLICIES]
+    variants += [
+        ("copperloom", frozenset([m])) for m in sorted(policies.MECHANISMS)
+    ]
+    for name in names or SCENARIOS:
+        print(f"\n{name}: {SCENARIOS[name]}")
+        for policy, disable in variants:
+            if only and " -".join([policy, *disable]) not in only:
+                continue
+            runs = [
+                measure(SCENARIOS[name], s, policy=policy, disable=disable)
+                for s in SEEDS
+            ]
+            label = " -".join([policy, *disable])
+            cells = [f"{label:24s}"]
+            for key in runs[0]:
+                middle = sorted(r[key] for r in runs)[len(runs) // 2]
+                cells.append(f"{key} {middle:.3g}")
+            print(" | ".join(cells), flush=True)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/copperloom/decisions/tests/world.py
+++ b/copperloom/decisions/tests/world.py
@@ -93,6 +93,7 @@
         self.woken = [math.inf] * entries
         self.outcomes: dict[str, Outcome] = {}
         self.denied = 0
+        self.unreachable = 0
         self.lag_s = report_lag_s
         for sched in self.scheds:
             scheduler.set_configuration(sched, self.cfg, 0.0)
@@ -285,6 +286,7 @@
         if self.world.engines[name].open(stream):
             return True
         self._close()
+        self.world.unreachable += 1
         sched = self.world.scheds[self.index]
         scheduler.target_failed(sched, name, self.world.clock.now)
         self.world._again(self.placement, self.index, name)
