Records: a late claim can't block a key; tests of at-most-once

Cause: the first tests of the records failed with a TypeError: settle_later took a keyword with the name of its first argument, so giving up never wrote the 'not run' record. Reading on, a claim over an older 'not run' record could land after its holder gave up and block the key for good. Ruled out: deleting the row instead; a late insert would land after it. Change: the record's phase has its own name; giving up replaces an older 'not run' too while the claim's fate is unknown.

--- a/copperloom/controllers/records.py
+++ b/copperloom/controllers/records.py
@@ -20,7 +20,7 @@
 from copperloom.daemons.state import EntryState
 from copperloom.platform.interface import Row
 
-__all__ = ["Claim", "Record", "State", "claim", "settle"]
+__all__ = ["Claim", "Phase", "Record", "claim", "settle"]
 
 _NONCE_BYTES = 12
 _RETRY_FIRST_S = 0.05
@@ -32,8 +32,8 @@
 _SETTLE_WAIT_S = 0.5
 
 
-class State:
-    """States of a record."""
+class Phase:
+    """Phases of a record."""
 
     STARTED = "started"
     NOT_RUN = "not_run"
@@ -49,7 +49,7 @@
         nonce: Random text of the request that claimed it.
         digest: Digest of the request's body.
         request: Request id of the holder.
-        state: One of State.
+        phase: One of Phase.
         code: Result code, once it is settled.
         run: What is known of the run, once it has failed.
         status: HTTP status of the kept answer.
@@ -64,7 +64,7 @@
     nonce: str
     digest: str
     request: str
-    state: str = State.STARTED
+    phase: str = Phase.STARTED
     code: int = 0
     run: str = ""
     status: int = 200
@@ -128,7 +128,7 @@
         ):
             # The insert may still land after we stopped waiting for it. Left
             # so, the key would look as if its work may have run, for good.
-            settle_later(state, mine, state=State.NOT_RUN)
+            settle_later(state, mine, phase=Phase.NOT_RUN)
         raise
 
 
@@ -152,7 +152,7 @@
             mine.version = expected + 1
             return mine
         theirs = _record(found)
-        if theirs is None or theirs.state == State.NOT_RUN:
+        if theirs is None or theirs.phase == Phase.NOT_RUN:
             expected = found.version
             continue
         return _judge(mine, found, theirs)
@@ -165,14 +165,14 @@
         return mine
     if theirs.digest != mine.record.digest:
         raise exception.KeyConflictError()
-    if theirs.state == State.DONE and theirs.content_type:
+    if theirs.phase == Phase.DONE and theirs.content_type:
         return Claim(mine.key, theirs, found.version, replay=True)
-    if theirs.state == State.DONE:
+    if theirs.phase == Phase.DONE:
         raise exception.KeyInUseError(
             f"done as {theirs.request}; its answer was too long to keep",
             run=exception.Run.MAY_HAVE_RUN,
         )
-    if theirs.state == State.FAILED:
+    if theirs.phase == Phase.FAILED:
         raise exception.KeyInUseError(
             f"failed as {theirs.request} with code {theirs.code}",
             run=exception.Run(theirs.run),
@@ -220,14 +220,25 @@
         if theirs is None:
             version = 0
             continue
-        if theirs.nonce != record.nonce or theirs == record:
+        if theirs == record or not _ours(mine, record, theirs):
             return
         version = found.version
     logs.event(
-        "record_unsettled", level="WARNING", key=mine.key, state=record.state
+        "record_unsettled", level="WARNING", key=mine.key, phase=record.phase
     )
 
 
+def _ours(mine: Claim, record: Record, theirs: Record) -> bool:
+    """Tells whether the row that was found is ours to replace.
+
+    Besides our own, that is a "not run" of somebody else over which our claim
+    may still be on its way: replacing it makes the late claim fail.
+    """
+    if theirs.nonce == record.nonce:
+        return True
+    return not mine.version and theirs.phase == Phase.NOT_RUN
+
+
 def _plain(record: Record) -> dict:
     return msgspec.to_builtins(record)
 
--- a/copperloom/filters/once.py
+++ b/copperloom/filters/once.py
@@ -83,9 +83,9 @@
     ex: exchange.Exchange, code: int, run: exception.Run
 ) -> None:
     not_run = run is exception.Run.NOT_RUN
-    state = records.State.NOT_RUN if not_run else records.State.FAILED
+    phase = records.Phase.NOT_RUN if not_run else records.Phase.FAILED
     records.settle_later(
-        ex.state, ex.record, state=state, code=code, run=run.value
+        ex.state, ex.record, phase=phase, code=code, run=run.value
     )
 
 
@@ -98,7 +98,7 @@
     await records.settle(
         ex.state,
         ex.record,
-        state=records.State.DONE,
+        phase=records.Phase.DONE,
         status=kept.status,
         content_type=kept.content_type if whole else "",
         answer=b"".join(kept.parts),
--- /dev/null
+++ b/copperloom/tests/fakes.py
@@ -0,0 +1,75 @@
+"""Small fakes at the interfaces, for tests without processes."""
+
+import asyncio
+import types
+
+from copperloom import exception
+from copperloom.controllers import batch
+from copperloom.platform.interface import Row, TransactResult
+
+__all__ = ["FakeTable", "record_state"]
+
+
+class FakeTable:
+    """The table service in memory.
+
+    Attributes:
+        rows: Row by key.
+        transactions: How many were asked for.
+        faults: Faults of the next transactions, in order: "down" (nothing
+            takes effect), "lost" (takes effect, confirmation lost), "late"
+            (confirmation lost, takes effect when `land` is called), "" (none).
+        late: Transactions that have not landed yet.
+    """
+
+    def __init__(self):
+        self.rows: dict[str, Row] = {}
+        self.transactions = 0
+        self.faults: list[str] = []
+        self.late: list[tuple] = []
+
+    async def transact(self, conditions, writes, *, timeout_s):
+        """Does what the platform's `transact` does, or the next fault."""
+        self.transactions += 1
+        await asyncio.sleep(0)
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "down":
+            raise exception.PlatformDownError()
+        if fault == "late":
+            self.late.append((conditions, writes))
+            raise exception.PlatformUnknownError()
+        result = self._apply(conditions, writes)
+        if fault == "lost":
+            raise exception.PlatformUnknownError()
+        return result
+
+    def land(self) -> None:
+        """Lets the late transactions take effect, if they still can."""
+        late, self.late = self.late, []
+        for conditions, writes in late:
+            self._apply(conditions, writes)
+
+    def _apply(self, conditions, writes) -> TransactResult:
+        conflicts = [
+            self.row(c.key)
+            for c in conditions
+            if self.row(c.key).version != c.version
+        ]
+        if conflicts:
+            return TransactResult(False, tuple(conflicts))
+        for write in writes:
+            version = self.row(write.key).version + 1
+            self.rows[write.key] = Row(write.key, write.value, version)
+        return TransactResult(True)
+
+    def row(self, key: str) -> Row:
+        """Returns a row, version 0 if there is none."""
+        return self.rows.get(key, Row(key, None, 0))
+
+
+def record_state(table: FakeTable) -> types.SimpleNamespace:
+    """Returns what the idempotency records need of an entry's state."""
+    platform = types.SimpleNamespace(transact=table.transact)
+    return types.SimpleNamespace(
+        batcher=batch.Batcher(platform, timeout_s=1.0), background=set()
+    )
