--- /dev/null
+++ b/copperloom/standins/tests/fixtures.py
@@ -0,0 +1,105 @@
+"""Stand-ins on the test's own loop; each is stopped when the case ends."""
+
+import asyncio
+import time
+
+import msgspec
+from aiohttp import web
+
+from copperloom.standins import engine, proxy, service, settings
+from copperloom.standins import server as standin_server
+from copperloom.targets import http, interface
+
+__all__ = [
+    "ask",
+    "connect_targets",
+    "encode",
+    "read_all",
+    "start_canned",
+    "start_engine",
+    "start_proxy",
+    "start_service",
+    "wait_until",
+]
+
+_FAST = {"time_scale": 50.0, "report_lag_s": 0.0}
+
+
+async def start_engine(case, **changes):
+    """Starts an engine, fast unless told otherwise; returns its server."""
+    spec = settings.EngineSection(**{**_FAST, **changes})
+    return await _start(case, engine, settings.EngineSettings(spec))
+
+
+async def start_service(case, **changes):
+    """Starts a plain service; returns its server."""
+    spec = settings.ServiceSection(**changes)
+    return await _start(case, service, settings.ServiceSettings(spec))
+
+
+async def start_proxy(case, upstream: str):
+    """Starts a proxy with the one pair "p"; returns its server."""
+    spec = settings.ProxySection(pairs=(f"p=127.0.0.1:0>{upstream}",))
+    return await _start(case, proxy, settings.ProxySettings(spec))
+
+
+async def start_canned(case, body: bytes) -> str:
+    """Answers each POST to /streams with a body; returns the address."""
+
+    async def handle(request: web.Request) -> web.Response:
+        return web.Response(body=body)
+
+    server = await standin_server.start(
+        "127.0.0.1:0",
+        [web.post("/streams", handle)],
+        faults=standin_server.Faults(),
+        truth=dict,
+    )
+    case.addAsyncCleanup(server.close)
+    return server.addresses["listen"]
+
+
+def encode(value) -> bytes:
+    """Returns a value as JSON."""
+    return msgspec.json.encode(value)
+
+
+async def connect_targets(case, *, connect_s: float = 1.0):
+    """Returns a client of targets that is closed when the case ends."""
+    targets = http.connect(connect_s=connect_s)
+    case.addAsyncCleanup(targets.close)
+    return targets
+
+
+def ask(stream: str, **changes) -> interface.StreamOpen:
+    """Returns a short prompt with a short answer."""
+    fields = {
+        "owner": "e1.b1",
+        "organisation": "org",
+        "deployment": "chat",
+        "model": "m",
+        "messages": b'[{"role":"user","content":"hi"}]',
+        "prompt_tokens": 1000,
+        "max_tokens": 20,
+    }
+    return interface.StreamOpen(stream=stream, **{**fields, **changes})
+
+
+async def read_all(pieces) -> str:
+    """Returns the text of a whole answer."""
+    return "".join([p.text async for some in pieces for p in some])
+
+
+async def wait_until(condition, *, limit_s: float = 10.0) -> None:
+    """Waits until a condition holds, or fails."""
+    end = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError("the condition did not come true in time")
+        await asyncio.sleep(0.005)
+
+
+async def _start(case, module, program):
+    server = await module.serve(program)
+    case.addAsyncCleanup(server.close)
+    return server
