--- /dev/null
+++ b/copperloom/controllers/loads.py
@@ -0,0 +1,98 @@
+"""Polls the load reports of the targets that this entry watches."""
+
+import asyncio
+import heapq
+
+import xxhash
+
+from copperloom import configuration, exception, logs
+from copperloom.controllers import leaving
+from copperloom.daemons.state import EntryState
+from copperloom.decisions import scheduler
+
+__all__ = ["interval_s", "step", "watched"]
+
+# With more engines than this an entry watches only some of them, so that its
+# control traffic stays the same as the fleet grows; 64 leave enough to choose
+# from in each pool of prompt lengths.
+_WATCH_MOST = 64
+_TIMEOUT_S = 1.0
+
+
+def interval_s(state: EntryState) -> float:
+    """Returns the seconds between steps."""
+    return state.settings.targets.load_poll_s
+
+
+def watched(
+    cfg: configuration.Configuration, instance: str, *, most: int = _WATCH_MOST
+) -> list[configuration.Target]:
+    """Returns the engines that an entry watches.
+
+    Rendezvous hashing: each engine is watched by about the same number of
+    entries, and a change of the fleet changes little of what each watches.
+
+    Args:
+        cfg: The configuration in force.
+        instance: The entry's name.
+        most: The most engines to watch.
+    """
+    engines = [
+        tgt
+        for tgt in cfg.targets.values()
+        if tgt.kind is configuration.TargetKind.ENGINE
+        and tgt.state is configuration.TargetState.ADMITTED
+    ]
+    if len(engines) <= most:
+        return engines
+    return heapq.nlargest(
+        most,
+        engines,
+        key=lambda tgt: xxhash.xxh64_intdigest(f"{instance}/{tgt.name}"),
+    )
+
+
+async def step(state: EntryState, now: float) -> None:
+    """Starts a poll of each watched engine that has none in progress.
+
+    A frozen engine so holds up its own reports only.
+    """
+    for tgt in watched(state.cfg, state.settings.entry.instance):
+        if tgt.name not in state.polling:
+            state.polling.add(tgt.name)
+            task = asyncio.create_task(_poll(state, tgt))
+            state.background.add(task)
+            task.add_done_callback(state.background.discard)
+
+
+async def _poll(state: EntryState, tgt: configuration.Target) -> None:
+    loop = asyncio.get_running_loop()
+    try:
+        # Spreads the polls of all entries and targets over the interval.
+        await asyncio.sleep(interval_s(state) * state.rng.uniform(0.0, 0.5))
+        report = await state.targets.load(tgt.address, timeout_s=_TIMEOUT_S)
+    except exception.TargetUnreachableError:
+        scheduler.target_failed(state.sched, tgt.name, loop.time())
+        return
+    except exception.CopperloomError as error:
+        logs.event("no_report", target=tgt.name, code=error.code)
+        return
+    finally:
+        state.polling.discard(tgt.name)
+    now = loop.time()
+    state.reports[tgt.name] = report
+    scheduler.report(state.sched, tgt.name, report, now)
+    _note_word(state, tgt.name, report.leaving, now)
+
+
+def _note_word(
+    state: EntryState, target: str, is_leaving: bool, now: float
+) -> None:
+    """Takes in whether a target says that it leaves."""
+    if is_leaving == (target in state.leaving_targets):
+        return
+    if is_leaving:
+        state.leaving_targets[target] = now
+    else:
+        del state.leaving_targets[target]
+    leaving.refresh(state, now)
--- a/copperloom/daemons/state.py
+++ b/copperloom/daemons/state.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import itertools
+import random
 import secrets
 
 from copperloom import configuration
-from copperloom.controllers import batch
+from copperloom.controllers import batch, cancels, orders, orphans
 from copperloom.daemons import metrics, options
 from copperloom.decisions import scheduler
 from copperloom.platform.interface import Platform
@@ -38,6 +39,12 @@
         background: Tasks that outlive their request; a stop waits for them.
         metrics: Counters and histograms of this entry.
         wake: Set when the dispatcher has something to look at.
+        rng: Source of jitter.
+        cancels: Cancels that engines have not confirmed.
+        orphans: Boots of other entries, to tell whose streams are left.
+        reports: Newest load report by target.
+        polling: Targets whose load report is asked for now.
+        orders: Orders given to engines, and the leases for them.
     """
 
     def __init__(
@@ -66,6 +73,12 @@
         self.background: set[asyncio.Task] = set()
         self.metrics = metrics.EntryMetrics()
         self.wake = asyncio.Event()
+        self.rng = random.Random(self.owner)
+        self.cancels = cancels.Cancels(self.rng)
+        self.orphans = orphans.Owners(time.monotonic())
+        self.reports: dict[str, LoadReport] = {}
+        self.polling: set[str] = set()
+        self.orders = orders.Orders()
         self._sequence = itertools.count(1)
 
     def next_id(self) -> str:
