--- /dev/null
+++ b/copperloom/platform/http.py
@@ -0,0 +1,238 @@
+"""The platform's service over HTTP, as docs/PROTOCOLS.md describes it.
+
+The errors tell whether a write can have taken effect, because every safe use
+of a conditional write depends on that: only a connection that was never made,
+a 429 or a 503 proves that it did not.
+"""
+
+import urllib.parse
+
+import aiohttp
+import msgspec
+import prometheus_client
+import yarl
+
+from copperloom import exception
+from copperloom.platform import interface
+
+__all__ = ["connect"]
+
+_CALLS = prometheus_client.Counter(
+    "copperloom_platform_calls",
+    "Calls to the platform's service.",
+    ["call"],
+)
+_FAILURES = prometheus_client.Counter(
+    "copperloom_platform_failures",
+    "Calls to the platform's service that failed, by result code.",
+    ["call", "code"],
+)
+_OK = 200
+_NOT_FOUND = 404
+_TOO_MANY = 429
+_UNAVAILABLE = 503
+_DEFAULT_RETRY_S = 1.0
+_SCAN_LIMIT = 1000
+
+
+class _Transact(msgspec.Struct):
+    committed: bool
+    conflicts: tuple[interface.Row, ...] = ()
+
+
+class _Scan(msgspec.Struct):
+    rows: list[interface.Row]
+
+
+class _Instances(msgspec.Struct):
+    instances: list[interface.InstanceRow]
+
+
+class _Refused(msgspec.Struct):
+    retry_after_s: float = _DEFAULT_RETRY_S
+
+
+class _Client:
+    """The connections to one platform address."""
+
+    def __init__(self, address: str):
+        self.address = address
+        self.session: aiohttp.ClientSession | None = None
+
+    def open(self) -> aiohttp.ClientSession:
+        """Returns the session, made on first use inside the loop."""
+        if self.session is None:
+            self.session = aiohttp.ClientSession()
+        return self.session
+
+
+def connect(address: str) -> interface.Platform:
+    """Makes the functions of the platform at an address.
+
+    Args:
+        address: IP:port.
+
+    Returns:
+        The record; connections are made on first use and kept.
+    """
+    client = _Client(address)
+    bound = {
+        name: _bind(function, client) for name, function in _FUNCTIONS.items()
+    }
+    return interface.Platform(**bound)
+
+
+def _bind(function, client):
+    async def call(*args, **kwargs):
+        return await function(client, *args, **kwargs)
+
+    call.__name__ = function.__name__
+    return call
+
+
+async def _transact(client, conditions, writes, *, timeout_s):
+    body = msgspec.json.encode(
+        {"conditions": list(conditions), "writes": list(writes)}
+    )
+    raw = await _write(
+        client, "transact", "POST", "/table/transact", body, timeout_s
+    )
+    # An answer that cannot be read proves nothing about the write.
+    result = _decode(raw, _Transact, exception.PlatformUnknownError)
+    return interface.TransactResult(result.committed, result.conflicts)
+
+
+async def _read(client, key, *, timeout_s):
+    path = "/table/row?" + urllib.parse.urlencode({"key": key})
+    raw = await _fetch(client, "read", path, timeout_s)
+    return _decode(raw, interface.Row, exception.PlatformDownError)
+
+
+async def _scan(client, prefix, *, after="", limit=_SCAN_LIMIT, timeout_s):
+    query = {"prefix": prefix, "after": after, "limit": limit}
+    path = "/table/scan?" + urllib.parse.urlencode(query)
+    raw = await _fetch(client, "scan", path, timeout_s)
+    return _decode(raw, _Scan, exception.PlatformDownError).rows
+
+
+async def _get_object(client, name, *, timeout_s):
+    return await _fetch(client, "get_object", _object(name), timeout_s)
+
+
+async def _put_object(client, name, data, *, timeout_s):
+    path = _object(name)
+    await _write(client, "put_object", "PUT", path, data, timeout_s)
+
+
+async def _instances(client, *, timeout_s):
+    raw = await _fetch(client, "instances", "/instances", timeout_s)
+    return _decode(raw, _Instances, exception.PlatformDownError).instances
+
+
+async def _announce(client, row, *, timeout_s):
+    path = "/instances/" + urllib.parse.quote(row.name, safe="")
+    body = msgspec.json.encode(row)
+    await _write(client, "announce", "PUT", path, body, timeout_s)
+
+
+async def _acquire_weights(client, count, *, timeout_s):
+    body = msgspec.json.encode({"count": count})
+    await _write(client, "weights", "POST", "/weights", body, timeout_s)
+
+
+async def _close(client):
+    if client.session is not None:
+        await client.session.close()
+        client.session = None
+
+
+_FUNCTIONS = {
+    "transact": _transact,
+    "read": _read,
+    "scan": _scan,
+    "get_object": _get_object,
+    "put_object": _put_object,
+    "instances": _instances,
+    "announce": _announce,
+    "acquire_weights": _acquire_weights,
+    "close": _close,
+}
+
+
+def _object(name: str) -> str:
+    return "/objects/" + urllib.parse.quote(name, safe="")
+
+
+async def _fetch(client, call, path, timeout_s) -> bytes | None:
+    """Reads; any failure means that nothing took effect. 404 gives None."""
+    return await _request(
+        client, call, "GET", path, None, timeout_s, exception.PlatformDownError
+    )
+
+
+async def _write(client, call, method, path, body, timeout_s) -> bytes:
+    """Writes; a failure after the connection was made proves nothing."""
+    return await _request(
+        client,
+        call,
+        method,
+        path,
+        body,
+        timeout_s,
+        exception.PlatformUnknownError,
+    )
+
+
+async def _request(client, call, method, path, body, timeout_s, lost):
+    _CALLS.labels(call).inc()
+    try:
+        return await _send(client, method, path, body, timeout_s, lost)
+    except exception.CopperloomError as error:
+        _FAILURES.labels(call, error.code).inc()
+        raise
+
+
+async def _send(client, method, path, body, timeout_s, lost):
+    url = yarl.URL(f"http://{client.address}{path}", encoded=True)
+    limit = aiohttp.ClientTimeout(total=timeout_s, sock_connect=timeout_s / 2)
+    try:
+        async with client.open().request(
+            method, url, data=body, timeout=limit
+        ) as reply:
+            raw = await reply.read()
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        # No connection was made, so no byte of the request went out.
+        raise exception.PlatformDownError(str(error)) from error
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        raise lost(f"{method} {path}: {type(error).__name__}") from error
+    return _check(reply.status, raw, f"{method} {path}", lost)
+
+
+def _check(status: int, raw: bytes, what: str, lost) -> bytes | None:
+    if status == _OK:
+        return raw
+    if status == _NOT_FOUND:
+        return None
+    if status == _TOO_MANY:
+        after_s = _retry_after(raw)
+        raise exception.RateLimitedError(what, retry_after_s=after_s)
+    if status == _UNAVAILABLE:
+        raise exception.PlatformDownError(f"{what}: {status}")
+    raise lost(f"{what}: {status}")
+
+
+def _retry_after(raw: bytes) -> float:
+    try:
+        return msgspec.json.decode(raw, type=_Refused).retry_after_s
+    except msgspec.MsgspecError:
+        return _DEFAULT_RETRY_S
+
+
+def _decode(raw, kind, lost):
+    try:
+        return msgspec.json.decode(raw or b"", type=kind)
+    except msgspec.MsgspecError as error:
+        raise lost(f"unreadable answer: {error}") from error
