Configuration: versioned changes, adoption, freshness rule, operators' calls

Change: one conditional transaction a change with its audit row; a lost confirmation is settled by sending the same transaction again and comparing the nonce; entries adopt only greater versions; majority contact rule as a pure decision; /admin/v1/ routes.

--- /dev/null
+++ b/copperloom/controllers/config.py
@@ -0,0 +1,148 @@
+"""Keeps the newest configuration, and says whether work may be admitted."""
+
+import time
+
+import msgspec
+
+from copperloom import configuration, exception
+from copperloom.controllers import changes, snapshot
+from copperloom.decisions import freshness, scheduler
+from copperloom.logs import event
+
+__all__ = ["adopt", "confirm", "evidence", "may_admit", "step"]
+
+_SCAN_ROWS = 200
+_RETRY_AFTER_S = 1.0
+
+
+async def step(state, now: float) -> None:
+    """Looks at the head, and adopts what came after the version held.
+
+    Safe to run at any time and twice at once: a version is adopted only if it
+    is greater than the one held.
+
+    Args:
+        state: The entry's state.
+        now: Monotonic seconds before the head is read. Work is confirmed as of
+            then, since an answer that comes late proves nothing newer.
+
+    Raises:
+        copperloom.exception.PlatformDownError: The platform gave no answer.
+        copperloom.exception.RateLimitedError: It is over its rate.
+    """
+    timeout_s = state.settings.platform.timeout_s
+    row = await state.platform.read(changes.HEAD, timeout_s=timeout_s)
+    newest = row.version
+    if newest < state.cfg.version:
+        # A platform that lost writes must not make a change revert here.
+        event(
+            "head_behind",
+            level="ERROR",
+            head=newest,
+            version=state.cfg.version,
+        )
+        return
+    if newest > state.cfg.version:
+        await _catch_up(state, newest, timeout_s)
+    if state.cfg.version < newest:
+        return
+    if not state.cfg_loaded:
+        # A head row that is not there yet: the empty configuration.
+        adopt(state, state.cfg, now)
+    confirm(state, now)
+
+
+def confirm(state, at: float) -> None:
+    """Notes a time at which the version held was the newest."""
+    state.confirmed_at = max(state.confirmed_at, at)
+
+
+def adopt(state, cfg: configuration.Configuration, now: float) -> bool:
+    """Puts a configuration in force here, unless it is no newer.
+
+    Returns:
+        Whether it was adopted.
+    """
+    if state.cfg_loaded and cfg.version <= state.cfg.version:
+        return False
+    previous = state.cfg.version
+    state.cfg = cfg
+    state.cfg_loaded = True
+    scheduler.set_configuration(state.sched, cfg, now)
+    state.wake.set()
+    event(
+        "configuration_adopted",
+        version=cfg.version,
+        previous=previous,
+        preset=cfg.preset.name,
+        targets=len(cfg.targets),
+        instance=state.settings.entry.instance,
+    )
+    return True
+
+
+async def _catch_up(state, newest: int, timeout_s: float) -> None:
+    """Reads the changes after the version held, or a snapshot before them."""
+    cfg = state.cfg
+    if newest - cfg.version > snapshot.EVERY:
+        whole = await snapshot.load(state.platform, timeout_s=timeout_s)
+        if whole is not None and whole.version > cfg.version:
+            cfg = whole
+    while cfg.version < newest:
+        rows = await state.platform.scan(
+            changes.CHANGE_PREFIX,
+            after=changes.change_key(cfg.version),
+            limit=_SCAN_ROWS,
+            timeout_s=timeout_s,
+        )
+        before = cfg.version
+        for row in rows:
+            cfg = _apply(cfg, row)
+        if cfg.version == before:
+            raise exception.PlatformDownError(
+                f"no change {before + 1} though the head is {newest}"
+            )
+    adopt(state, cfg, time.monotonic())
+
+
+def _apply(cfg, row) -> configuration.Configuration:
+    change = msgspec.convert(row.value, configuration.Change)
+    if change.version <= cfg.version:
+        return cfg
+    return configuration.apply(cfg, change)
+
+
+def evidence(state, now: float) -> freshness.Evidence:
+    """Gathers what the rule of freshness looks at."""
+    heard_since = now - state.settings.membership.suspect_s
+    members = state.members.values()
+    contacts = [m for m in members if m.heard_at >= heard_since]
+    # A restarted entry knows few members at first and would take two for a
+    # majority; those in contact tell how many they know.
+    known = max([len(members) + 1, *(m.known_members for m in contacts)])
+    return freshness.Evidence(
+        loaded=state.cfg_loaded,
+        version=state.cfg.version,
+        confirmed_at=state.confirmed_at,
+        told_version=max((m.version for m in members), default=0),
+        contacts=len(contacts) + 1,
+        members=known,
+    )
+
+
+def may_admit(state, now: float) -> None:
+    """Lets new work pass, or refuses it at once.
+
+    Raises:
+        copperloom.exception.StaleConfigurationError: With the reason.
+    """
+    confirm_s = state.settings.membership.confirm_s
+    if state.cfg_loaded and now - state.confirmed_at <= confirm_s:
+        return
+    reason = freshness.why_not_admit(
+        evidence(state, now), now, confirm_s=confirm_s
+    )
+    if reason is not None:
+        raise exception.StaleConfigurationError(
+            reason, retry_after_s=_RETRY_AFTER_S
+        )
--- /dev/null
+++ b/copperloom/daemons/tests/test_admin.py
@@ -0,0 +1,74 @@
+"""Operators' calls to an entry."""
+
+import time
+import unittest
+
+from aiohttp import test_utils, web
+
+from copperloom.controllers import config
+from copperloom.controllers.tests import fixtures
+from copperloom.daemons import admin
+
+
+class AdminTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.standin = fixtures.start_platform(self)
+
+    async def asyncSetUp(self):
+        self.entry = fixtures.entry_state(self, self.standin.address)
+        await config.step(self.entry, time.monotonic())
+        app = web.Application()
+        app.add_routes(admin.routes(self.entry))
+        self.client = test_utils.TestClient(test_utils.TestServer(app))
+        await self.client.start_server()
+        self.addAsyncCleanup(self.client.close)
+
+    async def call(self, method, path, token=fixtures.TOKEN, **keys):
+        headers = {"Authorization": f"Bearer {token}"}
+        reply = await self.client.request(
+            method, f"/admin/v1/{path}", headers=headers, **keys
+        )
+        return reply.status, await reply.json()
+
+    async def put(self, *puts, **values):
+        body = {"operator": "olga", "puts": puts, **values}
+        return await self.call("POST", "changes", json=body)
+
+    async def test_wrong_token_is_refused(self):
+        status, body = await self.call("GET", "config", token="other")
+        self.assertEqual((status, body["code"]), (403, 2004))
+
+    async def test_no_token_set_turns_the_calls_off(self):
+        entry = fixtures.entry_state(self, self.standin.address)
+        object.__setattr__(entry.settings.entry, "operator_token_sha256", "")
+        self.entry.settings = entry.settings
+        status, _ = await self.call("GET", "config", token="")
+        self.assertEqual(status, 403)
+
+    async def test_change_is_in_force_when_it_answers(self):
+        status, body = await self.put(fixtures.target("t"))
+        self.assertEqual(status, 200, body)
+        self.assertEqual(
+            (body["version"], body["in_force"], body["members"]), (1, 1, 1)
+        )
+        _, shown = await self.call("GET", "config")
+        self.assertEqual([key for key, _ in shown["entities"]], ["target/t"])
+        _, audit = await self.call("GET", "audit")
+        self.assertEqual(audit["audit"][0]["operator"], "olga")
+        _, status = await self.call("GET", "status")
+        self.assertEqual(status["version"], 1)
+
+    async def test_lost_race_names_the_winner(self):
+        await self.put(fixtures.target("t"), seen_version=0)
+        status, body = await self.put(fixtures.target("u"), seen_version=0)
+        self.assertEqual((status, body["code"]), (409, 5004))
+        self.assertIn("version 1 by olga", body["error"])
+
+    async def test_bad_bodies_change_nothing(self):
+        for body in (b"{", b'{"puts": 3}', b'{"operator": "o"}'):
+            status, answer = await self.call("POST", "changes", data=body)
+            self.assertEqual((status, answer["code"]), (400, 2001))
+
+    async def test_drain(self):
+        await self.call("POST", "drain")
+        self.assertTrue(self.entry.draining)
