--- a/copperloom/configuration.py
+++ b/copperloom/configuration.py
@@ -94,6 +94,8 @@
         kv_tokens: An engine's KV memory in tokens.
         state: Admitted or retired.
         checks_fencing: Whether it refuses an order with an old fencing number.
+        admitted_version: Version of the configuration that last admitted it,
+            set when the change is made; ends earlier signs of its leaving.
     """
 
     name: str
@@ -104,6 +106,7 @@
     kv_tokens: int = 400_000
     state: TargetState = TargetState.ADMITTED
     checks_fencing: bool = True
+    admitted_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/copperloom/controllers/changes.py
+++ b/copperloom/controllers/changes.py
@@ -81,7 +81,7 @@
         version=seen_version + 1,
         nonce=nonce,
         operator=operator,
-        puts=tuple(puts),
+        puts=_stamp(puts, seen_version + 1),
         deletes=tuple(deletes),
         note=note,
         wall_time_s=wall_time_s,
@@ -93,6 +93,23 @@
     return change.version
 
 
+def _stamp(puts, version: int) -> tuple[tuple[str, dict], ...]:
+    """Writes into admitted targets the version that admits them."""
+    return tuple(
+        (
+            key,
+            _stamp_one(value, version) if key.startswith("target/") else value,
+        )
+        for key, value in puts
+    )
+
+
+def _stamp_one(value: dict, version: int) -> dict:
+    if value.get("state", "admitted") != configuration.TargetState.ADMITTED:
+        return value
+    return {**value, "admitted_version": version}
+
+
 async def _commit(platform, change, deadline) -> None:
     """Repeats the transaction until its outcome is certain.
 
--- a/copperloom/controllers/config.py
+++ b/copperloom/controllers/config.py
@@ -9,7 +9,7 @@
 from copperloom.decisions import freshness, scheduler
 from copperloom.logs import event
 
-__all__ = ["adopt", "confirm", "evidence", "may_admit", "step"]
+__all__ = ["adopt", "apply_all", "confirm", "evidence", "may_admit", "step"]
 
 _SCAN_ROWS = 200
 _RETRY_AFTER_S = 1.0
@@ -96,8 +96,8 @@
             timeout_s=timeout_s,
         )
         before = cfg.version
-        for row in rows:
-            cfg = _apply(cfg, row)
+        found = [msgspec.convert(r.value, configuration.Change) for r in rows]
+        cfg = apply_all(state, cfg, found)
         if cfg.version == before:
             raise exception.PlatformDownError(
                 f"no change {before + 1} though the head is {newest}"
@@ -105,11 +105,19 @@
     adopt(state, cfg, time.monotonic())
 
 
-def _apply(cfg, row) -> configuration.Configuration:
-    change = msgspec.convert(row.value, configuration.Change)
-    if change.version <= cfg.version:
-        return cfg
-    return configuration.apply(cfg, change)
+def apply_all(
+    state, cfg: configuration.Configuration, found: list[configuration.Change]
+) -> configuration.Configuration:
+    """Applies the changes that follow a configuration, in order."""
+    for change in found:
+        if change.version <= cfg.version:
+            continue
+        cfg = configuration.apply(cfg, change)
+        recent = state.recent_changes
+        if recent and recent[-1].version + 1 != change.version:
+            recent.clear()
+        recent.append(change)
+    return cfg
 
 
 def evidence(state, now: float) -> freshness.Evidence:
--- a/copperloom/daemons/admin.py
+++ b/copperloom/daemons/admin.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from copperloom import exception
-from copperloom.controllers import changes, config, snapshot
+from copperloom.controllers import changes, config, members, snapshot
 from copperloom.decisions import freshness
 from copperloom.logs import event
 
@@ -108,7 +108,7 @@
     seen = asked.seen_version
     if seen is not None and seen > state.cfg.version:
         await config.step(state, time.monotonic())
-    _require_majority(state)
+    await _require_majority(state)
     version = await changes.make_change(
         state.platform,
         state.cfg,
@@ -124,22 +124,31 @@
     return _json(await _wait_in_force(state, version, asked.wait_s))
 
 
-def _require_majority(state) -> None:
+async def _require_majority(state) -> None:
     """Refuses a change that could not be told to more than half.
 
     Members out of contact could otherwise go on without it for as long as
     they don't reach the platform, and callers would see it revert.
     """
+    if _in_majority(state):
+        return
+    await members.ask_all(state, list(state.members))
+    if _in_majority(state):
+        return
     facts = config.evidence(state, time.monotonic())
-    if not freshness.has_majority(facts.contacts, facts.members):
-        raise exception.StaleConfigurationError(
-            f"in contact with {facts.contacts} of {facts.members} members: "
-            "use an entry in contact with more than half"
-        )
+    raise exception.StaleConfigurationError(
+        f"in contact with {facts.contacts} of {facts.members} members: "
+        "use an entry in contact with more than half"
+    )
+
+
+def _in_majority(state) -> bool:
+    facts = config.evidence(state, time.monotonic())
+    return freshness.has_majority(facts.contacts, facts.members)
 
 
 async def _wait_in_force(state, version: int, wait_s: float) -> dict:
-    """Waits until all members have a version; tells who has it."""
+    """Tells all members of a version and waits until they have it."""
     begun = time.monotonic()
     while True:
         now = time.monotonic()
@@ -148,28 +157,33 @@
                 await config.step(state, now)
             except exception.CopperloomError as error:
                 event("poll_failed", code=error.code)
-        behind = [
-            name for name, m in state.members.items() if m.version < version
-        ]
-        if state.cfg.version < version:
-            behind.append(state.settings.entry.instance)
+        behind = _behind(state, version)
         if not behind or now - begun >= wait_s:
             break
-        await asyncio.sleep(_SPREAD_POLL_S)
-    members = len(state.members) + 1
+        await members.ask_all(state, behind)
+        if _behind(state, version):
+            await asyncio.sleep(_SPREAD_POLL_S)
+    if state.cfg.version < version:
+        behind.append(state.settings.entry.instance)
+    count = len(state.members) + 1
     return {
         "version": version,
-        "in_force": members - len(behind),
-        "members": members,
+        "in_force": count - len(behind),
+        "members": count,
+        "majority": freshness.has_majority(count - len(behind), count),
         "behind": sorted(behind),
         "waited_s": round(now - begun, 3),
     }
 
 
+def _behind(state, version: int) -> list[str]:
+    return [n for n, m in state.members.items() if m.version < version]
+
+
 async def _status(state, request: web.Request) -> web.Response:
     now = time.monotonic()
     facts = config.evidence(state, now)
-    members = [
+    known = [
         {
             "instance": m.instance,
             "data_centre": m.data_centre,
@@ -189,8 +203,8 @@
             "contacts": facts.contacts,
             "known_members": facts.members,
             "draining": state.draining,
-            "leaving_targets": sorted(state.leaving_targets),
-            "members": sorted(members, key=lambda m: m["instance"]),
+            "leaving_targets": sorted(state.sched.leaving),
+            "members": sorted(known, key=lambda m: m["instance"]),
         }
     )
 
--- a/copperloom/daemons/state.py
+++ b/copperloom/daemons/state.py
@@ -1,19 +1,21 @@
 """What one entry holds in memory, shared by its filters and controllers."""
 
 import asyncio
+import collections
 import itertools
 import secrets
 
-from copperloom import configuration
-from copperloom.controllers import batch
+from copperloom import configuration, messages
+from copperloom.controllers import batch, members
 from copperloom.daemons import metrics, options
-from copperloom.decisions import scheduler
+from copperloom.decisions import departures, reservation, scheduler
 from copperloom.platform.interface import Platform
 from copperloom.targets.interface import Targets
 
 __all__ = ["EntryState"]
 
 _BOOT_BYTES = 6
+_RECENT_CHANGES = 64
 
 
 class EntryState:
@@ -29,7 +31,14 @@
         cfg: The configuration in force here.
         cfg_loaded: Whether any configuration was ever adopted.
         confirmed_at: Monotonic time up to which cfg is proved the newest.
+        recent_changes: The newest changes adopted, for peers that lag.
         members: Peers by instance name, kept by the members controller.
+        membership: What the members controller keeps besides.
+        peers_address: IP:port where this entry listens for peers.
+        departures: Signs that targets leave.
+        book: Reservations at the targets that this entry owns.
+        held: Placements in flight with reservations, by request id.
+        releases: Reservations to give back, request ids by target.
         leaving_targets: Target names to the monotonic time learnt.
         draining: Whether this entry is stopping.
         active: Requests in progress.
@@ -55,7 +64,16 @@
         self.cfg = configuration.Configuration()
         self.cfg_loaded = False
         self.confirmed_at = float("-inf")
-        self.members: dict[str, object] = {}
+        self.recent_changes: collections.deque = collections.deque(
+            maxlen=_RECENT_CHANGES
+        )
+        self.members: dict[str, members.Member] = {}
+        self.membership = members.Membership(seed=self.owner)
+        self.peers_address = ""
+        self.departures = departures.Departures()
+        self.book = reservation.Book()
+        self.held: dict[str, messages.Placement] = {}
+        self.releases: dict[str, set[str]] = {}
         self.leaving_targets: dict[str, float] = {}
         self.draining = False
         self.active = 0
--- a/copperloom/peers/peers_grpc.py
+++ b/copperloom/peers/peers_grpc.py
@@ -26,6 +26,10 @@
     async def Release(self, stream: 'grpclib.server.Stream[copperloom.peers.peers_pb2.ReleaseRequest, copperloom.peers.peers_pb2.ReleaseReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Fetch(self, stream: 'grpclib.server.Stream[copperloom.peers.peers_pb2.FetchRequest, copperloom.peers.peers_pb2.FetchReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/copperloom.peers.Peers/Exchange': grpclib.const.Handler(
@@ -46,6 +50,12 @@
                 copperloom.peers.peers_pb2.ReleaseRequest,
                 copperloom.peers.peers_pb2.ReleaseReply,
             ),
+            '/copperloom.peers.Peers/Fetch': grpclib.const.Handler(
+                self.Fetch,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                copperloom.peers.peers_pb2.FetchRequest,
+                copperloom.peers.peers_pb2.FetchReply,
+            ),
         }
 
 
@@ -70,3 +80,9 @@
             copperloom.peers.peers_pb2.ReleaseRequest,
             copperloom.peers.peers_pb2.ReleaseReply,
         )
+        self.Fetch = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/copperloom.peers.Peers/Fetch',
+            copperloom.peers.peers_pb2.FetchRequest,
+            copperloom.peers.peers_pb2.FetchReply,
+        )
