--- a/copperloom/controllers/orders.py
+++ b/copperloom/controllers/orders.py
@@ -88,9 +88,7 @@
             task.add_done_callback(state.background.discard)
 
 
-def _may_order(
-    state, tgt: configuration.Target, now: float
-) -> bool:
+def _may_order(state, tgt: configuration.Target, now: float) -> bool:
     return (
         tgt.state is configuration.TargetState.ADMITTED
         and tgt.name not in state.orders.busy
@@ -123,9 +121,7 @@
         state.orders.busy.discard(tgt.name)
 
 
-def _note(
-    state, target: str, boot: str, model: str, now: float
-) -> None:
+def _note(state, target: str, boot: str, model: str, now: float) -> None:
     given = state.orders.given.get(target)
     models = frozenset([model])
     if given is not None and given.boot == boot:
@@ -133,9 +129,7 @@
     state.orders.given[target] = _Given(boot, models, now)
 
 
-async def give(
-    state, tgt: configuration.Target, kind: str, value: str
-) -> bool:
+async def give(state, tgt: configuration.Target, kind: str, value: str) -> bool:
     """Gives one order under the target's lease.
 
     Args:
--- a/copperloom/controllers/orphans.py
+++ b/copperloom/controllers/orphans.py
@@ -78,9 +78,7 @@
     return _is_replaced(owners, info.owner, now, dead_s)
 
 
-def _is_replaced(
-    owners: Owners, owner: str, now: float, dead_s: float
-) -> bool:
+def _is_replaced(owners: Owners, owner: str, now: float, dead_s: float) -> bool:
     instance, _, boot = owner.rpartition(".")
     seen = owners.current.get(instance)
     if seen is None or seen.boot == boot:
--- a/copperloom/controllers/reclaim.py
+++ b/copperloom/controllers/reclaim.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from copperloom import configuration, exception, logs
-from copperloom.controllers import cancels, orphans, owners
+from copperloom.controllers import cancels, orphans
 from copperloom.daemons.state import EntryState
 
 __all__ = ["cancel", "interval_s", "step"]
@@ -41,13 +41,9 @@
     """Tries unconfirmed cancels again and looks through owned engines."""
     _run_due(state, now)
     _hear(state)
-    own = state.settings.entry.instance
-    engines = [
-        tgt
-        for tgt in state.cfg.targets.values()
-        if tgt.kind is configuration.TargetKind.ENGINE
-        and owners.owner_of(state, tgt.name, now) == own
-    ]
+    targets = state.cfg.targets
+    # The books that the owners controller keeps name the engines owned.
+    engines = [targets[n] for n in state.book.ledgers if n in targets]
     await asyncio.gather(*(_look_through(state, tgt) for tgt in engines))
 
 
@@ -75,9 +71,7 @@
             orphans.note(state.orphans, name, member.boot, member.heard_at)
 
 
-async def _look_through(
-    state: EntryState, tgt: configuration.Target
-) -> None:
+async def _look_through(state: EntryState, tgt: configuration.Target) -> None:
     loop = asyncio.get_running_loop()
     asked = loop.time()
     try:
--- a/copperloom/targets/groups.py
+++ b/copperloom/targets/groups.py
@@ -158,9 +158,7 @@
         prompt_tokens=max(lead.tokens - opening.max_tokens, 1),
         imports=tuple(f"{part.address}/{part.stream}" for part in parts),
     )
-    source = state.targets.open(
-        lead.address, req, timeout_s=end - loop.time()
-    )
+    source = state.targets.open(lead.address, req, timeout_s=end - loop.time())
     offset = 0
     tries = 0
     while True:
