--- a/copperloom/daemons/entry.py
+++ b/copperloom/daemons/entry.py
@@ -25,6 +25,7 @@
     leaving,
     loads,
     members,
+    orders,
     owners,
     reclaim,
 )
@@ -53,6 +54,7 @@
         ("loads", loads.step, own.targets.load_poll_s),
         ("owners", owners.step, own.targets.reservation_s / 4),
         ("reclaim", reclaim.step, own.targets.reclaim_poll_s),
+        ("orders", orders.step, orders.interval_s(state)),
     ]
 
 
--- a/copperloom/standins/main.py
+++ b/copperloom/standins/main.py
@@ -1,8 +1,8 @@
 """Stand-ins for what surrounds copperloom.
 
 Usage:
-  copperloom-standin (engine | service | platform | proxy) --settings FILE
-                     [--truth]
+  copperloom-standin (engine | service | proxy) --settings FILE [--truth]
+  copperloom-standin platform --settings FILE
   copperloom-standin (engine | service | platform | proxy) --explain
   copperloom-standin (-h | --help)
 
@@ -44,7 +44,9 @@
         return 0
     logs.setup(standin=kind)
     spec = settings.load_or_exit(args["--settings"], program)
-    asyncio.run(_run(_module(name), spec, args["--truth"]))
+    module = _module(name)
+    run = _run_platform if kind == "platform" else _run
+    asyncio.run(run(module, spec, tell_truth=args["--truth"]))
     return 0
 
 
@@ -52,11 +54,22 @@
     return importlib.import_module(f"copperloom.standins.{name}")
 
 
-async def _run(module, spec, tell_truth: bool) -> None:
+def _stop_event() -> asyncio.Event:
+    """Returns an event that SIGTERM and SIGINT set."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    return stop
+
+
+async def _run_platform(module, spec, *, tell_truth: bool) -> None:
+    """Runs the platform, which says by itself that it is ready."""
+    await module.serve(spec, _stop_event())
+
+
+async def _run(module, spec, *, tell_truth: bool) -> None:
+    stop = _stop_event()
     server = await module.serve(spec)
     ready = " ".join(f"{n}={a}" for n, a in server.addresses.items())
     print(f"ready {ready}", flush=True)
