Entry: starts with its settings file

Cause: without an options section docopt reads '--settings FILE' as a flag and an argument; mode.Service has a read-only property 'state'. Found by starting the process. Change: '--settings=FILE' in the usage (both forms work); the attribute is called entry. Measured: an entry process starts and says that it is ready; not before. Conclusion: the daemon runs.

--- a/copperloom/daemons/entry.py
+++ b/copperloom/daemons/entry.py
@@ -1,7 +1,7 @@
 """copperloom-entry: one entry instance.
 
 Usage:
-  copperloom-entry --settings FILE
+  copperloom-entry --settings=FILE
   copperloom-entry --help
 
 Stops gracefully on SIGTERM or SIGINT: first it tells that it is not ready,
@@ -62,7 +62,7 @@
     """The entry as a service: start it, stop it gracefully.
 
     Attributes:
-        state: What the entry holds in memory.
+        entry: What the entry holds in memory.
         listen: IP:port for callers, once started.
         peers: IP:port for other entries, once started.
     """
@@ -70,7 +70,7 @@
     def __init__(self, own: options.EntrySettings):
         super().__init__()
         self.own = own
-        self.state: EntryState | None = None
+        self.entry: EntryState | None = None
         self.listen = ""
         self.peers = ""
         self.runner: web.AppRunner | None = None
@@ -83,7 +83,7 @@
             platform_http.connect(self.own.platform.address),
             targets_http.connect(connect_s=self.own.targets.connect_s),
         )
-        self.state = state
+        self.entry = state
         self.server, self.peers = await server.serve(state)
         self.runner, self.listen = await _listen(state)
         self.add_future(dispatcher.run(state))
@@ -95,18 +95,18 @@
 
     async def on_stop(self) -> None:
         """Drains, then closes everything."""
-        await drain(self.state)
+        await drain(self.entry)
         await self.runner.cleanup()
-        if self.state.background:
-            await asyncio.wait(self.state.background, timeout=_STOP_S)
+        if self.entry.background:
+            await asyncio.wait(self.entry.background, timeout=_STOP_S)
         self.server.close()
         await self.server.wait_closed()
-        logs.event("stopped", boot=self.state.boot)
+        logs.event("stopped", boot=self.entry.boot)
 
     async def on_shutdown(self) -> None:
         """Closes the clients, once the controllers have ended."""
-        await self.state.targets.close()
-        await self.state.platform.close()
+        await self.entry.targets.close()
+        await self.entry.platform.close()
 
 
 async def drain(state: EntryState) -> None:
