Owners, loads: hash bytes

Cause: xxhash takes no text: owner_of raised TypeError whenever it ran. Found in the log of an entry process (step_failed controller=orders). Change: names are encoded first.

--- a/copperloom/controllers/loads.py
+++ b/copperloom/controllers/loads.py
@@ -48,7 +48,9 @@
     return heapq.nlargest(
         most,
         engines,
-        key=lambda tgt: xxhash.xxh64_intdigest(f"{instance}/{tgt.name}"),
+        key=lambda tgt: xxhash.xxh64_intdigest(
+            f"{instance}/{tgt.name}".encode()
+        ),
     )
 
 
--- a/copperloom/controllers/owners.py
+++ b/copperloom/controllers/owners.py
@@ -50,7 +50,9 @@
         found.append((own.instance, own.data_centre))
     names = [name for name, where in found if where == centre]
     names = names or [name for name, _ in found]
-    return max(names, key=lambda n: xxhash.xxh64_intdigest(f"{n}/{target}"))
+    return max(
+        names, key=lambda n: xxhash.xxh64_intdigest(f"{n}/{target}".encode())
+    )
 
 
 async def step(state, now: float) -> None:
