Peers: digests, fetch of the configuration, departures, owners' books

An entry that is cut from the platform has to learn of changes and leaving targets from others, and to stop admitting where nobody can tell it. Found on the way: the library keeps served connections open after close, so that peers went on hearing a stopped entry (test_restart_during_an_outage failed until the server refused calls after close); a closed platform client opened a new session when used again.

--- /dev/null
+++ b/copperloom/controllers/member.py
@@ -0,0 +1,110 @@
+"""The other entries, as one entry knows them."""
+
+import asyncio
+import dataclasses
+import random
+
+from copperloom.logs import event
+from copperloom.peers import client
+
+__all__ = ["Member", "Membership", "is_silent", "live", "spawn"]
+
+_NEVER = float("-inf")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """Another entry.
+
+    Attributes:
+        instance: Its name.
+        address: IP:port where it listens for peers.
+        data_centre: Where it stands.
+        boot: Its run, as of heard_at; "" if it never answered.
+        leaving: Whether it or the platform said that it goes.
+        version: Greatest version of the configuration that this boot told.
+        asked_at: Latest time at which it was asked.
+        heard_at: Latest time of asking that it answered.
+        told_at: Latest time a message came from it.
+        listed_at: Latest time that the platform's list named it.
+        failures: Askings without answer since the last answer.
+        known_members: How many members it knows.
+        loads: (target, streams, prefill tokens) that it has in flight.
+    """
+
+    instance: str
+    address: str
+    data_centre: str = ""
+    boot: str = ""
+    leaving: bool = False
+    version: int = 0
+    asked_at: float = _NEVER
+    heard_at: float = _NEVER
+    told_at: float = _NEVER
+    listed_at: float = _NEVER
+    failures: int = 0
+    known_members: int = 1
+    loads: tuple[tuple[str, int, int], ...] = ()
+
+
+class Membership:
+    """What the controller keeps besides the members themselves.
+
+    Attributes:
+        random: Generator for whom to ask.
+        channels: Connections to peers.
+        tasks: Calls under way by name, so that no call is made twice at once.
+        looked_at: When reading the platform's list was last begun.
+        listed_at: When a reading that worked was begun.
+        listed_leaving: Targets that the list names as leaving.
+        rounds: Steps made.
+    """
+
+    def __init__(self, *, seed: str):
+        self.random = random.Random(seed)
+        self.channels = client.Channels()
+        self.tasks: dict[str, asyncio.Task] = {}
+        self.looked_at = _NEVER
+        self.listed_at = _NEVER
+        self.listed_leaving: frozenset[str] = frozenset()
+        self.rounds = 0
+
+
+def live(state, now: float) -> list[Member]:
+    """Returns the members that may be expected to answer."""
+    silent_since = now - state.settings.membership.dead_s
+    return [
+        m
+        for m in state.members.values()
+        if not m.leaving
+        and not m.failures
+        and max(m.heard_at, m.told_at, m.listed_at) >= silent_since
+    ]
+
+
+def is_silent(state, peer: Member, now: float) -> bool:
+    """Returns whether a member is neither heard nor listed any more.
+
+    It has crashed or is cut off; in both cases it admits nothing after
+    confirm_s, so nobody needs to wait for it.
+    """
+    last = max(peer.heard_at, peer.told_at, peer.listed_at)
+    return bool(peer.failures and last < now - state.settings.membership.dead_s)
+
+
+def spawn(state, name: str, coroutine) -> None:
+    """Runs a call beside the step, unless the same one is under way."""
+    tasks = state.membership.tasks
+    if name in tasks:
+        coroutine.close()
+        return
+    task = asyncio.create_task(coroutine)
+    tasks[name] = task
+    task.add_done_callback(lambda done: _ended(tasks, name, done))
+
+
+def _ended(tasks: dict, name: str, task: asyncio.Task) -> None:
+    tasks.pop(name, None)
+    if not task.cancelled() and task.exception() is not None:
+        error = repr(task.exception())
+        event("call_failed", level="ERROR", call=name, error=error)
--- a/copperloom/controllers/owners.py
+++ b/copperloom/controllers/owners.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from copperloom import configuration, exception, messages
-from copperloom.controllers import members
+from copperloom.controllers import contacts, member
 from copperloom.decisions import reservation
 from copperloom.logs import event
 from copperloom.peers import peers_pb2
@@ -45,7 +45,7 @@
     tgt = state.cfg.targets.get(target)
     centre = tgt.data_centre if tgt else ""
     own = state.settings.entry
-    found = [(m.instance, m.data_centre) for m in members.live(state, now)]
+    found = [(m.instance, m.data_centre) for m in member.live(state, now)]
     if not state.draining or not found:
         found.append((own.instance, own.data_centre))
     names = [name for name, where in found if where == centre]
@@ -109,7 +109,7 @@
     state.held.pop(placement.request.id, None)
     for target in placement.targets:
         state.releases.setdefault(target, set()).add(placement.request.id)
-    members.spawn(state, "release", _flush(state))
+    member.spawn(state, "release", _flush(state))
 
 
 def grant(
@@ -172,7 +172,7 @@
     )
     if owner == state.settings.entry.instance:
         return grant(state, ask, now)
-    return await members.call(state, owner, "Reserve", ask, timeout_s=_CALL_S)
+    return await contacts.call(state, owner, "Reserve", ask, timeout_s=_CALL_S)
 
 
 async def _renew(state, placement: messages.Placement) -> None:
@@ -230,4 +230,4 @@
             give_back(state, ask)
             continue
         with contextlib.suppress(exception.PeerUnavailableError):
-            await members.call(state, owner, "Release", ask, timeout_s=_CALL_S)
+            await contacts.call(state, owner, "Release", ask, timeout_s=_CALL_S)
--- a/copperloom/daemons/admin.py
+++ b/copperloom/daemons/admin.py
@@ -1,6 +1,7 @@
 """Operators' calls to an entry, under /admin/v1/."""
 
 import asyncio
+import dataclasses
 import hashlib
 import hmac
 import secrets
@@ -10,11 +11,11 @@
 from aiohttp import web
 
 from copperloom import exception
-from copperloom.controllers import changes, config, members, snapshot
+from copperloom.controllers import changes, config, contacts, member, snapshot
 from copperloom.decisions import freshness
 from copperloom.logs import event
 
-__all__ = ["routes"]
+__all__ = ["InForce", "require_majority", "routes", "wait_in_force"]
 
 _CHANGE_TIMEOUT_S = 10.0
 _SPREAD_S = 12.0
@@ -46,6 +47,28 @@
     wait_s: float = _SPREAD_S
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """Who has a version in force.
+
+    Attributes:
+        version: The version.
+        in_force: Members that have it.
+        members: Members known, this entry included.
+        majority: Whether those that have it are more than half, so that no
+            entry goes on without it for longer than confirm_s.
+        behind: Members that were not heard to have it.
+        waited_s: How long it was waited for.
+    """
+
+    version: int
+    in_force: int
+    members: int
+    majority: bool
+    behind: tuple[str, ...]
+    waited_s: float
+
+
 def routes(state) -> list[web.RouteDef]:
     """Returns the operators' routes of an entry."""
 
@@ -108,7 +131,7 @@
     seen = asked.seen_version
     if seen is not None and seen > state.cfg.version:
         await config.step(state, time.monotonic())
-    await _require_majority(state)
+    await require_majority(state)
     version = await changes.make_change(
         state.platform,
         state.cfg,
@@ -121,10 +144,10 @@
         wall_time_s=time.time(),
         timeout_s=_CHANGE_TIMEOUT_S,
     )
-    return _json(await _wait_in_force(state, version, asked.wait_s))
+    return _json(await wait_in_force(state, version, asked.wait_s))
 
 
-async def _require_majority(state) -> None:
+async def require_majority(state) -> None:
     """Refuses a change that could not be told to more than half.
 
     Members out of contact could otherwise go on without it for as long as
@@ -132,7 +155,7 @@
     """
     if _in_majority(state):
         return
-    await members.ask_all(state, list(state.members))
+    await contacts.ask_all(state, list(state.members))
     if _in_majority(state):
         return
     facts = config.evidence(state, time.monotonic())
@@ -147,7 +170,7 @@
     return freshness.has_majority(facts.contacts, facts.members)
 
 
-async def _wait_in_force(state, version: int, wait_s: float) -> dict:
+async def wait_in_force(state, version: int, wait_s: float) -> InForce:
     """Tells all members of a version and waits until they have it."""
     begun = time.monotonic()
     while True:
@@ -158,22 +181,26 @@
             except exception.CopperloomError as error:
                 event("poll_failed", code=error.code)
         behind = _behind(state, version)
-        if not behind or now - begun >= wait_s:
+        if _all_silent(state, behind, now) or now - begun >= wait_s:
             break
-        await members.ask_all(state, behind)
+        await contacts.ask_all(state, behind)
         if _behind(state, version):
             await asyncio.sleep(_SPREAD_POLL_S)
     if state.cfg.version < version:
         behind.append(state.settings.entry.instance)
     count = len(state.members) + 1
-    return {
-        "version": version,
-        "in_force": count - len(behind),
-        "members": count,
-        "majority": freshness.has_majority(count - len(behind), count),
-        "behind": sorted(behind),
-        "waited_s": round(now - begun, 3),
-    }
+    return InForce(
+        version=version,
+        in_force=count - len(behind),
+        members=count,
+        majority=freshness.has_majority(count - len(behind), count),
+        behind=tuple(sorted(behind)),
+        waited_s=round(now - begun, 3),
+    )
+
+
+def _all_silent(state, names: list[str], now: float) -> bool:
+    return all(member.is_silent(state, state.members[n], now) for n in names)
 
 
 def _behind(state, version: int) -> list[str]:
--- a/copperloom/daemons/state.py
+++ b/copperloom/daemons/state.py
@@ -8,7 +8,7 @@
 import time
 
 from copperloom import configuration, messages
-from copperloom.controllers import batch, cancels, members, orders, orphans
+from copperloom.controllers import batch, cancels, member, orders, orphans
 from copperloom.daemons import metrics, options
 from copperloom.decisions import departures, reservation, scheduler
 from copperloom.platform.interface import Platform
@@ -75,8 +75,8 @@
         self.recent_changes: collections.deque = collections.deque(
             maxlen=_RECENT_CHANGES
         )
-        self.members: dict[str, members.Member] = {}
-        self.membership = members.Membership(seed=self.owner)
+        self.members: dict[str, member.Member] = {}
+        self.membership = member.Membership(seed=self.owner)
         self.peers_address = ""
         self.departures = departures.Departures()
         self.book = reservation.Book()
--- a/copperloom/peers/client.py
+++ b/copperloom/peers/client.py
@@ -5,6 +5,7 @@
 
 import grpclib
 import grpclib.client
+from grpclib import exceptions
 
 from copperloom import exception
 from copperloom.peers import peers_grpc
@@ -53,7 +54,12 @@
         # that a connection to a silent address takes.
         async with asyncio.timeout(timeout_s):
             reply = await getattr(stub, method)(message, timeout=timeout_s)
-    except (grpclib.GRPCError, grpclib.ProtocolError, OSError) as error:
+    except (
+        grpclib.GRPCError,
+        exceptions.ProtocolError,
+        exceptions.StreamTerminatedError,
+        OSError,
+    ) as error:
         _drop(channels, address)
         raise exception.PeerUnavailableError(f"{address}: {error}") from error
     channels.bytes_in += reply.ByteSize()
--- a/copperloom/peers/server.py
+++ b/copperloom/peers/server.py
@@ -3,9 +3,11 @@
 import asyncio
 import socket
 
+import grpclib
+import grpclib.const
 import grpclib.server
 
-from copperloom.controllers import fetch, members, owners
+from copperloom.controllers import contacts, fetch, members, owners
 from copperloom.peers import digest, peers_grpc, peers_pb2
 
 __all__ = ["PeerServer", "serve"]
@@ -16,48 +18,59 @@
 
     Attributes:
         server: The library's server.
-        state: The entry's state.
+        service: The calls that it serves.
     """
 
-    def __init__(self, server: grpclib.server.Server, state):
+    def __init__(self, server: grpclib.server.Server, service: "_Peers"):
         self.server = server
-        self.state = state
+        self.service = service
 
     def close(self) -> None:
-        """Stops listening."""
+        """Stops listening, and refuses calls on connections still open.
+
+        The library leaves them open; a peer that used one would go on hearing
+        an entry that has stopped.
+        """
+        self.service.closed = True
         self.server.close()
 
     async def wait_closed(self) -> None:
         """Waits until calls from and to peers have ended."""
         await self.server.wait_closed()
-        await members.close(self.state)
+        await members.close(self.service.state)
 
 
 class _Peers(peers_grpc.PeersBase):
     def __init__(self, state):
         self.state = state
+        self.closed = False
 
     async def Exchange(self, stream) -> None:  # noqa: N802
-        told = await stream.recv_message()
+        told = await self.receive(stream)
         now = asyncio.get_running_loop().time()
-        members.note_request(self.state, told, now)
+        contacts.note_request(self.state, told, now)
         reply = digest.make(self.state, now)
         await self.send(stream, digest.add_peers(reply, self.state, told), told)
 
     async def Reserve(self, stream) -> None:  # noqa: N802
-        asked = await stream.recv_message()
+        asked = await self.receive(stream)
         now = asyncio.get_running_loop().time()
         await self.send(stream, owners.grant(self.state, asked, now), asked)
 
     async def Release(self, stream) -> None:  # noqa: N802
-        asked = await stream.recv_message()
+        asked = await self.receive(stream)
         owners.give_back(self.state, asked)
         await self.send(stream, peers_pb2.ReleaseReply(), asked)
 
     async def Fetch(self, stream) -> None:  # noqa: N802
-        asked = await stream.recv_message()
+        asked = await self.receive(stream)
         await self.send(stream, fetch.reply_to(self.state, asked), asked)
 
+    async def receive(self, stream):
+        if self.closed:
+            raise grpclib.GRPCError(grpclib.const.Status.UNAVAILABLE)
+        return await stream.recv_message()
+
     async def send(self, stream, reply, asked) -> None:
         channels = self.state.membership.channels
         channels.bytes_in += asked.ByteSize()
@@ -75,6 +88,7 @@
     listener = socket.create_server((host, int(port)))
     listener.setblocking(False)
     state.peers_address = "{}:{}".format(*listener.getsockname()[:2])
-    server = grpclib.server.Server([_Peers(state)])
+    service = _Peers(state)
+    server = grpclib.server.Server([service])
     await server.start(sock=listener)
-    return PeerServer(server, state), state.peers_address
+    return PeerServer(server, service), state.peers_address
--- a/copperloom/platform/http.py
+++ b/copperloom/platform/http.py
@@ -58,9 +58,12 @@
     def __init__(self, address: str):
         self.address = address
         self.session: aiohttp.ClientSession | None = None
+        self.closed = False
 
     def open(self) -> aiohttp.ClientSession:
         """Returns the session, made on first use inside the loop."""
+        if self.closed:
+            raise exception.PlatformDownError("this client is closed")
         if self.session is None:
             self.session = aiohttp.ClientSession()
         return self.session
@@ -141,9 +144,9 @@
 
 
 async def _close(client):
+    client.closed = True
     if client.session is not None:
         await client.session.close()
-        client.session = None
 
 
 _FUNCTIONS = {
