Operators: the copperloom command

Change: put, delete, list, switch, retire, admit, status, audit, drain, config check and explain. A change carries a nonce and the version seen, so that it can be sent to the next entry when the answer of one is lost. Exit status 0 in force everywhere, 1 nothing changed, 2 wrong arguments, 3 unknown or not yet everywhere.

--- /dev/null
+++ b/copperloom/cli/operator.py
@@ -0,0 +1,196 @@
+"""copperloom: the operators' command.
+
+Usage:
+  copperloom [options] [--entry ADDRESS]... (deployment | organisation | target | preset) put NAME [KEY=VALUE]...
+  copperloom [options] [--entry ADDRESS]... (deployment | organisation | target | preset) delete NAME
+  copperloom [options] [--entry ADDRESS]... (deployment | organisation | target | preset) list
+  copperloom [options] [--entry ADDRESS]... preset switch NAME
+  copperloom [options] [--entry ADDRESS]... target (retire | admit) NAME
+  copperloom [options] [--entry ADDRESS]... (status | drain)
+  copperloom [options] [--entry ADDRESS]... audit [--limit N]
+  copperloom config check FILE [--program PROGRAM]
+  copperloom config explain [PROGRAM]
+  copperloom -h | --help
+
+Options:
+  --entry ADDRESS    IP:port of an entry; the next one is tried if one can't
+                     answer. Also taken from COPPERLOOM_ENTRIES, a list with
+                     commas.
+  --token-file FILE  File that holds the operators' token. Also taken from
+                     COPPERLOOM_TOKEN_FILE.
+  --operator NAME    Who makes the change; the user's name if not given.
+  --note TEXT        Why, for the audit trail [default: ].
+  --wait SECONDS     Longest wait until a change is in force [default: 12].
+  --limit N          Rows of the audit trail, the newest [default: 20].
+  --program PROGRAM  Whose settings a file holds [default: entry].
+  --json             Print one JSON document.
+
+A put of something that exists changes the keys given and keeps the others.
+
+Exit status: 0 done, and in force everywhere; 1 not done, nothing was changed;
+2 wrong arguments or settings; 3 the outcome is not known, or a change is made
+but not in force everywhere yet.
+"""  # noqa: E501
+
+import asyncio
+import getpass
+import os
+import pathlib
+import secrets
+import sys
+
+import docopt
+import msgspec
+
+from copperloom import exception, settings
+from copperloom.cli import edits, entries, programs, show
+
+__all__ = ["DONE", "NOT_DONE", "UNKNOWN", "USAGE", "main"]
+
+DONE = 0
+NOT_DONE = 1
+USAGE = 2
+UNKNOWN = 3
+_KINDS = ("deployment", "organisation", "target", "preset")
+# Codes that leave open whether a change was made.
+_UNKNOWN_CODES = (
+    exception.ChangeUnknownError.code,
+    exception.PlatformUnknownError.code,
+)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs the command and returns its exit status."""
+    try:
+        args = docopt.docopt(__doc__, argv)
+    except docopt.DocoptExit as error:
+        print(error.code, file=sys.stderr)
+        return USAGE
+    try:
+        if args["config"]:
+            return _config(args)
+        return asyncio.run(_call(args))
+    except exception.SettingsError as error:
+        return _fail(args, error, USAGE)
+    except exception.CopperloomError as error:
+        unknown = error.code in _UNKNOWN_CODES
+        return _fail(args, error, UNKNOWN if unknown else NOT_DONE)
+
+
+def _fail(args, error: exception.CopperloomError, status: int) -> int:
+    if args["--json"]:
+        body = {"error": str(error), "code": error.code, "run": error.run}
+        print(msgspec.json.encode(body).decode())
+    else:
+        print(f"error {error.code}: {error}", file=sys.stderr)
+        if error.retry_after_s is not None:
+            print(f"try again in {error.retry_after_s:g} s", file=sys.stderr)
+    return status
+
+
+def _config(args) -> int:
+    if args["check"]:
+        settings.load(args["FILE"], programs.find(args["--program"]))
+        print(f"{args['FILE']}: good settings of {args['--program']}")
+    else:
+        print(settings.explain(programs.find(args["PROGRAM"] or "entry")))
+    return DONE
+
+
+async def _call(args) -> int:
+    async with entries.open_client(_addresses(args), _token(args)) as client:
+        if args["status"]:
+            answer = await entries.get(client, "status")
+            _print(args, answer, show.status)
+            return DONE
+        if args["audit"]:
+            limit = _number(args["--limit"], "--limit")
+            answer = await entries.get(client, f"audit?limit={limit:.0f}")
+            _print(args, answer, show.audit)
+            return DONE
+        if args["drain"]:
+            _print(args, await entries.drain(client), show.drain)
+            return DONE
+        if args["list"]:
+            answer = await entries.get(client, "config")
+            _print(args, edits.select(answer, _kind(args)), show.entities)
+            return DONE
+        return await _change(args, client)
+
+
+async def _change(args, client) -> int:
+    """Makes a change on the version read just before.
+
+    A second operator's change in between makes this one fail, so that nobody
+    overwrites what they have not seen.
+    """
+    cfg = await entries.get(client, "config")
+    asked = edits.Asked(
+        operator=args["--operator"] or getpass.getuser(),
+        note=args["--note"],
+        seen_version=cfg["version"],
+        nonce=secrets.token_hex(16),
+        wait_s=_number(args["--wait"], "--wait"),
+    )
+    asked = _edit(args, cfg, asked)
+    answer = await entries.change(client, asked)
+    _print(args, answer, show.change)
+    return DONE if not answer["behind"] else UNKNOWN
+
+
+def _edit(args, cfg: dict, asked: edits.Asked) -> edits.Asked:
+    kind, name = _kind(args), args["NAME"]
+    if args["switch"]:
+        return edits.switch(asked, name)
+    if args["delete"]:
+        return edits.delete(asked, kind, name)
+    pairs = args["KEY=VALUE"]
+    if args["retire"] or args["admit"]:
+        edits.require(cfg, kind, name)
+        pairs = ["state=" + ("retired" if args["retire"] else "admitted")]
+    return edits.put(asked, cfg, kind, name, pairs)
+
+
+def _kind(args) -> str:
+    return next(kind for kind in _KINDS if args[kind])
+
+
+def _print(args, answer, text) -> None:
+    if args["--json"]:
+        print(msgspec.json.encode(answer).decode())
+    else:
+        print(text(answer))
+
+
+def _addresses(args) -> list[str]:
+    found = args["--entry"] or [
+        part.strip()
+        for part in os.environ.get("COPPERLOOM_ENTRIES", "").split(",")
+        if part.strip()
+    ]
+    if not found:
+        raise exception.SettingsError("no --entry and no COPPERLOOM_ENTRIES")
+    return found
+
+
+def _token(args) -> str:
+    path = args["--token-file"] or os.environ.get("COPPERLOOM_TOKEN_FILE")
+    if not path:
+        raise exception.SettingsError(
+            "no --token-file and no COPPERLOOM_TOKEN_FILE"
+        )
+    try:
+        return pathlib.Path(path).read_text().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise exception.SettingsError(f"{path}: {error}") from error
+
+
+def _number(text: str, name: str) -> float:
+    try:
+        return float(text)
+    except ValueError as error:
+        raise exception.SettingsError(f"{name}: {text!r}") from error
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/copperloom/cli/programs.py
@@ -0,0 +1,33 @@
+"""Programs whose settings can be checked and explained."""
+
+import importlib
+
+from copperloom import exception
+
+__all__ = ["find"]
+
+# Loaded only when asked for: the command itself starts quickly.
+_PROGRAMS = {
+    "entry": ("copperloom.daemons.options", "EntrySettings"),
+    "standin-engine": ("copperloom.standins.settings", "EngineSettings"),
+    "standin-service": ("copperloom.standins.settings", "ServiceSettings"),
+    "standin-proxy": ("copperloom.standins.settings", "ProxySettings"),
+    "standin-platform": (
+        "copperloom.standins.platform",
+        "PlatformStandinSettings",
+    ),
+}
+
+
+def find(name: str) -> type:
+    """Returns the settings of a program.
+
+    Raises:
+        copperloom.exception.SettingsError: There is no such program.
+    """
+    if name not in _PROGRAMS:
+        raise exception.SettingsError(
+            f"no program {name}: one of {', '.join(_PROGRAMS)}"
+        )
+    module, cls = _PROGRAMS[name]
+    return getattr(importlib.import_module(module), cls)
