--- a/copperloom/controllers/tests/test_members.py
+++ b/copperloom/controllers/tests/test_members.py
@@ -6,7 +6,7 @@
 import unittest
 
 from copperloom import configuration, exception
-from copperloom.controllers import changes, config, contacts
+from copperloom.controllers import changes, config, contacts, member, members
 from copperloom.controllers.tests import fixtures, fleet
 from copperloom.daemons import admin
 from copperloom.peers import digest, peers_pb2
@@ -225,3 +225,28 @@
     async def test_own_name_is_no_member(self):
         contacts.note_request(self.entry, self.told(instance="a"), 1.0)
         self.assertEqual(self.entry.members, {})
+
+    async def test_few_known_members_are_no_whole(self):
+        """A restarted entry knows one other, which knows nine."""
+        self.entry.members["b"] = member.Member(
+            "b", "127.0.0.1:2", heard_at=100.0, known_members=9
+        )
+        facts = config.evidence(self.entry, 100.0)
+        self.assertEqual((facts.contacts, facts.members), (2, 9))
+
+    async def test_all_are_asked_only_without_a_proof(self):
+        names = [f"e{i}" for i in range(20)]
+        for name in names:
+            self.entry.members[name] = member.Member(name, "127.0.0.1:1", "dc")
+        self.addAsyncCleanup(members.close, self.entry)
+        now = time.monotonic()
+        self.entry.confirmed_at = now
+        self.assertEqual(await self.asked(now), 3)
+        self.entry.confirmed_at = now - 60.0
+        self.assertEqual(await self.asked(now + 2), 20)
+
+    async def asked(self, now):
+        await members.step(self.entry, now)
+        names = [n for n in self.entry.membership.tasks if n.startswith("ask")]
+        await asyncio.gather(*self.entry.membership.tasks.values())
+        return len(names)
--- a/copperloom/daemons/admin.py
+++ b/copperloom/daemons/admin.py
@@ -230,6 +230,7 @@
             "contacts": facts.contacts,
             "known_members": facts.members,
             "draining": state.draining,
+            "active": state.active,
             "leaving_targets": sorted(state.sched.leaving),
             "members": sorted(known, key=lambda m: m["instance"]),
         }
