--- a/copperloom/history/checker.py
+++ b/copperloom/history/checker.py
@@ -201,11 +201,13 @@
 
 
 def request_of(stream: str) -> str:
-    """Returns the request id in a stream name, INSTANCE.BOOT.SEQUENCE[.PART].
+    """Returns the request id in a stream name.
 
-    Instance names hold no dot.
+    The name is INSTANCE.BOOT.SEQUENCE, then -ATTEMPT and .PART where there
+    are several. Instance names hold no dot.
     """
-    return ".".join(stream.split(".")[:3])
+    instance, boot, rest = (stream.split(".") + ["", ""])[:3]
+    return f"{instance}.{boot}.{rest.partition('-')[0]}"
 
 
 def _faulted(history: History, call: Call) -> bool:
--- a/copperloom/history/tests/test_checker.py
+++ b/copperloom/history/tests/test_checker.py
@@ -97,7 +97,7 @@
 def _ran_after_all(out, index):
     _spoil(out, index, outcome=Outcome.NOT_RUN, text="")
     call = out.calls[index % len(out.calls)]
-    run = history.TargetRun("g0", f"{call.request}.1", "org", "", 99.0)
+    run = history.TargetRun("g0", f"{call.request}-2.1", "org", "", 99.0)
     out.runs.append(run)
 
 
--- a/copperloom/tests/systems.py
+++ b/copperloom/tests/systems.py
@@ -27,15 +27,16 @@
         engines: Engine stand-ins by target name.
         services: Service stand-ins by target name.
         entries: Entries by instance name.
-        proxies: Fault proxies by what is behind them: a target's name, or
-            "platform/INSTANCE" for an entry's own way to the platform.
+        proxy: The fault proxy, if any. Its links are named by the target
+            behind them, or platform-INSTANCE for an entry's own way to the
+            platform.
     """
 
     platform: processes.Process
     engines: dict[str, processes.Process]
     services: dict[str, processes.Process]
     entries: dict[str, processes.Process]
-    proxies: dict[str, processes.Process]
+    proxy: processes.Process | None = None
 
     def targets(self) -> dict[str, processes.Process]:
         """Engines and services by name."""
@@ -82,9 +83,8 @@
             for i in range(services)
         },
         {},
-        {},
     )
-    _launch_proxies(case, system, entries, proxies)
+    _launch_proxy(case, system, entries, proxies)
     seed_configuration(system)
     for i in range(entries):
         add_entry(case, system, f"e{i}", entry or {})
@@ -93,33 +93,40 @@
     return system
 
 
-def _launch_proxies(case, system, entries, links) -> None:
+def _launch_proxy(case, system: System, entries: int, links) -> None:
     behind = {}
     if "platform" in links:
-        behind |= {f"platform/e{i}": system.platform for i in range(entries)}
+        behind |= {f"platform-e{i}": system.platform for i in range(entries)}
     if "engines" in links:
         behind |= system.engines
     if "services" in links:
         behind |= system.services
-    for name, process in behind.items():
-        sections = {"proxy": {"upstream": process.address}}
-        system.proxies[name] = processes.launch(
-            case, "proxy", sections, name=f"proxy-{name}"
-        )
+    if not behind:
+        return
+    pairs = ", ".join(
+        f"{name}=127.0.0.1:0>{process.address}"
+        for name, process in behind.items()
+    )
+    system.proxy = processes.start_standin(
+        case, "proxy", proxy={"pairs": pairs}
+    )
 
 
 def way_to(system: System, name: str) -> str:
     """Returns the address of a target, or of the proxy before it."""
-    proxy = system.proxies.get(name)
-    return (proxy or system.targets()[name]).address
+    return _links(system).get(name) or system.targets()[name].address
+
+
+def _links(system: System) -> dict[str, str]:
+    return system.proxy.addresses if system.proxy else {}
 
 
 def add_entry(
     case, system: System, instance: str, sections: dict[str, dict]
 ) -> processes.Process:
     """Launches one more entry, or a new boot of one that ended."""
-    proxy = system.proxies.get(f"platform/{instance}")
-    platform = (proxy or system.platform).address
+    way = _links(system).get(f"platform-{instance}")
+    platform = way or system.platform.address
     merged = dict(sections)
     merged["entry"] = {
         "instance": instance,
