Platform stand-in: serve returns a server, as the other stand-ins do

Cause: copperloom-standin platform ended with a TypeError, since its serve wanted an event that main does not pass; found by test_processes. Change: platform.serve(program) -> server.Server; it no longer prints. Conclusion: one way to start all stand-ins.

--- a/copperloom/standins/platform.py
+++ b/copperloom/standins/platform.py
@@ -19,6 +19,7 @@
 from copperloom import settings as settings_module
 from copperloom.platform import interface
 from copperloom.settings import setting
+from copperloom.standins import server
 
 __all__ = ["Control", "PlatformStandinSettings", "main", "serve"]
 
@@ -132,30 +133,34 @@
         }
 
 
-async def serve(
-    settings: PlatformStandinSettings, stopped: asyncio.Event
-) -> None:
-    """Serves until told to stop; prints where it listens."""
-    state = _State(settings.platform, time.monotonic())
+async def serve(program: PlatformStandinSettings) -> server.Server:
+    """Starts a platform."""
+    state = _State(program.platform, time.monotonic())
     app = web.Application(
         client_max_size=_BODY_BYTES, middlewares=[_faults(state)]
     )
     app.add_routes(_routes(state))
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
     await runner.setup()
-    host, _, port = settings.platform.listen.rpartition(":")
+    host, _, port = program.platform.listen.rpartition(":")
     await web.TCPSite(runner, host, int(port)).start()
     address = ":".join(str(part) for part in runner.addresses[0][:2])
-    print(f"ready listen={address}", flush=True)
-    await stopped.wait()
-    await runner.cleanup()
+    return server.Server(
+        {"listen": address}, lambda: _tell(state), runner.cleanup
+    )
 
 
 def main(argv: list[str]) -> None:
     """Runs it alone: `[--settings FILE]`."""
     path = argv[argv.index("--settings") + 1] if "--settings" in argv else None
-    settings = settings_module.load_or_exit(path, PlatformStandinSettings)
-    asyncio.run(serve(settings, asyncio.Event()))
+    own = settings_module.load_or_exit(path, PlatformStandinSettings)
+    asyncio.run(_run(own))
+
+
+async def _run(own: PlatformStandinSettings) -> None:
+    started = await serve(own)
+    print(f"ready listen={started.addresses['listen']}", flush=True)
+    await asyncio.Event().wait()
 
 
 def _routes(state: _State) -> list[web.RouteDef]:
@@ -369,14 +374,16 @@
 
 
 async def _truth(state: _State, request: web.Request) -> web.Response:
-    return _json(
-        {
-            "rows": list(state.rows.values()),
-            "objects": {name: len(d) for name, d in state.objects.items()},
-            "calls": dict(state.calls),
-            "instances": sorted(state.announced),
-        }
-    )
+    return _json(_tell(state))
+
+
+def _tell(state: _State) -> dict:
+    return {
+        "rows": list(state.rows.values()),
+        "objects": {name: len(d) for name, d in state.objects.items()},
+        "calls": dict(state.calls),
+        "instances": sorted(state.announced),
+    }
 
 
 if __name__ == "__main__":
--- a/copperloom/tests/processes.py
+++ b/copperloom/tests/processes.py
@@ -129,7 +129,13 @@
 
 
 def call(
-    address: str, method: str, path: str, body: object = None, *, token=""
+    address: str,
+    method: str,
+    path: str,
+    body: object = None,
+    *,
+    token: str = "",
+    limit_s: float = _CALL_LIMIT_S,
 ) -> dict:
     """Makes one blocking call; returns its reply if that is JSON.
 
@@ -146,7 +152,7 @@
             "Authorization": f"Bearer {token}",
         },
     )
-    with urllib.request.urlopen(ask, timeout=_CALL_LIMIT_S) as reply:
+    with urllib.request.urlopen(ask, timeout=limit_s) as reply:
         text = reply.read()
     return json.loads(text) if text.startswith((b"{", b"[")) else {}
 
