--- a/copperloom/history/recorder.py
+++ b/copperloom/history/recorder.py
@@ -23,13 +23,18 @@
 
 
 class Outcome(enum.StrEnum):
-    """How a call ended, as its caller saw it."""
+    """How a call ended, as its caller saw it.
+
+    CUT: the connection broke. UNREACHED: there was no connection, so no
+    request either. NONE: the caller gave up waiting.
+    """
 
     ANSWERED = "answered"
     NOT_RUN = "not_run"
     MAY_HAVE_RUN = "may_have_run"
     RAN_AND_FAILED = "ran_and_failed"
     CUT = "cut"
+    UNREACHED = "unreached"
     NONE = "none"
 
 
@@ -46,8 +51,7 @@
         invoked: When it was sent.
         returned: When it ended.
         limit_s: Its time limit.
-        outcome: How it ended; CUT if the connection broke, NONE if the
-            caller gave up waiting.
+        outcome: How it ended.
         code: Numbered result code, 0 if there was none.
         text: The answer received.
         expected: The answer that is its own.
--- a/copperloom/tests/callers.py
+++ b/copperloom/tests/callers.py
@@ -124,6 +124,8 @@
             outcome = await _read(sent, want, seen)
     except TimeoutError:
         outcome = Outcome.NONE
+    except aiohttp.ClientConnectorError:
+        outcome = Outcome.UNREACHED
     except (aiohttp.ClientError, OSError):
         outcome = Outcome.CUT
     except asyncio.CancelledError:
--- a/copperloom/tests/systems.py
+++ b/copperloom/tests/systems.py
@@ -71,7 +71,11 @@
         entry: Settings of the entries by section.
     """
     system = System(
-        processes.launch(case, "platform", {}),
+        processes.launch(
+            case,
+            "platform",
+            {"platform": {"list_lag_s": 0.3, "instance_ttl_s": 3}},
+        ),
         {
             f"g{i}": processes.launch(
                 case, "engine", {"engine": engine or {}}, name=f"g{i}"
--- a/copperloom/tests/trials.py
+++ b/copperloom/tests/trials.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 import urllib.error
@@ -13,6 +14,7 @@
 import aiohttp
 
 from copperloom import configuration, history
+from copperloom.standins.proxy import PairFaults
 from copperloom.tests import callers, processes, systems
 
 __all__ = ["Trial", "begin", "change", "settle", "start_trial", "until"]
@@ -20,6 +22,10 @@
 # Cancels are sent again until confirmed, and an engine sweeps twice a second.
 _MEMORY_BACK_S = 20.0
 _POLL_S = 0.02
+# Time that the call that kills may take, and that a thawed entry may need to
+# catch up with what came meanwhile.
+_KILL_S = 1.0
+_THAW_S = 2.0
 _CALLS_LIMIT_S = 60.0
 
 
@@ -81,6 +87,50 @@
     return await begin(trial, entry, want)[0]
 
 
+async def extra_entry(case, trial: Trial, name: str, **sections: dict) -> None:
+    """Starts an entry that only this case uses, and may kill."""
+    systems.add_entry(case, trial.system, name, sections)
+    case.addCleanup(trial.system.entries.pop, name)
+    process = trial.system.entries[name]
+    await until(
+        lambda: admits(process), processes.READY_LIMIT_S, f"{name} serves"
+    )
+
+
+def kill(trial: Trial, entry: str) -> None:
+    """Kills an entry and notes the fault."""
+    trial.system.entries[entry].kill()
+    trial.history.faults.append(
+        history.Fault(entry, time.monotonic() - _KILL_S, float("inf"))
+    )
+
+
+@contextlib.contextmanager
+def frozen(trial: Trial, entry: str):
+    """Keeps an entry from running while the body runs."""
+    process = trial.system.entries[entry]
+    since = time.monotonic()
+    process.freeze()
+    try:
+        yield
+    finally:
+        process.resume()
+        fault = history.Fault(entry, since, time.monotonic() + _THAW_S)
+        trial.history.faults.append(fault)
+
+
+def fault(case, system: systems.System, *links: str, **changes) -> None:
+    """Puts faults on links of the proxy, taken off when the case ends."""
+    for link in links:
+        system.proxy.control(pair=link, **changes)
+    case.addCleanup(heal, system)
+
+
+def heal(system: systems.System) -> None:
+    """Takes all faults off the proxy's links, and closes what they spoilt."""
+    system.proxy.control(**dataclasses.asdict(PairFaults()), reset=True)
+
+
 async def until(condition, within_s: float, what: str):
     """Waits for a condition without holding up the loop.
 
@@ -101,13 +151,13 @@
     async with asyncio.timeout(_CALLS_LIMIT_S):
         await asyncio.gather(*trial.tasks)
     if memory:
-        await _memory_back(trial)
+        await memory_back(trial)
     collect_runs(trial)
     broken = history.check(trial.history)
     case.assertEqual(broken, [], "\n".join(str(one) for one in broken))
 
 
-async def _memory_back(trial: Trial) -> None:
+async def memory_back(trial: Trial) -> None:
     """Waits for the engines' memory, and notes what they count then."""
     engines = trial.system.engines
     try:
