--- a/copperloom/daemons/entry.py
+++ b/copperloom/daemons/entry.py
@@ -4,6 +4,9 @@
   copperloom-entry --settings FILE
   copperloom-entry --help
 
+Options:
+  --settings FILE  INI file.
+
 Stops gracefully on SIGTERM or SIGINT: first it tells that it is not ready,
 goes on accepting while the balancer learns that, then finishes the requests
 in progress and ends.
@@ -60,7 +63,7 @@
     """The entry as a service: start it, stop it gracefully.
 
     Attributes:
-        state: What the entry holds in memory.
+        entry_state: What the entry holds in memory.
         listen: IP:port for callers, once started.
         peers: IP:port for other entries, once started.
     """
@@ -68,7 +71,7 @@
     def __init__(self, own: options.EntrySettings):
         super().__init__()
         self.own = own
-        self.state: EntryState | None = None
+        self.entry_state: EntryState | None = None
         self.listen = ""
         self.peers = ""
         self.runner: web.AppRunner | None = None
@@ -81,7 +84,7 @@
             platform_http.connect(self.own.platform.address),
             targets_http.connect(connect_s=self.own.targets.connect_s),
         )
-        self.state = state
+        self.entry_state = state
         self.server, self.peers = await server.serve(state)
         self.runner, self.listen = await _listen(state)
         self.add_future(dispatcher.run(state))
@@ -93,18 +96,18 @@
 
     async def on_stop(self) -> None:
         """Drains, then closes everything."""
-        await drain(self.state)
+        await drain(self.entry_state)
         await self.runner.cleanup()
-        if self.state.background:
-            await asyncio.wait(self.state.background, timeout=_STOP_S)
+        if self.entry_state.background:
+            await asyncio.wait(self.entry_state.background, timeout=_STOP_S)
         self.server.close()
         await self.server.wait_closed()
-        logs.event("stopped", boot=self.state.boot)
+        logs.event("stopped", boot=self.entry_state.boot)
 
     async def on_shutdown(self) -> None:
         """Closes the clients, once the controllers have ended."""
-        await self.state.targets.close()
-        await self.state.platform.close()
+        await self.entry_state.targets.close()
+        await self.entry_state.platform.close()
 
 
 async def drain(state: EntryState) -> None:
--- a/copperloom/filters/read.py
+++ b/copperloom/filters/read.py
@@ -31,9 +31,11 @@
 _CHUNK_BYTES = 1 << 18
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ChatMessage:
-    """One message; its content is passed on unread."""
+class ChatMessage(msgspec.Struct, frozen=True):
+    """One message; its content is passed on unread.
+
+    A Struct, since msgspec takes no raw field with a default in a data class.
+    """
 
     role: str
     content: msgspec.Raw = msgspec.Raw(b"null")
