Filters: the caller's time limit is the limit that runs

Cause: the timer was set before the time limit header was read, to one hour, and never moved: with slow or frozen engines callers had no outcome at all (test_outcomes: test_slow_engines, test_engine_freezes_mid_stream, 'none'). Change: _set_deadline reschedules the timer; it is set before the body is read as well, so that a slow upload counts.

--- a/copperloom/filters/read.py
+++ b/copperloom/filters/read.py
@@ -61,6 +61,7 @@
 
 async def read_chat(ex: exchange.Exchange, nxt: exchange.Next) -> None:
     """Sets ex.body, ex.chat, ex.deployment and ex.deadline."""
+    _set_deadline(ex, ex.state.settings.limits.max_time_limit_s)
     ex.body = await _body(ex)
     ex.chat = _decode(ex.body)
     _deployment(ex, ex.chat.model, configuration.TargetKind.ENGINE)
@@ -70,6 +71,7 @@
 
 async def read_service(ex: exchange.Exchange, nxt: exchange.Next) -> None:
     """Sets ex.body, ex.deployment and ex.deadline."""
+    _set_deadline(ex, ex.state.settings.limits.max_time_limit_s)
     ex.body = await _body(ex)
     name = ex.http.match_info["name"]
     _deployment(ex, name, configuration.TargetKind.SERVICE)
@@ -122,14 +124,26 @@
     if allowed and ex.organisation.name not in allowed:
         raise exception.NotAuthorisedError()
     ex.deployment = found
-    ex.deadline = ex.arrived + _time_limit(ex.http, ex)
+    _set_deadline(ex, found.time_limit_s)
 
 
-def _time_limit(http: web.Request, ex: exchange.Exchange) -> float:
+def _set_deadline(ex: exchange.Exchange, default_s: float) -> None:
+    """Sets the deadline, and moves the time limit that the filters run under.
+
+    Without the second, nothing ends a request whose target falls silent: its
+    caller waits for hours. It is set before the body is read too, so that a
+    slow upload counts.
+    """
+    ex.deadline = ex.arrived + _time_limit(ex, default_s)
+    if ex.limit is not None:
+        ex.limit.reschedule(ex.deadline)
+
+
+def _time_limit(ex: exchange.Exchange, default_s: float) -> float:
     most = ex.state.settings.limits.max_time_limit_s
-    text = http.headers.get(TIME_LIMIT_HEADER)
+    text = ex.http.headers.get(TIME_LIMIT_HEADER)
     if text is None:
-        return min(ex.deployment.time_limit_s, most)
+        return min(default_s, most)
     try:
         value = float(text)
     except ValueError:
