Filters: a deadline that a lost cancellation can't switch off

Cause: with all bytes to the engines swallowed a caller had no outcome (test_outcomes.test_cut_towards_engines). The client's time limit and asyncio.timeout ended in the same turn of the loop; aiohttp's nested TimerContext took both cancellations for its own (task.cancelling() 0, Timeout 'expiring'), and the request went on without any limit. Ruled out: the timer not being set (it was, for 2 s). Change: filters/deadline.py cancels again until the task ends.

--- a/copperloom/filters/outcome.py
+++ b/copperloom/filters/outcome.py
@@ -8,7 +8,7 @@
 
 from copperloom import exception, logs
 from copperloom.daemons import metrics
-from copperloom.filters import answers, exchange
+from copperloom.filters import answers, deadline, exchange
 
 __all__ = ["error_body", "outcome", "reply_error"]
 
@@ -50,14 +50,12 @@
 
 
 async def _within_deadline(ex: exchange.Exchange, nxt: exchange.Next) -> None:
+    ex.limit = deadline.Deadline(ex.deadline)
     try:
-        async with asyncio.timeout_at(ex.deadline) as limit:
-            ex.limit = limit
-            await nxt(ex)
-    except TimeoutError as error:
-        if not limit.expired():
-            raise
-        raise exception.TimeLimitPassedError(run=ex.run) from error
+        await deadline.within(ex.limit, nxt(ex))
+    except exception.TimeLimitPassedError as error:
+        error.run = ex.run
+        raise
 
 
 async def reply_error(
--- a/copperloom/tests/trials.py
+++ b/copperloom/tests/trials.py
@@ -48,6 +48,8 @@
 
 async def start_trial(case, system: systems.System) -> Trial:
     """Starts a trial whose client is closed when the case ends."""
+    # The debug mode of the test case reports each slow step of the loop.
+    asyncio.get_running_loop().set_debug(False)
     session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
     case.addAsyncCleanup(session.close)
     return Trial(system, session, history.History())
