Entry: a stopping instance takes no new connections after the lag

Cause: callers that came back all the time kept a stopping entry from ending: some request was always in progress, so it would have run into drain_limit_s and cut what was there then (test_stops.test_streams_and_kept_connections: not ended within 20 s with three callers). Change: drain closes the callers' listening socket once drain_lag_s is over.

--- a/copperloom/daemons/entry.py
+++ b/copperloom/daemons/entry.py
@@ -75,6 +75,7 @@
         self.listen = ""
         self.peers = ""
         self.runner: web.AppRunner | None = None
+        self.site: web.TCPSite | None = None
         self.server = None
 
     async def on_start(self) -> None:
@@ -86,7 +87,7 @@
         )
         self.entry_state = state
         self.server, self.peers = await server.serve(state)
-        self.runner, self.listen = await _listen(state)
+        self.runner, self.site, self.listen = await _listen(state)
         self.add_future(dispatcher.run(state))
         for name, step, every_s in _controllers(state):
             self.add_future(_repeat(state, name, step, every_s))
@@ -96,7 +97,7 @@
 
     async def on_stop(self) -> None:
         """Drains, then closes everything."""
-        await drain(self.entry_state)
+        await drain(self.entry_state, self.site.stop)
         await self.runner.cleanup()
         if self.entry_state.background:
             await asyncio.wait(self.entry_state.background, timeout=_STOP_S)
@@ -110,27 +111,37 @@
         await self.entry_state.platform.close()
 
 
-async def drain(state: EntryState) -> None:
+async def drain(
+    state: EntryState, stop_listening: Callable[[], Awaitable[None]]
+) -> None:
     """Waits until this instance may end without cutting a request.
 
     The balancer goes on sending for a while after /ready fails; an instance
-    that refused or closed at once would cut those requests.
+    that refused or closed at once would cut those requests. After that it
+    takes no new connections: callers who come back all the time would keep it
+    from ever ending, until `drain_limit_s` cuts them. Requests on connections
+    that are open still run, each as its connection's last.
+
+    Args:
+        state: The entry's state.
+        stop_listening: Closes the callers' listening socket only.
     """
     loop = asyncio.get_running_loop()
     state.draining = True
     logs.event("draining", active=state.active)
     own = state.settings.entry
     end = loop.time() + own.drain_limit_s
-    quiet_at = loop.time() + own.drain_lag_s
-    while loop.time() < end:
-        if loop.time() >= quiet_at and not state.active:
-            break
+    await asyncio.sleep(own.drain_lag_s)
+    await stop_listening()
+    while state.active and loop.time() < end:
         await asyncio.sleep(_DRAIN_POLL_S)
     if state.active:
         logs.event("drain_limit", level="ERROR", cut=state.active)
 
 
-async def _listen(state: EntryState) -> tuple[web.AppRunner, str]:
+async def _listen(
+    state: EntryState,
+) -> tuple[web.AppRunner, web.TCPSite, str]:
     runner = web.AppRunner(
         http.make_app(state),
         access_log=None,
@@ -143,7 +154,7 @@
     site = web.TCPSite(runner, host, int(port))
     await site.start()
     address = runner.addresses[0]
-    return runner, f"{address[0]}:{address[1]}"
+    return runner, site, f"{address[0]}:{address[1]}"
 
 
 async def _repeat(
--- a/copperloom/tests/callers.py
+++ b/copperloom/tests/callers.py
@@ -73,7 +73,11 @@
 def expected(want: Ask) -> str:
     """Returns the whole answer that is a request's own."""
     if want.service:
-        return want.prompt
+        size = len(want.prompt)
+        return json.dumps(
+            {"path": f"/{want.prompt}", "key": want.key, "bytes": size},
+            separators=(",", ":"),
+        )
     return answers.whole(
         want.organisation, systems.CHAT, _messages(want), want.tokens
     )
--- a/copperloom/tests/trials.py
+++ b/copperloom/tests/trials.py
@@ -92,7 +92,7 @@
 async def extra_entry(case, trial: Trial, name: str, **sections: dict) -> None:
     """Starts an entry that only this case uses, and may kill."""
     systems.add_entry(case, trial.system, name, sections)
-    case.addCleanup(trial.system.entries.pop, name)
+    case.addCleanup(trial.system.entries.pop, name, None)
     process = trial.system.entries[name]
     await until(
         lambda: admits(process), processes.READY_LIMIT_S, f"{name} serves"
