--- a/copperloom/controllers/tests/fixtures.py
+++ b/copperloom/controllers/tests/fixtures.py
@@ -49,7 +49,8 @@
         [
             sys.executable,
             "-m",
-            "copperloom.standins.platform",
+            "copperloom.standins.main",
+            "platform",
             "--settings",
             str(file),
         ],
--- a/copperloom/standins/platform.py
+++ b/copperloom/standins/platform.py
@@ -9,19 +9,17 @@
 import collections
 import dataclasses
 import random
-import sys
 import time
 
 import msgspec
 import sortedcontainers
 from aiohttp import web
 
-from copperloom import settings as settings_module
 from copperloom.platform import interface
 from copperloom.settings import setting
 from copperloom.standins import server
 
-__all__ = ["Control", "PlatformStandinSettings", "main", "serve"]
+__all__ = ["Control", "PlatformStandinSettings", "serve"]
 
 _MOST_ROWS = 25
 _MOST_SCAN = 1000
@@ -150,19 +148,6 @@
     )
 
 
-def main(argv: list[str]) -> None:
-    """Runs it alone: `[--settings FILE]`."""
-    path = argv[argv.index("--settings") + 1] if "--settings" in argv else None
-    own = settings_module.load_or_exit(path, PlatformStandinSettings)
-    asyncio.run(_run(own))
-
-
-async def _run(own: PlatformStandinSettings) -> None:
-    started = await serve(own)
-    print(f"ready listen={started.addresses['listen']}", flush=True)
-    await asyncio.Event().wait()
-
-
 def _routes(state: _State) -> list[web.RouteDef]:
     def bind(function):
         async def handler(request):
@@ -384,7 +369,3 @@
         "calls": dict(state.calls),
         "instances": sorted(state.announced),
     }
-
-
-if __name__ == "__main__":
-    main(sys.argv[1:])
