--- a/copperloom/standins/main.py
+++ b/copperloom/standins/main.py
@@ -1,8 +1,8 @@
 """Stand-ins for what surrounds copperloom.
 
 Usage:
-  copperloom-standin (engine | service | proxy) --settings FILE [--truth]
-  copperloom-standin platform --settings FILE
+  copperloom-standin (engine | service | platform | proxy) --settings FILE
+                     [--truth]
   copperloom-standin (engine | service | platform | proxy) --explain
   copperloom-standin (-h | --help)
 
