--- a/copperloom/experiments/arrivals.py
+++ b/copperloom/experiments/arrivals.py
@@ -8,7 +8,7 @@
 import math
 import random
 
-from copperloom.experiments import mix as mixes
+from copperloom.experiments import mixes
 
 __all__ = [
     "LONG",
--- a/copperloom/experiments/client.py
+++ b/copperloom/experiments/client.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import dataclasses
 import time
 from collections.abc import Callable
 
@@ -13,78 +12,19 @@
 import msgspec
 
 from copperloom import exception
-from copperloom.experiments import arrivals, result
-from copperloom.experiments import mix as mixes
+from copperloom.experiments import arrivals, mixes, result, sse
 
-__all__ = ["Answer", "Check", "accept_any", "run", "send"]
+__all__ = ["Expected", "run", "send"]
 
 _FILLER_WORD = b"lounge "
-_DATA = b"data: "
-_DONE = b"[DONE]"
 _MS = 1e-3
+_HEAD = b'[{"role":"user","content":"'
+_TAIL = b'"}]'
 
 
-@dataclasses.dataclass(slots=True)
-class Answer:
-    """An answer as it comes in.
-
-    Attributes:
-        text: Pieces of text.
-        ids: The ids that its chunks named.
-        finish: Why it ended; "" until then.
-        done: Whether the closing event came.
-        error: A coded error that came within the stream.
-        first: Monotonic time of the first piece; 0 until then.
-        last: Monotonic time of the last piece.
-        gap_s: Longest time between two pieces.
-    """
-
-    text: list[str] = dataclasses.field(default_factory=list)
-    ids: set[str] = dataclasses.field(default_factory=set)
-    finish: str = ""
-    done: bool = False
-    error: "_Error | None" = None
-    first: float = 0.0
-    last: float = 0.0
-    gap_s: float = 0.0
-
-
-# Tells what is wrong with an answer's text, "" if nothing.
-Check = Callable[[arrivals.Arrival, str], str]
-
-
-class _Delta(msgspec.Struct):
-    content: str | None = None
-
-
-class _Choice(msgspec.Struct):
-    delta: _Delta | None = None
-    finish_reason: str | None = None
-
-
-class _Error(msgspec.Struct):
-    code: int = 0
-    message: str = ""
-    run: str = ""
-
-
-class _Chunk(msgspec.Struct):
-    id: str = ""
-    choices: list[_Choice] = []
-    error: _Error | None = None
-
-
-class _ErrorBody(msgspec.Struct):
-    error: _Error
-
-
-_CHUNKS = msgspec.json.Decoder(_Chunk)
-_ERRORS = msgspec.json.Decoder(_ErrorBody)
-
-
-def accept_any(arrival: arrivals.Arrival, text: str) -> str:
-    """Finds nothing wrong with any text that is not empty."""
-    return "" if text else "empty answer"
+# Gives the whole answer to expect for a request and its raw messages; None
+# where answers can't be known beforehand, as with real engines.
+Expected = Callable[[arrivals.Arrival, bytes], str]
 
 
 async def run(
@@ -92,7 +32,7 @@
     requests: list[arrivals.Arrival],
     entries: list[str],
     *,
-    check: Check = accept_any,
+    expected: Expected | None = None,
 ) -> list[result.Sample]:
     """Sends requests at their times, to the entries in turn.
 
@@ -101,7 +41,7 @@
         requests: What to send.
         entries: Addresses of entries; the platform's balancer is taken to
             deal connections out evenly.
-        check: Tells what is wrong with an answer's text.
+        expected: Gives the answer to expect; None takes any that ended well.
 
     Returns:
         One sample for each request; each has an outcome within its time
@@ -120,7 +60,7 @@
             await asyncio.sleep(planned - time.monotonic())
             entry = entries[arrival.index % len(entries)]
             one = send(
-                session, mix, arrival, entry, filler, planned, check=check
+                session, mix, arrival, entry, filler, planned, expected=expected
             )
             tasks.append(asyncio.create_task(one))
         return list(await asyncio.gather(*tasks))
@@ -134,7 +74,7 @@
     filler: bytes,
     planned: float,
     *,
-    check: Check = accept_any,
+    expected: Expected | None = None,
 ) -> result.Sample:
     """Sends one request and returns what became of it.
 
@@ -145,7 +85,7 @@
         entry: The entry's address.
         filler: Text to cut the prompt from.
         planned: Monotonic time that its times count from.
-        check: Tells what is wrong with the answer's text.
+        expected: Gives the answer to expect; None takes any that ended well.
     """
     delay_s = mix.network.client_ms * _MS
     await asyncio.sleep(delay_s)
@@ -155,7 +95,7 @@
         async with asyncio.timeout(limit_s):
             if arrival.group == arrivals.SERVICE:
                 return await _call_service(session, exchange)
-            return await _ask_engine(session, exchange, filler, check)
+            return await _ask_engine(session, exchange, filler, expected)
     except TimeoutError:
         return exchange.sample(result.LOST, problem="no outcome in time")
     except (aiohttp.ClientError, OSError) as error:
@@ -229,28 +169,30 @@
     session: aiohttp.ClientSession,
     exchange: _Exchange,
     filler: bytes,
-    check: Check,
+    expected: Expected | None,
 ) -> result.Sample:
     url = f"http://{exchange.entry}/v1/chat/completions"
-    body = _body(exchange.mix, exchange.arrival, filler)
+    messages = _messages(exchange.mix, exchange.arrival, filler)
+    wanted = expected(exchange.arrival, messages) if expected else None
+    body = _body(exchange.mix, exchange.arrival, messages)
     async with session.post(
         url, data=body, headers=exchange.headers()
     ) as response:
         exchange.request = response.headers.get("X-Copperloom-Request", "")
         if response.status >= 400:
             return _refused(exchange, await response.read())
-        answer = Answer()
-        await _read(response, answer)
-    return _judge(exchange, answer, check)
+        got = sse.Answer()
+        await sse.read(response, got)
+    return _judge(exchange, got, wanted)
 
 
 def _refused(exchange: _Exchange, data: bytes) -> result.Sample:
-    error = _ERRORS.decode(data).error
+    error = sse.decode_error(data)
     return _error_sample(exchange, error)
 
 
 def _error_sample(
-    exchange: _Exchange, error: _Error, **values
+    exchange: _Exchange, error: sse.Error, **values
 ) -> result.Sample:
     if error.code <= 0 or error.run not in set(exception.Run):
         return exchange.sample(result.LOST, problem=f"bad error {error}")
@@ -259,43 +201,9 @@
     )
 
 
-async def _read(response: aiohttp.ClientResponse, answer: Answer) -> None:
-    rest = b""
-    async for data in response.content.iter_any():
-        now = time.monotonic()
-        *lines, rest = (rest + data).split(b"\n")
-        for line in lines:
-            _take_line(answer, line, now)
-
-
-def _take_line(answer: Answer, line: bytes, now: float) -> None:
-    if not line.startswith(_DATA):
-        return
-    value = line[len(_DATA) :].strip()
-    if value == _DONE:
-        answer.done = True
-        return
-    chunk = _CHUNKS.decode(value)
-    answer.error = chunk.error or answer.error
-    if chunk.id:
-        answer.ids.add(chunk.id)
-    for choice in chunk.choices:
-        _take_choice(answer, choice, now)
-
-
-def _take_choice(answer: Answer, choice: _Choice, now: float) -> None:
-    answer.finish = choice.finish_reason or answer.finish
-    if choice.delta is None or not choice.delta.content:
-        return
-    answer.text.append(choice.delta.content)
-    if not answer.first:
-        answer.first = now
-    else:
-        answer.gap_s = max(answer.gap_s, now - answer.last)
-    answer.last = now
-
-
-def _judge(exchange: _Exchange, answer: Answer, check: Check) -> result.Sample:
+def _judge(
+    exchange: _Exchange, answer: sse.Answer, wanted: str | None
+) -> result.Sample:
     first_s = exchange.since(answer.first) if answer.first else 0.0
     values = {"first_s": first_s, "gap_s": answer.gap_s}
     if answer.error is not None:
@@ -303,23 +211,32 @@
     if not answer.done or not answer.finish:
         problem = "the answer broke off without a code"
         return exchange.sample(result.LOST, problem=problem, **values)
-    problem = check(exchange.arrival, "".join(answer.text))
-    if len(answer.ids) > 1:
-        problem = "chunks of several answers"
+    problem = _problem(answer, wanted)
     code = result.WRONG if problem else result.OK
     return exchange.sample(code, problem=problem, **values)
 
 
+def _problem(answer: sse.Answer, wanted: str | None) -> str:
+    text = "".join(answer.text)
+    if len(answer.ids) > 1:
+        return "chunks of several answers"
+    if not text:
+        return "empty answer"
+    if wanted is not None and text != wanted:
+        return f"{text[:40]!r}... in place of {wanted[:40]!r}..."
+    return ""
+
+
 def _filler(mix: mixes.LoadSettings, requests: list[arrivals.Arrival]) -> bytes:
     longest = max((a.prompt_tokens for a in requests), default=0)
     size = int(longest * mix.load.bytes_per_token) + 1
     return (_FILLER_WORD * (size // len(_FILLER_WORD) + 1))[:size]
 
 
-def _body(
+def _messages(
     mix: mixes.LoadSettings, arrival: arrivals.Arrival, filler: bytes
 ) -> bytes:
-    """Returns a chat-completions body of the wanted prompt length."""
+    """Returns the raw messages of a prompt of the wanted length."""
     start = b""
     if arrival.prefix >= 0:
         mark = f"{arrival.organisation} start {arrival.prefix} ".encode()
@@ -327,10 +244,15 @@
         start = (mark * (length // len(mark) + 1))[:length]
     start += f"request {arrival.index} ".encode()
     size = int(arrival.prompt_tokens * mix.load.bytes_per_token)
-    rest = filler[: max(0, size - len(start))]
+    rest = filler[: max(0, size - len(start) - len(_HEAD) - len(_TAIL))]
+    return b"".join((_HEAD, start, rest, _TAIL))
+
+
+def _body(
+    mix: mixes.LoadSettings, arrival: arrivals.Arrival, messages: bytes
+) -> bytes:
     head = (
         f'{{"model":"{mix.load.deployment}","stream":true,'
-        f'"max_tokens":{arrival.answer_tokens},'
-        '"messages":[{"role":"user","content":"'
+        f'"max_tokens":{arrival.answer_tokens},"messages":'
     )
-    return b"".join((head.encode(), start, rest, b'"}]}'))
+    return b"".join((head.encode(), messages, b"}"))
--- a/copperloom/experiments/load.py
+++ b/copperloom/experiments/load.py
@@ -2,8 +2,8 @@
 
 Usage:
   copperloom-load run MIX [--seed=N] [--without-long] [--policy=LABEL]
-                  [--output=FILE]
-  copperloom-load slowdown MIX [--seed=N] [--output=FILE]
+                  [--standins] [--output=FILE]
+  copperloom-load slowdown MIX [--seed=N] [--standins] [--output=FILE]
   copperloom-load show FILE
   copperloom-load compare A B
   copperloom-load report HTML FILE...
@@ -14,6 +14,7 @@
   --seed=N         Seed of the arrivals [default: 1].
   --without-long   Leave out the long prompts of the same seed.
   --policy=LABEL   Label of what is tried [default: copperloom].
+  --standins       The engines are stand-ins: check each answer's text.
   --output=FILE    Where to write the result as JSON.
 
 `slowdown` offers the mix twice, with and without its long prompts.
@@ -22,6 +23,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import sys
 
 import docopt
@@ -32,22 +34,23 @@
     arrivals,
     client,
     compare,
-    mix,
+    mixes,
     report,
     result,
 )
+from copperloom.standins import answers
 
-__all__ = ["main", "offer"]
+__all__ = ["expected_of_standins", "main", "offer"]
 
 
 async def offer(
-    settings_: mix.LoadSettings,
+    settings_: mixes.LoadSettings,
     entries: list[str],
     *,
     seed: int,
     long: bool = True,
     policy: str = "copperloom",
-    check: client.Check = client.accept_any,
+    expected: client.Expected | None = None,
 ) -> result.Result:
     """Offers one run of a mix to entries.
 
@@ -57,12 +60,12 @@
         seed: Seed of the arrivals.
         long: Whether the long prompts are sent.
         policy: Label for the result.
-        check: Tells what is wrong with an answer's text.
+        expected: Gives the answer to expect; None takes any that ended well.
     """
     requests = arrivals.arrivals(settings_, seed=seed)
     if not long:
         requests = arrivals.without_long(requests)
-    samples = await client.run(settings_, requests, entries, check=check)
+    samples = await client.run(settings_, requests, entries, expected=expected)
     return result.Result(
         settings_.load.name,
         policy,
@@ -73,6 +76,20 @@
     )
 
 
+def expected_of_standins(settings_: mixes.LoadSettings) -> client.Expected:
+    """Returns a function that works out the engine stand-in's answers."""
+
+    def expected(arrival: arrivals.Arrival, messages: bytes) -> str:
+        return answers.whole(
+            arrival.organisation,
+            settings_.load.deployment,
+            messages,
+            arrival.answer_tokens,
+        )
+
+    return expected
+
+
 def main(argv: list[str] | None = None) -> None:
     """Runs the command line."""
     args = docopt.docopt(__doc__, argv)
@@ -85,7 +102,7 @@
 
 def _run(args: dict) -> int:
     if args["explain"]:
-        print(settings.explain(mix.LoadSettings))
+        print(settings.explain(mixes.LoadSettings))
         return 0
     if args["compare"]:
         a, b = result.read(args["A"]), result.read(args["B"])
@@ -100,34 +117,33 @@
 
 
 def _offer_command(args: dict) -> int:
-    mix_ = settings.load_or_exit(args["MIX"], mix.LoadSettings)
+    mix_ = settings.load_or_exit(args["MIX"], mixes.LoadSettings)
     if not mix_.load.entries:
         error = exception.SettingsError(f"{args['MIX']} [load] entries: empty")
         print(f"error {error.code}: {error}", file=sys.stderr)
         return settings.EXIT_BAD_SETTINGS
-    seed = int(args["--seed"])
-    entries = list(mix_.load.entries)
-    both = args["slowdown"]
-    res = asyncio.run(
-        offer(
-            mix_,
-            entries,
-            seed=seed,
-            long=not args["--without-long"],
-            policy=args["--policy"],
-        )
+    run = functools.partial(
+        offer,
+        mix_,
+        list(mix_.load.entries),
+        seed=int(args["--seed"]),
+        policy=args["--policy"],
+        expected=expected_of_standins(mix_) if args["--standins"] else None,
     )
-    if both:
-        alone = asyncio.run(offer(mix_, entries, seed=seed, long=False))
-        for name, value in dataclasses.asdict(
-            compare.slowdown(res, alone)
-        ).items():
-            print(f"slowdown of short prompts, {name}: {value:.4g}")
+    res = asyncio.run(run(long=not args["--without-long"]))
+    if args["slowdown"]:
+        _show_slowdown(res, asyncio.run(run(long=False)))
     if args["--output"]:
         result.write(res, args["--output"])
     return _show(res)
 
 
+def _show_slowdown(mixed: result.Result, alone: result.Result) -> None:
+    slow = compare.slowdown(mixed, alone)
+    for name, value in dataclasses.asdict(slow).items():
+        print(f"slowdown of short prompts, {name}: {value:.4g}")
+
+
 def _show(res: result.Result) -> int:
     summary = result.summarise(res)
     print("\n".join(compare.figures(summary)))
--- a/copperloom/experiments/tests/samples.py
+++ b/copperloom/experiments/tests/samples.py
@@ -2,8 +2,7 @@
 
 import dataclasses
 
-from copperloom.experiments import arrivals, result
-from copperloom.experiments import mix as mixes
+from copperloom.experiments import arrivals, mixes, result
 
 __all__ = ["REQUEST", "mix", "run_of"]
 
--- a/copperloom/experiments/tests/test_arrivals.py
+++ b/copperloom/experiments/tests/test_arrivals.py
@@ -6,7 +6,7 @@
 import unittest
 
 from copperloom import settings
-from copperloom.experiments import arrivals, mix
+from copperloom.experiments import arrivals, mixes
 from copperloom.experiments.tests import samples
 
 _MIXES = pathlib.Path(__file__).resolve().parents[3] / "experiments"
@@ -44,7 +44,7 @@
 
     def test_other_share_of_services_keeps_the_prompts(self):
         fewer = dataclasses.replace(
-            samples.mix(), services=mix.ServicesSection(share=0.0)
+            samples.mix(), services=mixes.ServicesSection(share=0.0)
         )
         some = arrivals.arrivals(samples.mix(), seed=1)
         none = arrivals.arrivals(fewer, seed=1)
@@ -54,6 +54,6 @@
 
     def test_the_mixes_of_both_deployments_load(self):
         for name in ("wroclaw", "oslo"):
-            got = settings.load(str(_MIXES / f"{name}.ini"), mix.LoadSettings)
+            got = settings.load(str(_MIXES / f"{name}.ini"), mixes.LoadSettings)
             self.assertEqual(got.load.name, name)
             self.assertEqual(len(got.cluster.data_centres), 3)
--- a/copperloom/experiments/tests/test_client.py
+++ b/copperloom/experiments/tests/test_client.py
@@ -64,7 +64,19 @@
         self.assertEqual(headers["Idempotency-Key"], "k")
         self.assertEqual(headers["X-Copperloom-Not-Repeatable"], "true")
         self.assertEqual(headers["Authorization"], "Bearer token-org-00")
-        body = msgspec.json.decode(seen[0]["body"])
-        content = body["messages"][0]["content"]
-        self.assertEqual(len(content), 2000 * mix.load.bytes_per_token)
-        self.assertEqual(body["max_tokens"], 32)
+        body = msgspec.json.decode(seen[0]["body"], type=dict[str, msgspec.Raw])
+        self.assertEqual(
+            len(bytes(body["messages"])), 2000 * mix.load.bytes_per_token
+        )
+        self.assertEqual(bytes(body["max_tokens"]), b"32")
+
+    async def test_another_callers_answer(self):
+        address, _ = await fake.start_entry(self, fake.whole)
+        for text, code in (("ab", result.OK), ("ax", result.WRONG)):
+            (sample,) = await client.run(
+                samples.mix(),
+                [samples.REQUEST],
+                [address],
+                expected=lambda request, messages, text=text: text,
+            )
+            self.assertEqual(sample.code, code, sample.problem)
