--- /dev/null
+++ b/copperloom/experiments/plan.py
@@ -0,0 +1,169 @@
+"""What a trial is made of: settings of each process, and the configuration.
+
+The same plan serves a cluster in one process (`copperloom.experiments.
+cluster`) and one of real processes.
+"""
+
+import dataclasses
+import hashlib
+from typing import TypeVar
+
+from copperloom import configuration
+from copperloom.experiments import mixes
+
+__all__ = [
+    "MODEL",
+    "ORDINARY",
+    "PEAK",
+    "Variant",
+    "engine_sections",
+    "entities",
+    "entry_sections",
+    "make_settings",
+    "service_sections",
+    "target_name",
+]
+
+MODEL = "model-a"
+ORDINARY = "ordinary"
+PEAK = "peak"
+
+_Program = TypeVar("_Program")
+Sections = dict[str, dict[str, object]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Variant:
+    """What is tried.
+
+    Attributes:
+        policy: Policy of the entries.
+        disable: Mechanisms that are switched off.
+    """
+
+    policy: str = "copperloom"
+    disable: tuple[str, ...] = ()
+
+    def label(self) -> str:
+        """Returns a name for tables."""
+        return " ".join([self.policy, *(f"-{name}" for name in self.disable)])
+
+
+def target_name(kind: configuration.TargetKind, index: int) -> str:
+    """Returns the name of an engine or service of a trial."""
+    return f"{kind.value}-{index:02d}"
+
+
+def entry_sections(
+    mix: mixes.LoadSettings, index: int, platform: str, variant: Variant
+) -> Sections:
+    """Returns an entry's settings.
+
+    Args:
+        mix: The mix.
+        index: Which entry.
+        platform: The platform's address.
+        variant: What is tried.
+    """
+    return {
+        "entry": {
+            "instance": f"entry-{index:02d}",
+            "data_centre": _data_centre(mix, index),
+            "drain_lag_s": 0.0,
+            "drain_limit_s": 5.0,
+            "log_level": "ERROR",
+        },
+        "platform": {"address": platform},
+        "limits": {"bytes_per_token": mix.load.bytes_per_token},
+        "decisions": {"policy": variant.policy, "disable": variant.disable},
+    }
+
+
+def engine_sections(mix: mixes.LoadSettings, index: int, seed: int) -> Sections:
+    """Returns an engine's settings."""
+    return {
+        "engine": {
+            "seed": seed + index,
+            "models": (MODEL,),
+            "kv_tokens": mix.cluster.kv_tokens,
+            "time_scale": mix.cluster.time_scale,
+        }
+    }
+
+
+def service_sections(index: int, seed: int) -> Sections:
+    """Returns a plain service's settings."""
+    return {"service": {"seed": seed + index}}
+
+
+def make_settings(program: type[_Program], sections: Sections) -> _Program:
+    """Makes settings of values in place of a file; the rest are defaults."""
+    fields = dataclasses.fields(program)
+    unknown = sections.keys() - {f.name for f in fields}
+    if unknown:
+        raise ValueError(f"unknown sections {sorted(unknown)}")
+    return program(
+        **{f.name: f.type(**sections.get(f.name, {})) for f in fields}
+    )
+
+
+def entities(
+    mix: mixes.LoadSettings, engines: list[str], services: list[str]
+) -> list[configuration.Entity]:
+    """Returns the configuration of a trial.
+
+    Args:
+        mix: The mix.
+        engines: Addresses of the engines.
+        services: Addresses of the services.
+    """
+    kinds = configuration.TargetKind
+    limit_s = mix.load.time_limit_s
+    out: list[configuration.Entity] = [
+        configuration.Organisation(name, _digest(name))
+        for name in mixes.organisation_names(mix)
+    ]
+    out += [
+        configuration.Deployment(
+            mix.load.deployment, model=MODEL, time_limit_s=limit_s
+        ),
+        configuration.Deployment(
+            mix.services.name, kinds.SERVICE, time_limit_s=limit_s
+        ),
+        configuration.Preset(ORDINARY),
+        configuration.Preset(PEAK, objective="slowdown", short_floor=0.5),
+        configuration.PresetInForce(ORDINARY),
+    ]
+    for index, address in enumerate(engines):
+        out.append(_target(mix, kinds.ENGINE, index, address, MODEL))
+    for index, address in enumerate(services):
+        name = mix.services.name
+        out.append(_target(mix, kinds.SERVICE, index, address, name))
+    return out
+
+
+def _target(
+    mix: mixes.LoadSettings,
+    kind: configuration.TargetKind,
+    index: int,
+    address: str,
+    serves: str,
+) -> configuration.Target:
+    return configuration.Target(
+        target_name(kind, index),
+        address,
+        _data_centre(mix, index),
+        kind,
+        (serves,),
+        kv_tokens=mix.cluster.kv_tokens,
+    )
+
+
+def _data_centre(mix: mixes.LoadSettings, index: int) -> str:
+    names = mix.cluster.data_centres
+    return names[index % len(names)]
+
+
+def _digest(organisation: str) -> str:
+    token = mixes.organisation_token(organisation)
+    return hashlib.sha256(token.encode()).hexdigest()
