--- a/copperloom/experiments/slopes.py
+++ b/copperloom/experiments/slopes.py
@@ -23,6 +23,7 @@
     "Figure",
     "change_figures",
     "configuration_of",
+    "digest",
     "digest_figures",
     "memory_figures",
     "processor_s",
@@ -30,7 +31,6 @@
 ]
 
 _ROUNDS = 7
-_SERVICE_SHARE = 0.1
 _HUNDRED = 100
 
 
@@ -52,8 +52,8 @@
 def organisation(index: int) -> configuration.Organisation:
     """Returns one of many organisations."""
     name = f"organisation-{index:05d}"
-    digest = hashlib.sha256(name.encode()).hexdigest()
-    return configuration.Organisation(name, digest, limit_tokens_per_s=1000.0)
+    secret = hashlib.sha256(name.encode()).hexdigest()
+    return configuration.Organisation(name, secret, limit_tokens_per_s=1000.0)
 
 
 def target(index: int, size: sizes.Sizes) -> configuration.Target:
@@ -155,21 +155,9 @@
     yield Figure("snapshot, decode and apply", processor_s(read), "s")
 
 
-def digest_figures() -> Iterator[Figure]:
-    """Measures the bytes of a digest and of each part that it may carry."""
-    base = _digest(0, 0, 0)
-    yield Figure("digest, empty", base, "bytes")
-    for part, counts in (
-        ("target's load", (_HUNDRED, 0, 0)),
-        ("organisation's demand", (0, _HUNDRED, 0)),
-        ("leaving target", (0, 0, _HUNDRED)),
-    ):
-        each = (_digest(*counts) - base) / _HUNDRED
-        yield Figure(f"digest, a {part}", each, "bytes")
-
-
-def _digest(loads: int, demands: int, leaving: int) -> int:
-    digest = peers_pb2.Digest(
+def digest(loads: int, demands: int, leaving: int) -> peers_pb2.Digest:
+    """Returns a digest with so many parts of each kind."""
+    return peers_pb2.Digest(
         instance="entry-0123",
         boot="0123456789ab",
         data_centre="dc-07",
@@ -190,7 +178,23 @@
             for i in range(demands)
         ],
     )
-    return len(digest.SerializeToString())
+
+
+def digest_figures() -> Iterator[Figure]:
+    """Measures the bytes of a digest and of each part that it may carry."""
+    base = _size(0, 0, 0)
+    yield Figure("digest, empty", base, "bytes")
+    for part, counts in (
+        ("target's load", (_HUNDRED, 0, 0)),
+        ("organisation's demand", (0, _HUNDRED, 0)),
+        ("leaving target", (0, 0, _HUNDRED)),
+    ):
+        each = (_size(*counts) - base) / _HUNDRED
+        yield Figure(f"digest, a {part}", each, "bytes")
+
+
+def _size(loads: int, demands: int, leaving: int) -> int:
+    return len(digest(loads, demands, leaving).SerializeToString())
 
 
 def _allocated(build: Callable[[], object]) -> float:
@@ -199,6 +203,8 @@
     try:
         kept = build()
         gc.collect()
-        return tracemalloc.get_traced_memory()[0] + 0 * (kept is None)
+        size = tracemalloc.get_traced_memory()[0]
+        del kept
+        return size
     finally:
         tracemalloc.stop()
