--- a/copperloom/experiments/tests/fleet.py
+++ b/copperloom/experiments/tests/fleet.py
@@ -34,11 +34,13 @@
     Attributes:
         entries: The entries.
         engines: The engine stand-ins.
+        services: The service stand-ins.
         platform: The platform stand-in.
     """
 
     entries: list[processes.Process]
     engines: list[processes.Process]
+    services: list[processes.Process]
     platform: processes.Process
 
     def addresses(self) -> list[str]:
@@ -97,7 +99,7 @@
             _READY_S,
             f"{one.name} serves",
         )
-    return Fleet(entries, engines, platform)
+    return Fleet(entries, engines, services, platform)
 
 
 def _launch(cleanups, kind, index: int, sections) -> processes.Process:
