--- a/copperloom/experiments/demo.py
+++ b/copperloom/experiments/demo.py
@@ -47,6 +47,8 @@
 _MEMORY_S = 10.0
 _POLL_S = 0.1
 _RETIRED = 0
+# Codes below are faults and bad input, from here on refusals and failures.
+_FIRST_REFUSAL_CODE = 3000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,6 +114,12 @@
         for sample in res.samples:
             if sample.code < 0:
                 out.append(f"lost {sample.group} request: {sample.problem}")
+            elif 0 < sample.code < _FIRST_REFUSAL_CODE:
+                # All requests are valid, so that this is a fault of ours.
+                out.append(f"code {sample.code}: {sample.problem}")
+    whole = {s.group for s in seen.mixed.samples if s.code == result.OK}
+    for group in sorted({s.group for s in seen.mixed.samples} - whole):
+        out.append(f"no {group} request was answered")
     if seen.retired_runs:
         out.append(f"the retired engine got {seen.retired_runs} new streams")
     if seen.kv_left:
--- a/copperloom/experiments/tests/test_demo.py
+++ b/copperloom/experiments/tests/test_demo.py
@@ -17,6 +17,20 @@
         mixed = dataclasses.replace(res, samples=[lost])
         self.assertEqual(len(demo.problems(seen(mixed=mixed))), 1)
 
+    def test_valid_request_called_bad(self):
+        res = samples.run_of({0: 0.1, 1: 0.1})
+        bad = dataclasses.replace(res.samples[0], code=2001, run="not_run")
+        mixed = dataclasses.replace(res, samples=[bad, res.samples[1]])
+        self.assertEqual(len(demo.problems(seen(mixed=mixed))), 1)
+
+    def test_no_long_prompt_answered(self):
+        res = samples.run_of({0: 0.1, 1: 0.1})
+        refused = dataclasses.replace(
+            res.samples[0], group="long", code=3005, run="not_run"
+        )
+        mixed = dataclasses.replace(res, samples=[refused, res.samples[1]])
+        self.assertEqual(len(demo.problems(seen(mixed=mixed))), 1)
+
     def test_retired_engine_got_work(self):
         self.assertEqual(len(demo.problems(seen(retired_runs=1))), 1)
 
