--- a/copperloom/experiments/capacity.py
+++ b/copperloom/experiments/capacity.py
@@ -1,9 +1,9 @@
 """Measures the slopes that docs/CAPACITY.md works from, and prints them.
 
 Usage:
-  python -m copperloom.experiments.capacity [--entries=LIST]
-  python -m copperloom.experiments.capacity --configuration
-  python -m copperloom.experiments.capacity -h | --help
+  capacity [--entries=LIST]
+  capacity --configuration
+  capacity -h | --help
 
 Options:
   --entries=LIST   Numbers of entries for the spread of changes
--- a/copperloom/experiments/tests/fleet.py
+++ b/copperloom/experiments/tests/fleet.py
@@ -6,6 +6,8 @@
 
 import contextlib
 import dataclasses
+import http
+import urllib.request
 
 import msgspec
 
@@ -17,6 +19,7 @@
 
 _MS = 1e-3
 _READY_S = 30.0
+_CALL_S = 5.0
 
 
 class Cleanups(contextlib.ExitStack):
@@ -95,13 +98,19 @@
     ]
     for one in entries:
         processes.wait_until(
-            lambda one=one: one.call("GET", "/ready") is not None,
+            lambda one=one: _is_ready(one),
             _READY_S,
             f"{one.name} serves",
         )
     return Fleet(entries, engines, services, platform)
 
 
+def _is_ready(entry: processes.Process) -> bool:
+    url = f"http://{entry.address}/ready"
+    with urllib.request.urlopen(url, timeout=_CALL_S) as reply:
+        return reply.status == http.HTTPStatus.OK
+
+
 def _launch(cleanups, kind, index: int, sections) -> processes.Process:
     name = plan.target_name(kind, index)
     return processes.launch(cleanups, kind.value, _ini(sections), name=name)
--- a/copperloom/experiments/tests/policies.py
+++ b/copperloom/experiments/tests/policies.py
@@ -1,7 +1,7 @@
 """Runs all policies on a mix, with real processes, and prints a table.
 
 Usage:
-  python -m copperloom.experiments.tests.policies MIX [options]
+  policies MIX [options]
 
 Options:
   --seeds=LIST     Seeds, comma-separated [default: 1,2,3].
--- a/copperloom/experiments/tests/relay.py
+++ b/copperloom/experiments/tests/relay.py
@@ -1,7 +1,7 @@
 """Measures what an entry spends for a request and a token, as a process.
 
 Usage:
-  python -m copperloom.experiments.tests.relay [--seconds=S] [--seed=N]
+  relay [--seconds=S] [--seed=N]
 
 Options:
   --seconds=S  Length of each run [default: 10].
