Trials: short reservations, wait until owners have opened

Cause: with the default life of a reservation an owner grants nothing for its first 10 s, so that a short trial saw all long work refused with 3005. Change: trials set 2 s and wait 4 s after their entries serve.

--- a/copperloom/experiments/cluster.py
+++ b/copperloom/experiments/cluster.py
@@ -73,6 +73,8 @@
             own = plan.make_settings(options.EntrySettings, sections)
             run.entries.append(await entry.start(own))
         await wait_version(run, run.cfg.version)
+        if mix.cluster.engines:
+            await asyncio.sleep(plan.WARM_UP_S)
     except BaseException:
         await stop(run)
         raise
--- a/copperloom/experiments/plan.py
+++ b/copperloom/experiments/plan.py
@@ -15,6 +15,7 @@
     "MODEL",
     "ORDINARY",
     "PEAK",
+    "WARM_UP_S",
     "Variant",
     "engine_sections",
     "entities",
@@ -27,6 +28,12 @@
 MODEL = "model-a"
 ORDINARY = "ordinary"
 PEAK = "peak"
+# An owner grants no memory for this long after it starts, so that trials are
+# short; the entries' default is longer.
+_RESERVATION_S = 2.0
+# From the start of the entries until their owners have opened: that time, a
+# step of the owners' controller and the engines' own account.
+WARM_UP_S = 2 * _RESERVATION_S
 
 _Program = TypeVar("_Program")
 Sections = dict[str, dict[str, object]]
@@ -75,6 +82,7 @@
         },
         "platform": {"address": platform},
         "limits": {"bytes_per_token": mix.load.bytes_per_token},
+        "targets": {"reservation_s": _RESERVATION_S},
         "decisions": {"policy": variant.policy, "disable": variant.disable},
     }
 
--- a/copperloom/experiments/tests/fleet.py
+++ b/copperloom/experiments/tests/fleet.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import http
+import time
 import urllib.request
 
 import msgspec
@@ -102,6 +103,7 @@
             _READY_S,
             f"{one.name} serves",
         )
+    time.sleep(plan.WARM_UP_S)
     return Fleet(entries, engines, services, platform)
 
 
