--- a/copperloom/experiments/capacity.py
+++ b/copperloom/experiments/capacity.py
@@ -22,7 +22,7 @@
 import docopt
 
 from copperloom import logs
-from copperloom.experiments import sizes, slopes, spread, wire
+from copperloom.experiments import control, sizes, slopes, spread, wire
 
 __all__ = ["main"]
 
@@ -37,6 +37,7 @@
     _show("Memory", slopes.memory_figures(size))
     _show("Snapshot", slopes.snapshot_figures(size))
     _show("Digests", slopes.digest_figures())
+    _show("Controllers", control.controller_figures(size))
     if not args["--configuration"]:
         _measure_wire()
         for entries in args["--entries"].split(","):
--- a/copperloom/experiments/slopes.py
+++ b/copperloom/experiments/slopes.py
@@ -164,7 +164,10 @@
         address="10.1.2.3:9000",
         config_version=1_000_000,
         confirmed_age_ms=900,
-        leaving_targets=[f"target-{i:04d}" for i in range(leaving)],
+        leaving_targets=[
+            peers_pb2.Departure(target=f"target-{i:04d}", version=1_000_000)
+            for i in range(leaving)
+        ],
         loads=[
             peers_pb2.TargetLoad(
                 target=f"target-{i:04d}", streams=7, prefill_tokens=30_000
--- a/copperloom/experiments/spread.py
+++ b/copperloom/experiments/spread.py
@@ -51,7 +51,7 @@
 
 
 async def _idle(system: cluster.Cluster) -> list[slopes.Figure]:
-    calls = _calls(system)
+    calls, peers = _calls(system), _peer_bytes(system)
     begin, cpu = time.monotonic(), time.process_time()
     await asyncio.sleep(_IDLE_S)
     took, used = time.monotonic() - begin, time.process_time() - cpu
@@ -60,12 +60,14 @@
         for name, count in _calls(system).items()
     }
     count = len(system.entries)
+    payload = (_peer_bytes(system) - peers) / took / count
     reads = sum(rates.get(name, 0) for name in _READ_CALLS)
     writes = sum(rates.get(name, 0) for name in _WRITE_CALLS)
     return [
         slopes.Figure("processor an entry, idle", used / took / count, "core"),
         slopes.Figure("platform reads an entry", reads / count, "1/s"),
         slopes.Figure("platform writes an entry", writes / count, "1/s"),
+        slopes.Figure("peers' payload an entry, both ways", payload, "bytes/s"),
     ]
 
 
@@ -97,5 +99,10 @@
     ]
 
 
+def _peer_bytes(system: cluster.Cluster) -> int:
+    channels = [one.entry.membership.channels for one in system.entries]
+    return sum(c.bytes_in + c.bytes_out for c in channels)
+
+
 def _calls(system: cluster.Cluster) -> dict[str, int]:
     return dict(system.platform.truth()["calls"])
--- a/copperloom/experiments/wire.py
+++ b/copperloom/experiments/wire.py
@@ -159,6 +159,9 @@
         await stream.recv_message()
         await stream.send_message(peers_pb2.ReleaseReply())
 
+    async def Fetch(self, stream) -> None:  # noqa: N802
+        raise NotImplementedError
+
 
 @contextlib.asynccontextmanager
 async def _peer() -> AsyncIterator[str]:
