--- a/copperloom/experiments/capacity.py
+++ b/copperloom/experiments/capacity.py
@@ -22,7 +22,14 @@
 import docopt
 
 from copperloom import logs
-from copperloom.experiments import control, sizes, slopes, spread, wire
+from copperloom.experiments import (
+    control,
+    sizes,
+    slopes,
+    spread,
+    wire,
+    worked,
+)
 
 __all__ = ["main"]
 
@@ -33,28 +40,80 @@
     logs.setup("ERROR")
     begin = time.monotonic()
     size = sizes.DESIGN
-    _show("Configuration", slopes.change_figures(size))
-    _show("Memory", slopes.memory_figures(size))
-    _show("Snapshot", slopes.snapshot_figures(size))
-    _show("Digests", slopes.digest_figures())
-    _show("Controllers", control.controller_figures(size))
+    found = _show("Resident memory", control.resident_figures(size))
+    found |= _show("Configuration", slopes.change_figures(size))
+    found |= _show("Memory", slopes.memory_figures(size))
+    found |= _show("Snapshot", slopes.snapshot_figures(size))
+    found |= _show("Digests", slopes.digest_figures())
+    found |= _show("Controllers", control.controller_figures(size))
     if not args["--configuration"]:
-        _measure_wire()
+        found |= _measure_wire()
+        _show_worked(worked.rows(_measured(found, size), size))
         for entries in args["--entries"].split(","):
             _show("Spread", asyncio.run(spread.spread_figures(int(entries))))
     print(f"took {time.monotonic() - begin:.0f} s")
 
 
-def _measure_wire() -> None:
-    _show("Peers", asyncio.run(wire.exchange_figures()))
-    _show("Platform", asyncio.run(wire.platform_figures()))
-    _show("Records", asyncio.run(wire.record_figures()))
+def _measure_wire() -> dict[str, float]:
+    found = _show("Peers", asyncio.run(wire.exchange_figures()))
+    found |= _show("Platform", asyncio.run(wire.platform_figures()))
+    found |= _show("Engines", asyncio.run(wire.report_figures()))
+    return found | _show("Records", asyncio.run(wire.record_figures()))
 
 
-def _show(title: str, figures: Iterable[slopes.Figure]) -> None:
+def _measured(found: dict[str, float], size: sizes.Sizes) -> worked.Measured:
+    def both(name: str) -> tuple[float, float]:
+        return (
+            found[f"{name}, bytes both ways"],
+            found[f"{name}, processor, both sides and proxy"],
+        )
+
+    head_bytes, head_s = both("read of the head")
+    list_bytes, list_s = both("read of the instance list")
+    exchange_bytes, exchange_s = both("exchange of empty digests")
+    report_bytes, report_s = both("load report")
+    reservation_bytes, reservation_s = both("reservation")
+    return worked.Measured(
+        head_bytes=head_bytes,
+        head_s=head_s,
+        list_row_bytes=list_bytes / size.daemons,
+        list_s=list_s,
+        change_bytes=found["change of organisation, encoded"],
+        change_s=found["change of organisation, decode and apply"],
+        adopt_s=found["configuration taken over by the scheduler, processor"],
+        exchange_bytes=exchange_bytes,
+        exchange_s=exchange_s,
+        load_bytes=found["digest, a target's load"],
+        report_bytes=report_bytes,
+        report_s=report_s,
+        owner_s=found["owners of all targets, processor"],
+        reservation_bytes=reservation_bytes,
+        reservation_s=reservation_s,
+        record_s=found["records, processor, both sides"],
+    )
+
+
+def _show_worked(rows: list[worked.Row]) -> None:
+    print("\nWorked out for one entry at the size designed for")
+    print(
+        f"  {'controller':18}{'what':36}{'1/s':>8}{'bytes/s':>10}"
+        f"{'core %':>8}{'reads/s':>9}{'rows/s':>8}"
+    )
+    for row in [*rows, worked.totals(rows)]:
+        print(
+            f"  {row.controller:18}{row.what:36}{row.per_s:8.3g}"
+            f"{row.bytes_per_s:10.0f}{row.core * 100:8.3f}"
+            f"{row.reads_per_s:9.1f}{row.writes_per_s:8.1f}"
+        )
+
+
+def _show(title: str, figures: Iterable[slopes.Figure]) -> dict[str, float]:
     print(f"\n{title}")
+    found = {}
     for figure in figures:
         print(f"  {figure.name:56}{figure.value:14.6g} {figure.unit}")
+        found[figure.name] = figure.value
+    return found
 
 
 if __name__ == "__main__":
--- a/copperloom/experiments/control.py
+++ b/copperloom/experiments/control.py
@@ -4,16 +4,20 @@
 then the parts of the controllers that go through all of them are timed.
 """
 
+import pathlib
+import resource
 import time
 
-from copperloom.controllers import loads, members, owners
+from copperloom.controllers import loads, members, owners, snapshot
 from copperloom.daemons import options
 from copperloom.daemons.state import EntryState
 from copperloom.decisions import scheduler
 from copperloom.experiments import plan, sizes, slopes
 from copperloom.peers import digest
 
-__all__ = ["controller_figures", "state_of"]
+__all__ = ["controller_figures", "resident_figures", "state_of"]
+
+_KILOBYTE = 1024
 
 
 def state_of(size: sizes.Sizes, now: float) -> EntryState:
@@ -44,6 +48,30 @@
     return state
 
 
+def resident_figures(size: sizes.Sizes) -> list[slopes.Figure]:
+    """Measures the resident memory of this process around a fleet's state.
+
+    Best called first: the parts of an entry are loaded, little else is.
+    """
+    before = _resident_bytes()
+    state = state_of(size, time.monotonic())
+    after = _resident_bytes()
+    data = snapshot.encode(state.cfg)
+    snapshot.decode(data)
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * _KILOBYTE
+    return [
+        slopes.Figure("entry's modules loaded, resident", before, "bytes"),
+        slopes.Figure("with the state of the fleet", after, "bytes"),
+        slopes.Figure("most, with a snapshot encoded, decoded", peak, "bytes"),
+        slopes.Figure("snapshot", len(data), "bytes"),
+    ]
+
+
+def _resident_bytes() -> int:
+    statm = pathlib.Path("/proc/self/statm").read_text()
+    return int(statm.split()[1]) * resource.getpagesize()
+
+
 def controller_figures(size: sizes.Sizes) -> list[slopes.Figure]:
     """Measures the steps that go through all members or targets."""
     now = time.monotonic()
