--- a/copperloom/daemons/entry.py
+++ b/copperloom/daemons/entry.py
@@ -1,9 +1,12 @@
 """copperloom-entry: one entry instance.
 
 Usage:
-  copperloom-entry --settings FILE
+  copperloom-entry --settings=FILE
   copperloom-entry --help
 
+Options:
+  --settings FILE  INI file.
+
 Stops gracefully on SIGTERM or SIGINT: first it tells that it is not ready,
 goes on accepting while the balancer learns that, then finishes the requests
 in progress and ends.
@@ -25,6 +28,7 @@
     leaving,
     loads,
     members,
+    orders,
     owners,
     reclaim,
 )
@@ -53,6 +57,7 @@
         ("loads", loads.step, own.targets.load_poll_s),
         ("owners", owners.step, own.targets.reservation_s / 4),
         ("reclaim", reclaim.step, own.targets.reclaim_poll_s),
+        ("orders", orders.step, orders.interval_s(state)),
     ]
 
 
@@ -60,7 +65,7 @@
     """The entry as a service: start it, stop it gracefully.
 
     Attributes:
-        state: What the entry holds in memory.
+        entry: What the entry holds in memory.
         listen: IP:port for callers, once started.
         peers: IP:port for other entries, once started.
     """
@@ -68,10 +73,11 @@
     def __init__(self, own: options.EntrySettings):
         super().__init__()
         self.own = own
-        self.state: EntryState | None = None
+        self.entry: EntryState | None = None
         self.listen = ""
         self.peers = ""
         self.runner: web.AppRunner | None = None
+        self.site: web.TCPSite | None = None
         self.server = None
 
     async def on_start(self) -> None:
@@ -81,9 +87,9 @@
             platform_http.connect(self.own.platform.address),
             targets_http.connect(connect_s=self.own.targets.connect_s),
         )
-        self.state = state
+        self.entry = state
         self.server, self.peers = await server.serve(state)
-        self.runner, self.listen = await _listen(state)
+        self.runner, self.site, self.listen = await _listen(state)
         self.add_future(dispatcher.run(state))
         for name, step, every_s in _controllers(state):
             self.add_future(_repeat(state, name, step, every_s))
@@ -93,41 +99,51 @@
 
     async def on_stop(self) -> None:
         """Drains, then closes everything."""
-        await drain(self.state)
+        await drain(self.entry, self.site.stop)
         await self.runner.cleanup()
-        if self.state.background:
-            await asyncio.wait(self.state.background, timeout=_STOP_S)
+        if self.entry.background:
+            await asyncio.wait(self.entry.background, timeout=_STOP_S)
         self.server.close()
         await self.server.wait_closed()
-        logs.event("stopped", boot=self.state.boot)
+        logs.event("stopped", boot=self.entry.boot)
 
     async def on_shutdown(self) -> None:
         """Closes the clients, once the controllers have ended."""
-        await self.state.targets.close()
-        await self.state.platform.close()
+        await self.entry.targets.close()
+        await self.entry.platform.close()
 
 
-async def drain(state: EntryState) -> None:
+async def drain(
+    state: EntryState, stop_listening: Callable[[], Awaitable[None]]
+) -> None:
     """Waits until this instance may end without cutting a request.
 
     The balancer goes on sending for a while after /ready fails; an instance
-    that refused or closed at once would cut those requests.
+    that refused or closed at once would cut those requests. After that it
+    takes no new connections: callers who come back all the time would keep it
+    from ever ending, until `drain_limit_s` cuts them. Requests on connections
+    that are open still run, each as its connection's last.
+
+    Args:
+        state: The entry's state.
+        stop_listening: Closes the callers' listening socket only.
     """
     loop = asyncio.get_running_loop()
     state.draining = True
     logs.event("draining", active=state.active)
     own = state.settings.entry
     end = loop.time() + own.drain_limit_s
-    quiet_at = loop.time() + own.drain_lag_s
-    while loop.time() < end:
-        if loop.time() >= quiet_at and not state.active:
-            break
+    await asyncio.sleep(own.drain_lag_s)
+    await stop_listening()
+    while state.active and loop.time() < end:
         await asyncio.sleep(_DRAIN_POLL_S)
     if state.active:
         logs.event("drain_limit", level="ERROR", cut=state.active)
 
 
-async def _listen(state: EntryState) -> tuple[web.AppRunner, str]:
+async def _listen(
+    state: EntryState,
+) -> tuple[web.AppRunner, web.TCPSite, str]:
     runner = web.AppRunner(
         http.make_app(state),
         access_log=None,
@@ -140,7 +156,7 @@
     site = web.TCPSite(runner, host, int(port))
     await site.start()
     address = runner.addresses[0]
-    return runner, f"{address[0]}:{address[1]}"
+    return runner, site, f"{address[0]}:{address[1]}"
 
 
 async def _repeat(
--- a/copperloom/daemons/state.py
+++ b/copperloom/daemons/state.py
@@ -1,19 +1,23 @@
 """What one entry holds in memory, shared by its filters and controllers."""
 
 import asyncio
+import collections
 import itertools
+import random
 import secrets
+import time
 
-from copperloom import configuration
-from copperloom.controllers import batch
+from copperloom import configuration, messages
+from copperloom.controllers import batch, cancels, member, orders, orphans
 from copperloom.daemons import metrics, options
-from copperloom.decisions import scheduler
+from copperloom.decisions import departures, reservation, scheduler
 from copperloom.platform.interface import Platform
-from copperloom.targets.interface import Targets
+from copperloom.targets.interface import LoadReport, Targets
 
 __all__ = ["EntryState"]
 
 _BOOT_BYTES = 6
+_RECENT_CHANGES = 64
 
 
 class EntryState:
@@ -29,7 +33,14 @@
         cfg: The configuration in force here.
         cfg_loaded: Whether any configuration was ever adopted.
         confirmed_at: Monotonic time up to which cfg is proved the newest.
+        recent_changes: The newest changes adopted, for peers that lag.
         members: Peers by instance name, kept by the members controller.
+        membership: What the members controller keeps besides.
+        peers_address: IP:port where this entry listens for peers.
+        departures: Signs that targets leave.
+        book: Reservations at the targets that this entry owns.
+        held: Placements in flight with reservations, by request id.
+        releases: Reservations to give back, request ids by target.
         leaving_targets: Target names to the monotonic time learnt.
         draining: Whether this entry is stopping.
         active: Requests in progress.
@@ -38,6 +49,12 @@
         background: Tasks that outlive their request; a stop waits for them.
         metrics: Counters and histograms of this entry.
         wake: Set when the dispatcher has something to look at.
+        rng: Source of jitter.
+        cancels: Cancels that engines have not confirmed.
+        orphans: Boots of other entries, to tell whose streams are left.
+        reports: Newest load report by target.
+        polling: Targets whose load report is asked for now.
+        orders: Orders given to engines, and the leases for them.
     """
 
     def __init__(
@@ -55,7 +72,16 @@
         self.cfg = configuration.Configuration()
         self.cfg_loaded = False
         self.confirmed_at = float("-inf")
-        self.members: dict[str, object] = {}
+        self.recent_changes: collections.deque = collections.deque(
+            maxlen=_RECENT_CHANGES
+        )
+        self.members: dict[str, member.Member] = {}
+        self.membership = member.Membership(seed=self.owner)
+        self.peers_address = ""
+        self.departures = departures.Departures()
+        self.book = reservation.Book()
+        self.held: dict[str, messages.Placement] = {}
+        self.releases: dict[str, set[str]] = {}
         self.leaving_targets: dict[str, float] = {}
         self.draining = False
         self.active = 0
@@ -66,6 +92,12 @@
         self.background: set[asyncio.Task] = set()
         self.metrics = metrics.EntryMetrics()
         self.wake = asyncio.Event()
+        self.rng = random.Random(self.owner)
+        self.cancels = cancels.Cancels(self.rng)
+        self.orphans = orphans.Owners(time.monotonic())
+        self.reports: dict[str, LoadReport] = {}
+        self.polling: set[str] = set()
+        self.orders = orders.Orders()
         self._sequence = itertools.count(1)
 
     def next_id(self) -> str:
