--- a/copperloom/daemons/state.py
+++ b/copperloom/daemons/state.py
@@ -68,7 +68,10 @@
         self.owner = f"{settings.entry.instance}.{self.boot}"
         self.platform = platform
         self.targets = targets
-        self.sched = scheduler.Scheduler()
+        self.sched = scheduler.Scheduler(
+            policy=settings.decisions.policy,
+            disable=frozenset(settings.decisions.disable),
+        )
         self.cfg = configuration.Configuration()
         self.cfg_loaded = False
         self.confirmed_at = float("-inf")
