Relay: long work that an owner refuses is queued again

Cause: in the demo long prompts were refused with 3005 within 20 ms though their time limit was far away. Two entries place long work on one engine at once, its owner grants the first, and the relay took the second's refusal for the request's outcome. Ruled out: the scheduler, whose requeue has a case for just this that was never reached. Change: CapacityExceededError is tried again like a peer's silence; neither counts against the target. Conclusion: memory that comes free in time is waited for.

--- a/copperloom/filters/relay.py
+++ b/copperloom/filters/relay.py
@@ -19,6 +19,11 @@
 _RESUME_MOST_S = 1.0
 # How long a stream whose caller went away may be fetched again by name.
 _RESUMABLE_S = 10.0
+# An owner's silence or refusal says nothing of the target's health.
+_NOT_THE_TARGETS_FAULT = (
+    exception.PeerUnavailableError,
+    exception.CapacityExceededError,
+)
 
 
 class _Attempt:
@@ -52,6 +57,7 @@
             exception.TargetUnreachableError,
             exception.TargetRefusedError,
             exception.PeerUnavailableError,
+            exception.CapacityExceededError,
         ) as error:
             await _again(ex, error)
         except exception.StreamBrokenError as error:
@@ -68,7 +74,7 @@
 ) -> None:
     now = asyncio.get_running_loop().time()
     failed = ex.placement.targets[0]
-    if not isinstance(error, exception.PeerUnavailableError):
+    if not isinstance(error, _NOT_THE_TARGETS_FAULT):
         scheduler.target_failed(ex.state.sched, failed, now)
     ex.state.metrics.retries.labels(type(error).__name__).inc()
     logs.event(
