--- /dev/null
+++ b/copperloom/controllers/tests/engines.py
@@ -0,0 +1,135 @@
+"""Fixtures: an entry's state in this process before engine stand-ins."""
+
+import asyncio
+
+from copperloom import configuration, exception, messages
+from copperloom.controllers import owners
+from copperloom.daemons import options
+from copperloom.daemons.state import EntryState
+from copperloom.platform import interface
+from copperloom.standins.tests import fixtures
+
+__all__ = [
+    "FakeTable",
+    "configuration_of",
+    "entry_state",
+    "placement",
+    "start_engines",
+    "target",
+]
+
+DEAD_S = 0.5
+
+
+class FakeTable:
+    """The table service in memory, with the faults that leases must bear.
+
+    Attributes:
+        rows: By key.
+        lose_confirmations: Writes to come that take effect, but whose
+            confirmation is lost.
+        weights: Permits of the weight store taken.
+    """
+
+    def __init__(self):
+        self.rows: dict[str, interface.Row] = {}
+        self.lose_confirmations = 0
+        self.weights = 0
+
+    async def read(self, key, *, timeout_s):
+        return self.rows.get(key, interface.Row(key, None, 0))
+
+    async def transact(self, conditions, writes, *, timeout_s):
+        rows = [await self.read(c.key, timeout_s=0) for c in conditions]
+        pairs = zip(rows, conditions, strict=True)
+        if any(row.version != want.version for row, want in pairs):
+            return interface.TransactResult(False, tuple(rows))
+        for write in writes:
+            old = await self.read(write.key, timeout_s=0)
+            self.rows[write.key] = interface.Row(
+                write.key, write.value, old.version + 1
+            )
+        if self.lose_confirmations:
+            self.lose_confirmations -= 1
+            raise exception.PlatformUnknownError
+        return interface.TransactResult(True)
+
+    async def acquire_weights(self, count, *, timeout_s):
+        self.weights += count
+
+
+async def start_engines(case, count: int, **changes) -> dict:
+    """Starts engines; returns their servers by target name."""
+    return {
+        f"g{i}": await fixtures.start_engine(case, **changes)
+        for i in range(count)
+    }
+
+
+async def entry_state(
+    case, addresses: dict[str, str], *, instance: str = "e0", platform=None
+) -> EntryState:
+    """Returns the state of an entry that owns all engines.
+
+    Args:
+        case: Ends its client and background tasks.
+        addresses: Of the engines, by target name.
+        instance: The entry's name.
+        platform: A platform's functions, if it needs any.
+    """
+    settings = options.EntrySettings(
+        options.EntrySection(instance=instance),
+        options.PlatformSection(address="127.0.0.1:9"),
+        options.MembershipSection(dead_s=DEAD_S),
+        options.LimitsSection(),
+        options.TargetsSection(load_poll_s=0.05),
+    )
+    targets = await fixtures.connect_targets(case)
+    state = EntryState(settings, platform, targets)
+    state.cfg = configuration.Configuration(
+        version=1,
+        targets={
+            name: target(name, address) for name, address in addresses.items()
+        },
+    )
+
+    async def stop():
+        for task in list(state.background):
+            task.cancel()
+        await asyncio.gather(*state.background, return_exceptions=True)
+
+    case.addAsyncCleanup(stop)
+    await owners.step(state, asyncio.get_running_loop().time())
+    return state
+
+
+def target(name: str, address: str, **changes) -> configuration.Target:
+    """Returns a small engine that is to serve model m."""
+    fields = {"serves": ("m",), "kv_tokens": 10_000, **changes}
+    return configuration.Target(name, address, **fields)
+
+
+def configuration_of(count: int) -> configuration.Configuration:
+    """Returns a configuration with many engines."""
+    names = [f"g{i}" for i in range(count)]
+    return configuration.Configuration(
+        targets={name: target(name, "127.0.0.1:9") for name in names}
+    )
+
+
+def placement(names: list[str], tokens: list[int]) -> messages.Placement:
+    """Returns a placement over some targets."""
+    req = messages.Request(
+        id="e0.b.1",
+        organisation="org",
+        weight=1.0,
+        deployment="chat",
+        kind=configuration.TargetKind.ENGINE,
+        model="m",
+        prompt_tokens=sum(tokens),
+        max_tokens=20,
+        arrived=0.0,
+        deadline=60.0,
+        version=1,
+    )
+    return messages.Placement(req, tuple(names), tuple(tokens), 0, long=True)
