Orders: one holder at a time under a lease with a fencing number

Change: the lease is taken before a permit of the weight store, so that an entry that does not hold it takes none; the clock is looked at last.

--- a/copperloom/controllers/orders.py
+++ b/copperloom/controllers/orders.py
@@ -13,7 +13,7 @@
 from copperloom.controllers import leases, owners
 from copperloom.targets import interface
 
-__all__ = ["Orders", "give", "interval_s", "missing", "step"]
+__all__ = ["Given", "Orders", "give", "interval_s", "missing", "step"]
 
 _STEP_S = 1.0
 _ORDER_TIMEOUT_S = 60.0
@@ -24,7 +24,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Given:
+class Given:
+    """Models that an engine obeyed to load.
+
+    Attributes:
+        boot: The engine's boot then.
+        models: All models ordered in this boot.
+        at: Monotonic time of the last of these orders.
+    """
+
     boot: str
     models: frozenset[str]
     at: float
@@ -42,7 +50,7 @@
 
     def __init__(self):
         self.leases = leases.Leases()
-        self.given: dict[str, _Given] = {}
+        self.given: dict[str, Given] = {}
         self.not_before: dict[str, float] = {}
         self.busy: set[str] = set()
 
@@ -55,7 +63,7 @@
 def missing(
     tgt: configuration.Target,
     report: interface.LoadReport,
-    given: _Given | None,
+    given: Given | None,
     now: float,
 ) -> list[str]:
     """Returns the models that an engine should load, in a fixed order.
@@ -126,7 +134,7 @@
     models = frozenset([model])
     if given is not None and given.boot == boot:
         models |= given.models
-    state.orders.given[target] = _Given(boot, models, now)
+    state.orders.given[target] = Given(boot, models, now)
 
 
 async def give(state, tgt: configuration.Target, kind: str, value: str) -> bool:
@@ -149,8 +157,6 @@
             gave no answer.
     """
     timeout_s = state.settings.platform.timeout_s
-    if kind != "set_role":
-        await state.platform.acquire_weights(1, timeout_s=timeout_s)
     held = await leases.acquire(
         state.orders.leases,
         state.platform,
@@ -158,10 +164,13 @@
         tgt.name,
         timeout_s=timeout_s,
     )
+    if held is None:
+        return False
+    if kind != "set_role":
+        await state.platform.acquire_weights(1, timeout_s=timeout_s)
     # The last look at the clock before the order goes out: nothing waits
     # between here and the sending.
-    now = asyncio.get_running_loop().time()
-    if held is None or not leases.is_good(held, now):
+    if not leases.is_good(held, asyncio.get_running_loop().time()):
         return False
     logs.event(
         "order", target=tgt.name, kind=kind, value=value, fencing=held.fencing
