Dispatcher: the platform stand-in starts as the others do

Cause: its serve now returns a server; the dispatcher still passed an event, so that every start of the platform failed (7 tests of the whole suite). Change: one way for all four. Measured: python -m copperloom.tests.run copperloom.tests copperloom.platform test_config: 68 passed. Conclusion: mended.

--- a/copperloom/standins/main.py
+++ b/copperloom/standins/main.py
@@ -45,8 +45,7 @@
     logs.setup(standin=kind)
     spec = settings.load_or_exit(args["--settings"], program)
     module = _module(name)
-    run = _run_platform if kind == "platform" else _run
-    asyncio.run(run(module, spec, tell_truth=args["--truth"]))
+    asyncio.run(_run(module, spec, tell_truth=args["--truth"]))
     return 0
 
 
@@ -63,11 +62,6 @@
     return stop
 
 
-async def _run_platform(module, spec, *, tell_truth: bool) -> None:
-    """Runs the platform, which says by itself that it is ready."""
-    await module.serve(spec, _stop_event())
-
-
 async def _run(module, spec, *, tell_truth: bool) -> None:
     stop = _stop_event()
     server = await module.serve(spec)
