--- a/copperloom/controllers/config.py
+++ b/copperloom/controllers/config.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from copperloom import configuration, exception
-from copperloom.controllers import changes, snapshot
+from copperloom.controllers import changes, leaving, snapshot
 from copperloom.decisions import freshness, scheduler
 from copperloom.logs import event
 
@@ -69,6 +69,7 @@
     state.cfg = cfg
     state.cfg_loaded = True
     scheduler.set_configuration(state.sched, cfg, now)
+    leaving.refresh(state, now)
     state.wake.set()
     event(
         "configuration_adopted",
