Filters: work placed before a pause is checked again when it is sent

Cause: freshness was checked at the door only. Work that was queued or placed when the process was paused went out as soon as it woke, to targets that may have been retired meanwhile. Change: the dispatcher holds the queue while the configuration has no proof; a placement is checked for proof and leaving targets just before it is sent, for engines and services. Measured: test_schedule: 3 failed without the change, 3 passed with it; test_schedule test_changes test_outages test_outcomes test_stops test_once: 37 passed.

--- a/copperloom/controllers/config.py
+++ b/copperloom/controllers/config.py
@@ -9,7 +9,15 @@
 from copperloom.decisions import freshness, scheduler
 from copperloom.logs import event
 
-__all__ = ["adopt", "apply_all", "confirm", "evidence", "may_admit", "step"]
+__all__ = [
+    "adopt",
+    "apply_all",
+    "confirm",
+    "evidence",
+    "is_fresh",
+    "may_admit",
+    "step",
+]
 
 _SCAN_ROWS = 200
 _RETRY_AFTER_S = 1.0
@@ -139,6 +147,15 @@
     )
 
 
+def is_fresh(state, now: float) -> bool:
+    """Returns whether work may be admitted and sent to targets."""
+    try:
+        may_admit(state, now)
+    except exception.StaleConfigurationError:
+        return False
+    return True
+
+
 def may_admit(state, now: float) -> None:
     """Lets new work pass, or refuses it at once.
 
--- a/copperloom/controllers/dispatcher.py
+++ b/copperloom/controllers/dispatcher.py
@@ -3,11 +3,14 @@
 import asyncio
 
 from copperloom import exception, messages
+from copperloom.controllers import config
 from copperloom.daemons.state import EntryState
 from copperloom.decisions import scheduler
 
 __all__ = ["error_of", "expect", "run", "step", "unexpect"]
 
+_STALE_S = 0.05
+
 
 def expect(state: EntryState, request_id: str) -> asyncio.Future:
     """Returns the future that gets the request's placement or error."""
@@ -26,8 +29,7 @@
     loop = asyncio.get_running_loop()
     while True:
         state.wake.clear()
-        step(state, loop.time())
-        wake_at = scheduler.next_wake(state.sched, loop.time())
+        wake_at = step(state, loop.time())
         if wake_at is None:
             await state.wake.wait()
             continue
@@ -38,10 +40,21 @@
             pass
 
 
-def step(state: EntryState, now: float) -> None:
-    """Dispatches once."""
+def step(state: EntryState, now: float) -> float | None:
+    """Dispatches once, unless the configuration may have been replaced.
+
+    A process that was paused has work queued and a configuration from before.
+    What it placed at once would go to targets retired meanwhile; it looks at
+    the platform within the poll interval and then goes on.
+
+    Returns:
+        When to look again though nothing happens; None if there is no need.
+    """
+    if not config.is_fresh(state, now):
+        return now + _STALE_S if state.waiting else None
     for decision in scheduler.dispatch(state.sched, now):
         _deliver(state, decision, now)
+    return scheduler.next_wake(state.sched, now)
 
 
 def _deliver(
--- a/copperloom/filters/relay.py
+++ b/copperloom/filters/relay.py
@@ -23,6 +23,7 @@
 _NOT_THE_TARGETS_FAULT = (
     exception.PeerUnavailableError,
     exception.CapacityExceededError,
+    exception.StaleConfigurationError,
 )
 
 
@@ -58,6 +59,7 @@
             exception.TargetRefusedError,
             exception.PeerUnavailableError,
             exception.CapacityExceededError,
+            exception.StaleConfigurationError,
         ) as error:
             await _again(ex, error)
         except exception.StreamBrokenError as error:
@@ -95,6 +97,7 @@
         now = asyncio.get_running_loop().time()
         await owners.reserve(state, placement, now)
     try:
+        schedule.check_placement(ex)
         attempt = _new_attempt(ex, number)
         whole = False
         try:
--- a/copperloom/filters/schedule.py
+++ b/copperloom/filters/schedule.py
@@ -6,11 +6,12 @@
 
 import asyncio
 
-from copperloom.controllers import dispatcher
+from copperloom import exception
+from copperloom.controllers import config, dispatcher
 from copperloom.decisions import scheduler
 from copperloom.filters import exchange
 
-__all__ = ["place_again", "schedule"]
+__all__ = ["check_placement", "place_again", "schedule"]
 
 
 async def schedule(ex: exchange.Exchange, nxt: exchange.Next) -> None:
@@ -45,6 +46,23 @@
     await _wait(ex)
 
 
+def check_placement(ex: exchange.Exchange) -> None:
+    """Lets a placement be sent only if it could be made now.
+
+    It may be old: the process was paused after it was made, or waited for an
+    owner's consent. A target that leaves since then would get new work.
+
+    Raises:
+        copperloom.exception.StaleConfigurationError: Nothing tells whether
+            the configuration is still in force.
+        copperloom.exception.TargetRefusedError: A target leaves.
+    """
+    config.may_admit(ex.state, asyncio.get_running_loop().time())
+    gone = ex.state.sched.leaving.intersection(ex.placement.targets)
+    if gone:
+        raise exception.TargetRefusedError(f"{min(gone)} is leaving")
+
+
 async def _wait(ex: exchange.Exchange) -> None:
     future = dispatcher.expect(ex.state, ex.request.id)
     ex.state.wake.set()
--- a/copperloom/filters/service.py
+++ b/copperloom/filters/service.py
@@ -19,6 +19,7 @@
             reply = await _attempt(ex)
             break
         except (
+            exception.StaleConfigurationError,
             exception.TargetUnreachableError,
             exception.TargetRefusedError,
         ):
@@ -43,6 +44,7 @@
     now = asyncio.get_running_loop().time()
     if now >= ex.deadline:
         raise exception.TimeLimitPassedError(run=ex.run)
+    schedule.check_placement(ex)
     name = ex.placement.targets[0]
     target = ex.cfg.targets.get(name) or ex.state.cfg.targets.get(name)
     if target is None:
