Platform stand-in: the table in a module of its own

Change: rows, scans and transactions moved to standins/table.py. Measured: copperloom.tests.run platform.tests test_config test_records: 34 passed. No change of behaviour meant.

--- a/copperloom/standins/platform.py
+++ b/copperloom/standins/platform.py
@@ -12,12 +12,11 @@
 import time
 
 import msgspec
-import sortedcontainers
 from aiohttp import web
 
 from copperloom.platform import interface
 from copperloom.settings import setting
-from copperloom.standins import server
+from copperloom.standins import server, table
 
 __all__ = ["Control", "PlatformStandinSettings", "serve"]
 
@@ -110,7 +109,7 @@
 
 class _State:
     def __init__(self, section: PlatformSection, now: float):
-        self.rows = sortedcontainers.SortedDict()
+        self.table = table.Table()
         self.objects: dict[str, bytes] = {}
         self.announced: dict[str, tuple[interface.InstanceRow, float]] = {}
         self.targets: dict[str, interface.InstanceRow] = {}
@@ -224,14 +223,7 @@
     if state.drop_writes > 0:
         state.drop_writes -= 1
         return _hang_up(request)
-    conflicts = [
-        row
-        for row, wanted in ((_row(state, c.key), c) for c in asked.conditions)
-        if row.version != wanted.version
-    ]
-    if not conflicts:
-        for write in asked.writes:
-            _write(state, write)
+    conflicts = table.transact(state.table, asked.conditions, asked.writes)
     if state.lose_confirmations > 0:
         state.lose_confirmations -= 1
         return _hang_up(request)
@@ -243,23 +235,10 @@
     return web.Response()
 
 
-def _row(state: _State, key: str) -> interface.Row:
-    return state.rows.get(key) or interface.Row(key, None, 0)
-
-
-def _write(state: _State, write: interface.Write) -> None:
-    state.calls["rows_written"] += 1
-    if write.value is None:
-        state.rows.pop(write.key, None)
-        return
-    version = _row(state, write.key).version + 1
-    state.rows[write.key] = interface.Row(write.key, write.value, version)
-
-
 async def _read(state: _State, request: web.Request) -> web.Response:
     state.calls["read"] += 1
     limited = _take(state, "reads", 1)
-    return limited or _json(_row(state, request.query["key"]))
+    return limited or _json(table.read(state.table, request.query["key"]))
 
 
 async def _scan(state: _State, request: web.Request) -> web.Response:
@@ -267,15 +246,9 @@
     limited = _take(state, "reads", 1)
     if limited is not None:
         return limited
-    prefix = request.query["prefix"]
-    after = max(request.query.get("after", ""), prefix)
     limit = min(int(request.query.get("limit", _MOST_SCAN)), _MOST_SCAN)
-    inclusive = after == prefix
-    rows = []
-    for key in state.rows.irange(after, inclusive=(inclusive, True)):
-        if len(rows) >= limit or not key.startswith(prefix):
-            break
-        rows.append(state.rows[key])
+    after = request.query.get("after", "")
+    rows = table.scan(state.table, request.query["prefix"], after, limit)
     return _json({"rows": rows})
 
 
@@ -364,8 +337,8 @@
 
 def _tell(state: _State) -> dict:
     return {
-        "rows": list(state.rows.values()),
+        "rows": list(state.table.rows.values()),
         "objects": {name: len(d) for name, d in state.objects.items()},
-        "calls": dict(state.calls),
+        "calls": {**state.calls, "rows_written": state.table.written},
         "instances": sorted(state.announced),
     }
