Peers: demand in digests, counters of platform calls and peers' messages

Cause: the limits' shares had no peers' demand; control traffic had no metrics. Change: a digest names the greatest demands of limited organisations, and the share of each limit follows them; platform calls, failures and bytes between entries are metrics of the entry, as is the configuration's version.

--- a/copperloom/controllers/config.py
+++ b/copperloom/controllers/config.py
@@ -76,6 +76,7 @@
     previous = state.cfg.version
     state.cfg = cfg
     state.cfg_loaded = True
+    state.metrics.config_version.set(cfg.version)
     scheduler.set_configuration(state.sched, cfg, now)
     leaving.refresh(state, now)
     state.wake.set()
--- a/copperloom/controllers/contacts.py
+++ b/copperloom/controllers/contacts.py
@@ -73,6 +73,7 @@
         version=max(peer.version, told.config_version),
         told_at=now,
         loads=_loads_of(told),
+        demand=_demand_of(told),
     )
     _note_departures(state, told, now)
     if fetch.wanted(state):
@@ -116,6 +117,7 @@
         failures=0,
         known_members=reply.known_members,
         loads=_loads_of(reply),
+        demand=_demand_of(reply),
     )
     if state.cfg_loaded and reply.config_version <= state.cfg.version:
         # If an older version was the newest then, this one came after.
@@ -128,6 +130,10 @@
     return tuple((t.target, t.streams, t.prefill_tokens) for t in told.loads)
 
 
+def _demand_of(told) -> tuple[tuple[str, float], ...]:
+    return tuple((d.organisation, d.tokens_per_s) for d in told.demand)
+
+
 def _note_departures(state, told, now: float) -> None:
     for departure in told.leaving_targets:
         leaving.mark(state, departure.target, departure.version, now)
--- a/copperloom/controllers/member.py
+++ b/copperloom/controllers/member.py
@@ -30,6 +30,8 @@
         failures: Askings without answer since the last answer.
         known_members: How many members it knows.
         loads: (target, streams, prefill tokens) that it has in flight.
+        demand: (organisation, tokens a second) that it is asked for, of
+            organisations with a limit.
     """
 
     instance: str
@@ -45,6 +47,7 @@
     failures: int = 0
     known_members: int = 1
     loads: tuple[tuple[str, int, int], ...] = ()
+    demand: tuple[tuple[str, float], ...] = ()
 
 
 class Membership:
--- a/copperloom/controllers/members.py
+++ b/copperloom/controllers/members.py
@@ -10,7 +10,7 @@
 
 from copperloom import exception
 from copperloom.controllers import contacts, fetch, leaving, member
-from copperloom.decisions import scheduler
+from copperloom.decisions import limits, scheduler
 from copperloom.logs import event
 from copperloom.peers import client
 from copperloom.platform import interface
@@ -138,11 +138,22 @@
 
 
 def _set_loads(state, now: float) -> None:
+    """Tells the scheduler what peers have in flight and are asked for."""
+    since = now - _LOADS_FRESH_S
+    fresh = [
+        peer
+        for peer in state.members.values()
+        if max(peer.heard_at, peer.told_at) >= since
+    ]
     loads: dict[str, tuple[int, int]] = {}
-    for peer in state.members.values():
-        if max(peer.heard_at, peer.told_at) < now - _LOADS_FRESH_S:
-            continue
+    for peer in fresh:
         for target, streams, tokens in peer.loads:
             had = loads.get(target, (0, 0))
             loads[target] = (had[0] + streams, had[1] + tokens)
     scheduler.set_peer_loads(state.sched, loads, now)
+    shares = limits.shares(
+        scheduler.demand(state.sched, now),
+        [dict(peer.demand) for peer in fresh],
+        len(state.members) + 1,
+    )
+    scheduler.set_limit_shares(state.sched, shares, now)
--- a/copperloom/controllers/tests/test_members.py
+++ b/copperloom/controllers/tests/test_members.py
@@ -9,6 +9,7 @@
 from copperloom.controllers import changes, config, contacts, member, members
 from copperloom.controllers.tests import fixtures, fleet
 from copperloom.daemons import admin
+from copperloom.decisions import limits, scheduler
 from copperloom.peers import digest, peers_pb2
 from copperloom.platform import interface
 
@@ -250,3 +251,18 @@
         names = [n for n in self.entry.membership.tasks if n.startswith("ask")]
         await asyncio.gather(*self.entry.membership.tasks.values())
         return len(names)
+
+    async def test_limit_is_shared_by_demand(self):
+        """An organisation asks here for a third of what it asks at a peer."""
+        entry = self.entry
+        org = configuration.Organisation("org", "x", limit_tokens_per_s=100.0)
+        cfg = configuration.Configuration(version=6, organisations={"org": org})
+        config.adopt(entry, cfg, 0.0)
+        limits.seconds_over(entry.sched.limits, org, 100, 0.0)
+        here = scheduler.demand(entry.sched, 0.0)["org"]
+        demand = [peers_pb2.Demand(organisation="org", tokens_per_s=3 * here)]
+        contacts.note_request(entry, self.told(demand=demand), 0.0)
+        entry.membership.looked_at = 0.0
+        self.addAsyncCleanup(members.close, entry)
+        await members.step(entry, 0.0)
+        self.assertAlmostEqual(entry.sched.limits.shares["org"], 0.25, 3)
--- a/copperloom/daemons/metrics.py
+++ b/copperloom/daemons/metrics.py
@@ -2,6 +2,8 @@
 
 import prometheus_client
 
+from copperloom.platform import http
+
 __all__ = ["EntryMetrics", "length_class"]
 
 _LENGTH_CLASSES = (
@@ -82,3 +84,11 @@
             "Version of the configuration in force here.",
             registry=self.registry,
         )
+        self.peer_bytes = prometheus_client.Gauge(
+            "copperloom_peer_message_bytes",
+            "Bytes of messages between entries, without framing.",
+            ["direction"],
+            registry=self.registry,
+        )
+        self.registry.register(http.CALLS)
+        self.registry.register(http.FAILURES)
--- a/copperloom/peers/digest.py
+++ b/copperloom/peers/digest.py
@@ -10,6 +10,7 @@
 # for control: the targets with most work matter most for placing.
 _MOST_LOADS = 12
 _MOST_LEAVING = 20
+_MOST_DEMANDS = 8
 _MOST_PEERS = 8
 
 
@@ -31,6 +32,7 @@
         confirmed_age_ms=_age_ms(state, now),
         leaving_targets=_departures(state),
         loads=_loads(state),
+        demand=_demand(state, now),
         known_members=len(state.members) + 1,
     )
 
@@ -90,3 +92,13 @@
         peers_pb2.TargetLoad(target=name, streams=n, prefill_tokens=tokens)
         for name, (n, tokens) in most[:_MOST_LOADS]
     ]
+
+
+def _demand(state, now: float) -> list[peers_pb2.Demand]:
+    """Returns the greatest demands; small ones change nobody's share much."""
+    demand = scheduler.demand(state.sched, now)
+    most = sorted(demand.items(), key=lambda pair: -pair[1])
+    return [
+        peers_pb2.Demand(organisation=name, tokens_per_s=rate)
+        for name, rate in most[:_MOST_DEMANDS]
+    ]
--- a/copperloom/peers/server.py
+++ b/copperloom/peers/server.py
@@ -88,6 +88,10 @@
     listener = socket.create_server((host, int(port)))
     listener.setblocking(False)
     state.peers_address = "{}:{}".format(*listener.getsockname()[:2])
+    channels = state.membership.channels
+    counts = state.metrics.peer_bytes
+    counts.labels("in").set_function(lambda: channels.bytes_in)
+    counts.labels("out").set_function(lambda: channels.bytes_out)
     service = _Peers(state)
     server = grpclib.server.Server([service])
     await server.start(sock=listener)
--- a/copperloom/platform/http.py
+++ b/copperloom/platform/http.py
@@ -15,17 +15,21 @@
 from copperloom import exception
 from copperloom.platform import interface
 
-__all__ = ["connect"]
+__all__ = ["CALLS", "FAILURES", "connect"]
 
-_CALLS = prometheus_client.Counter(
+# In no registry of their own: each entry adds them to its own one. Entries
+# that share a process share these counts.
+CALLS = prometheus_client.Counter(
     "copperloom_platform_calls",
     "Calls to the platform's service.",
     ["call"],
+    registry=None,
 )
-_FAILURES = prometheus_client.Counter(
+FAILURES = prometheus_client.Counter(
     "copperloom_platform_failures",
     "Calls to the platform's service that failed, by result code.",
     ["call", "code"],
+    registry=None,
 )
 _OK = 200
 _NOT_FOUND = 404
@@ -187,11 +191,11 @@
 
 
 async def _request(client, call, method, path, body, timeout_s, lost):
-    _CALLS.labels(call).inc()
+    CALLS.labels(call).inc()
     try:
         return await _send(client, method, path, body, timeout_s, lost)
     except exception.CopperloomError as error:
-        _FAILURES.labels(call, error.code).inc()
+        FAILURES.labels(call, error.code).inc()
         raise
 
 
