Demo: the peak preset keeps room for the longest prompt

Cause: with a floor of 0.5 and one of six engines retired, two engines of 360,000 tokens took long work, so that a prompt of 975,044 tokens got 2007. Change: the demo's peak preset differs in objective and queue bound only.

--- a/copperloom/experiments/plan.py
+++ b/copperloom/experiments/plan.py
@@ -139,7 +139,7 @@
             mix.services.name, kinds.SERVICE, time_limit_s=limit_s
         ),
         configuration.Preset(ORDINARY),
-        configuration.Preset(PEAK, objective="slowdown", short_floor=0.5),
+        configuration.Preset(PEAK, objective="slowdown", max_queue_wait_s=20.0),
         configuration.PresetInForce(ORDINARY),
     ]
     for index, address in enumerate(engines):
