--- a/copperloom/standins/main.py
+++ b/copperloom/standins/main.py
@@ -1,8 +1,8 @@
 """Stand-ins for what surrounds copperloom.
 
 Usage:
-  copperloom-standin (engine | service | proxy) --settings FILE [--truth]
-  copperloom-standin platform --settings FILE
+  copperloom-standin (engine | service | platform | proxy) --settings FILE
+                     [--truth]
   copperloom-standin (engine | service | platform | proxy) --explain
   copperloom-standin (-h | --help)
 
@@ -44,7 +44,8 @@
         return 0
     logs.setup(standin=kind)
     spec = settings.load_or_exit(args["--settings"], program)
-    asyncio.run(_run(_module(name), spec, tell_truth=args["--truth"]))
+    module = _module(name)
+    asyncio.run(_run(module, spec, tell_truth=args["--truth"]))
     return 0
 
 
