Capacity: follow the members' module; tests of the controllers and the arithmetic

Cause: Member moved to copperloom.controllers.member, and no test ran controller_figures, so that the capacity command broke unseen. Change: the import; tests of controller_figures and of the worked-out rows.

--- a/copperloom/experiments/control.py
+++ b/copperloom/experiments/control.py
@@ -8,7 +8,7 @@
 import resource
 import time
 
-from copperloom.controllers import loads, members, owners, snapshot
+from copperloom.controllers import loads, member, owners, snapshot
 from copperloom.daemons import options
 from copperloom.daemons.state import EntryState
 from copperloom.decisions import scheduler
@@ -37,7 +37,7 @@
     scheduler.set_configuration(state.sched, state.cfg, now)
     for index in range(1, size.daemons):
         name = f"entry-{index:04d}"
-        state.members[name] = members.Member(
+        state.members[name] = member.Member(
             name,
             "10.1.2.3:9000",
             f"dc-{index % size.data_centres:02d}",
--- a/copperloom/experiments/tests/test_capacity.py
+++ b/copperloom/experiments/tests/test_capacity.py
@@ -3,7 +3,7 @@
 import dataclasses
 import unittest
 
-from copperloom.experiments import sizes, slopes
+from copperloom.experiments import control, sizes, slopes, worked
 
 _SMALL = dataclasses.replace(sizes.DESIGN, organisations=200, runners=50)
 
@@ -35,3 +35,41 @@
             *slopes.digest_figures(),
         ):
             self.assertGreater(figure.value, 0, figure.name)
+
+
+class ControlTest(unittest.TestCase):
+    def test_controllers_of_a_size(self):
+        state = control.state_of(_SMALL, 1.0)
+        self.assertEqual(len(state.members), _SMALL.daemons - 1)
+        for figure in control.controller_figures(_SMALL):
+            self.assertGreater(figure.value, 0, figure.name)
+
+
+class WorkedTest(unittest.TestCase):
+    """The arithmetic, on slopes that make it easy to follow."""
+
+    ONES = worked.Measured(*[1.0] * len(dataclasses.fields(worked.Measured)))
+
+    def row(self, what: str, size=sizes.DESIGN) -> worked.Row:
+        found = worked.rows(self.ONES, size)
+        return next(r for r in found if r.what == what)
+
+    def test_head_reads_grow_with_the_daemons(self):
+        self.assertEqual(self.row("reads of the head").reads_per_s, 370)
+        self.assertEqual(self.row("reads of the head").bytes_per_s, 1)
+
+    def test_watched_engines_do_not_grow_with_the_runners(self):
+        twice = dataclasses.replace(sizes.DESIGN, runners=2800)
+        name = "load reports"
+        self.assertEqual(self.row(name), self.row(name, twice))
+
+    def test_keyed_requests_write_two_rows_each(self):
+        rows = self.row("idempotency records").writes_per_s
+        self.assertAlmostEqual(rows, 2 * 0.03 * 5400)
+
+    def test_totals(self):
+        found = worked.rows(self.ONES, sizes.DESIGN)
+        total = worked.totals(found)
+        self.assertAlmostEqual(
+            total.bytes_per_s, sum(r.bytes_per_s for r in found)
+        )
