--- a/copperloom/tests/schedules.py
+++ b/copperloom/tests/schedules.py
@@ -80,14 +80,14 @@
 
 async def _recover(trial: trials.Trial) -> None:
     """Takes all faults off and waits until all entries admit work."""
-    _heal(trial.system)
+    await asyncio.to_thread(_heal, trial.system)
     for name, entry in trial.system.entries.items():
         await trials.until(
             lambda entry=entry: trials.admits(entry),
             _RECOVERY_S,
             f"{name} admits work again",
         )
-        trials.read_configuration(trial, name)
+        await asyncio.to_thread(trials.read_configuration, trial, name)
 
 
 def _heal(system: systems.System) -> None:
--- a/copperloom/tests/soak.py
+++ b/copperloom/tests/soak.py
@@ -1,7 +1,9 @@
 """Runs randomised schedules of faults and checks the promises.
 
+Run as `python -m copperloom.tests.soak`.
+
 Usage:
-  python -m copperloom.tests.soak [options]
+  soak [options]
 
 Options:
   --schedules N  How many schedules. [default: 100]
@@ -54,8 +56,9 @@
     number = first
     while number < end and time.monotonic() < give_up:
         last = min(end, number + _SCHEDULES_A_SYSTEM)
-        asyncio.run(_batch(args["--seed"], number, last, give_up, totals))
-        number = last
+        number = asyncio.run(
+            _batch(args["--seed"], number, last, give_up, totals)
+        )
     took_s = time.monotonic() - begun
     print(
         f"{totals.schedules} schedules in {took_s:.0f} s, "
@@ -66,18 +69,20 @@
     return 1 if totals.broken or totals.failed else 0
 
 
-async def _batch(seed, first, last, give_up, totals) -> None:
-    """Runs schedules on one system."""
+async def _batch(seed, first, last, give_up, totals) -> int:
+    """Runs schedules on one system; returns the next one's number."""
     case = unittest.TestCase()
     system = start_system(case)
     before = history.History()
     try:
         for number in range(first, last):
             if time.monotonic() > give_up:
-                return
+                return number
             name = f"{seed}/{number}"
             if not await _one(case, system, name, before, totals):
-                return
+                # What a broken promise left behind must not count twice.
+                return number + 1
+        return last
     finally:
         case.doCleanups()
 
--- a/copperloom/tests/trials.py
+++ b/copperloom/tests/trials.py
@@ -136,11 +136,13 @@
 async def until(condition, within_s: float, what: str):
     """Waits for a condition without holding up the loop.
 
-    See copperloom.tests.processes.wait_until.
+    See copperloom.tests.processes.wait_until. The condition runs in a thread:
+    a call to a frozen process would keep the callers' time limits from being
+    looked at.
     """
     give_up = time.monotonic() + within_s
     while True:
-        got = processes.attempt(condition)
+        got = await asyncio.to_thread(processes.attempt, condition)
         if got:
             return got
         if time.monotonic() > give_up:
