Resume: its own time limit, and no cancel of what is not ours

Cause: three faults of resuming an answer by name. (2) A resume had no time limit at all. (3) A resume that the engine refuses, such as one for another organisation's stream, cancelled that stream: the rightful caller's answer broke off. Change: a late cancel first asks the engine whether this entry still owns the stream; resume sets the deadline; only a stream that gave pieces is cancelled. The time a resumable stream is kept is a setting, limits.resumable_s. Between the question and the cancel another entry may still take the stream over; the engine's protocol has no conditional cancel.

--- a/copperloom/controllers/reclaim.py
+++ b/copperloom/controllers/reclaim.py
@@ -1,6 +1,7 @@
 """Gives engines their memory back: own cancels and streams left behind."""
 
 import asyncio
+import functools
 
 from copperloom import configuration, exception, logs
 from copperloom.controllers import cancels, orphans
@@ -32,11 +33,36 @@
         stream: The stream's name; also one that may never have been opened.
         delay_s: How long to leave it alone first.
     """
+    if delay_s:
+        _spawn(state, _cancel_if_own(state, address, stream, delay_s))
+        return
     now = asyncio.get_running_loop().time()
-    cancels.add(state.cancels, address, stream, now + delay_s)
+    cancels.add(state.cancels, address, stream, now)
     _run_due(state, now)
 
 
+async def _cancel_if_own(
+    state: EntryState, address: str, stream: str, delay_s: float
+) -> None:
+    """Cancels a stream later, unless another entry has taken it over.
+
+    Its caller may have come back at another entry and read on there; this
+    one's cancel would cut that answer off. The engine knows who owns it.
+    """
+    await asyncio.sleep(delay_s)
+    while True:
+        try:
+            infos = await state.targets.streams(
+                address, timeout_s=_LIST_TIMEOUT_S
+            )
+            break
+        except exception.CopperloomError:
+            await asyncio.sleep(_LIST_TIMEOUT_S)
+    owner = next((i.owner for i in infos if i.stream == stream), "")
+    if owner == state.owner:
+        cancel(state, address, stream)
+
+
 async def step(state: EntryState, now: float) -> None:
     """Tries unconfirmed cancels again and looks through owned engines."""
     _run_due(state, now)
@@ -48,22 +74,23 @@
 
 
 def _run_due(state: EntryState, now: float) -> None:
-    def spawn(coroutine) -> asyncio.Task:
-        task = asyncio.create_task(coroutine)
-        state.background.add(task)
-        task.add_done_callback(state.background.discard)
-        return task
-
     addresses = {tgt.address for tgt in state.cfg.targets.values()}
     cancels.run_due(
         state.cancels,
         state.targets,
         now,
         configured=addresses.__contains__,
-        spawn=spawn,
+        spawn=functools.partial(_spawn, state),
     )
 
 
+def _spawn(state: EntryState, coroutine) -> asyncio.Task:
+    task = asyncio.create_task(coroutine)
+    state.background.add(task)
+    task.add_done_callback(state.background.discard)
+    return task
+
+
 def _hear(state: EntryState) -> None:
     """Takes over when the members controller last heard each peer."""
     for name, member in state.members.items():
--- a/copperloom/daemons/options.py
+++ b/copperloom/daemons/options.py
@@ -136,6 +136,14 @@
     max_time_limit_s: float = setting(
         3600.0, "Longest time limit a caller may set.", unit="s", low=1
     )
+    resumable_s: float = setting(
+        10.0,
+        "How long a resumable answer whose caller went away is kept; less "
+        "than dead_s.",
+        unit="s",
+        low=0,
+        high=3600,
+    )
     piece_buffer_tokens: int = setting(
         4096,
         "Answer held for a slow caller before reading from the engine stops.",
--- a/copperloom/filters/read.py
+++ b/copperloom/filters/read.py
@@ -18,6 +18,7 @@
     "ChatMessage",
     "read_chat",
     "read_service",
+    "set_deadline",
 ]
 
 KEY_HEADER = "Idempotency-Key"
@@ -61,7 +62,7 @@
 
 async def read_chat(ex: exchange.Exchange, nxt: exchange.Next) -> None:
     """Sets ex.body, ex.chat, ex.deployment and ex.deadline."""
-    _set_deadline(ex, ex.state.settings.limits.max_time_limit_s)
+    set_deadline(ex, ex.state.settings.limits.max_time_limit_s)
     ex.body = await _body(ex)
     ex.chat = _decode(ex.body)
     _deployment(ex, ex.chat.model, configuration.TargetKind.ENGINE)
@@ -71,7 +72,7 @@
 
 async def read_service(ex: exchange.Exchange, nxt: exchange.Next) -> None:
     """Sets ex.body, ex.deployment and ex.deadline."""
-    _set_deadline(ex, ex.state.settings.limits.max_time_limit_s)
+    set_deadline(ex, ex.state.settings.limits.max_time_limit_s)
     ex.body = await _body(ex)
     name = ex.http.match_info["name"]
     _deployment(ex, name, configuration.TargetKind.SERVICE)
@@ -124,10 +125,10 @@
     if allowed and ex.organisation.name not in allowed:
         raise exception.NotAuthorisedError()
     ex.deployment = found
-    _set_deadline(ex, found.time_limit_s)
+    set_deadline(ex, found.time_limit_s)
 
 
-def _set_deadline(ex: exchange.Exchange, default_s: float) -> None:
+def set_deadline(ex: exchange.Exchange, default_s: float) -> None:
     """Sets the deadline, and moves the time limit that the filters run under.
 
     Without the second, nothing ends a request whose target falls silent: its
--- a/copperloom/filters/relay.py
+++ b/copperloom/filters/relay.py
@@ -17,8 +17,6 @@
 _RESUME_TRIES = 6
 _RESUME_FIRST_S = 0.05
 _RESUME_MOST_S = 1.0
-# How long a stream whose caller went away may be fetched again by name.
-_RESUMABLE_S = 10.0
 
 
 class _Attempt:
@@ -30,6 +28,7 @@
         target: Its name.
         delivered: Answer tokens taken over so far.
         final: Why the answer ended; "" while it has not.
+        taken: Whether a resume got pieces, and so this entry owns it.
     """
 
     def __init__(self, stream: str, address: str, target: str):
@@ -38,6 +37,7 @@
         self.target = target
         self.delivered = 0
         self.final = ""
+        self.taken = False
 
 
 async def relay(ex: exchange.Exchange, nxt: exchange.Next) -> None:
@@ -232,12 +232,18 @@
     wanted = read.flag(ex.http, read.RESUMABLE_HEADER)
     transport = ex.http.transport
     gone = transport is None or transport.is_closing()
-    delay_s = _RESUMABLE_S if wanted and gone else 0.0
+    resumable_s = ex.state.settings.limits.resumable_s
+    delay_s = resumable_s if wanted and gone else 0.0
     reclaim.cancel(ex.state, attempt.address, attempt.stream, delay_s=delay_s)
 
 
 async def resume(ex: exchange.Exchange, nxt: exchange.Next) -> None:
-    """Gives the rest of a stream, from any entry, by its name and offset."""
+    """Gives the rest of a stream, from any entry, by its name and offset.
+
+    Only a stream that the engine let us read is cancelled when its reading
+    fails: whoever merely knows a stream's name must not be able to end it.
+    """
+    read.set_deadline(ex, ex.state.settings.limits.max_time_limit_s)
     target = ex.cfg.targets.get(ex.http.match_info["target"])
     if target is None:
         raise exception.StreamUnknownError("its target is not configured")
@@ -262,7 +268,7 @@
                 tries = await _pause(attempt, tries)
         whole = True
     finally:
-        if not whole:
+        if attempt.taken and not whole:
             _abandon(ex, attempt)
     await answer.end()
     await nxt(ex)
@@ -271,6 +277,7 @@
 async def _read_rest(ex, attempt: _Attempt, answer) -> None:
     async with contextlib.aclosing(_resume(ex, attempt)) as batches:
         async for pieces in batches:
+            attempt.taken = True
             answers.note_first_token(ex)
             _take(ex, attempt, pieces)
             await answer.write(pieces)
--- a/copperloom/tests/test_outcomes.py
+++ b/copperloom/tests/test_outcomes.py
@@ -4,17 +4,23 @@
 import unittest
 
 from copperloom.history import Outcome
-from copperloom.tests import systems, trials
+from copperloom.tests import callers, systems, trials
 from copperloom.tests.callers import Ask
 
 _LONG = 5000
+_NOT_AUTHORISED = 2004
+_RESUMABLE_S = 1.0
 
 
 class OutcomesTest(unittest.IsolatedAsyncioTestCase):
     @classmethod
     def setUpClass(cls):
         cls.system = systems.start_system(
-            cls, entries=2, engines=2, proxies=("engines",)
+            cls,
+            entries=2,
+            engines=2,
+            proxies=("engines",),
+            entry={"limits": {"resumable_s": _RESUMABLE_S}},
         )
 
     async def asyncSetUp(self):
@@ -45,6 +51,45 @@
         self.assertEqual(rest.outcome, Outcome.ANSWERED)
         await trials.settle(self, self.trial)
 
+    async def test_resumed_stream_is_not_cancelled_by_its_first_entry(self):
+        """The caller's connection breaks; it reads on at another entry.
+
+        The first entry keeps the stream for a while, then gives its memory
+        back, and would cut the answer off that goes out elsewhere by now.
+        """
+        want = Ask("moved", tokens=120, resumable=True, limit_s=20)
+        task, seen, _ = await self.begin_stream(want)
+        task.cancel()
+        await task
+        rest = await trials.resume(self.trial, "e1", want, seen)
+        self.assertEqual(rest.outcome, Outcome.ANSWERED)
+        await trials.settle(self, self.trial)
+
+    async def test_resume_has_a_time_limit(self):
+        """The rest of an answer comes too slowly; its caller is told."""
+        await trials.extra_entry(self, self.trial, "e6")
+        want = Ask("slow rest", tokens=_LONG, resumable=True, limit_s=2)
+        task, seen, _ = await self.begin_stream(want, "e6")
+        trials.kill(self.trial, "e6")
+        await task
+        rest = await trials.resume(self.trial, "e1", want, seen)
+        self.assertEqual(rest.outcome, Outcome.MAY_HAVE_RUN)
+        await trials.settle(self, self.trial)
+
+    async def test_stream_of_another_organisation(self):
+        """Somebody learnt a stream's name and asks for it.
+
+        He is refused, and the answer goes on to its own caller.
+        """
+        want = Ask("secret", tokens=60)
+        task, seen, _ = await self.begin_stream(want)
+        thief = Ask("thief", organisation=systems.ORGANISATIONS[1])
+        stolen = callers.Seen(stream=seen.stream)
+        call = await trials.resume(self.trial, "e1", thief, stolen)
+        self.assertEqual((call.code, call.text), (_NOT_AUTHORISED, ""))
+        self.assertEqual((await task).outcome, Outcome.ANSWERED)
+        await trials.settle(self, self.trial)
+
     async def test_killed_entry_leaves_no_memory(self):
         """The caller is gone for good together with its entry.
 
