--- /dev/null
+++ b/copperloom/experiments/control.py
@@ -0,0 +1,96 @@
+"""Measured costs of the controllers at a size, without sockets.
+
+An entry's state is filled with as many members and targets as the size has;
+then the parts of the controllers that go through all of them are timed.
+"""
+
+import pathlib
+import resource
+import time
+
+from copperloom.controllers import loads, member, owners, snapshot
+from copperloom.daemons import options
+from copperloom.daemons.state import EntryState
+from copperloom.decisions import scheduler
+from copperloom.experiments import plan, sizes, slopes
+from copperloom.peers import digest
+
+__all__ = ["controller_figures", "resident_figures", "state_of"]
+
+_KILOBYTE = 1024
+
+
+def state_of(size: sizes.Sizes, now: float) -> EntryState:
+    """Returns an entry's state that knows a fleet of a size.
+
+    Args:
+        size: The size.
+        now: Monotonic seconds at which all members were last heard.
+    """
+    sections = {
+        "entry": {"instance": "entry-0000", "data_centre": "dc-00"},
+        "platform": {"address": "127.0.0.1:1"},
+    }
+    own = plan.make_settings(options.EntrySettings, sections)
+    state = EntryState(own, None, None)
+    state.cfg = slopes.configuration_of(size)
+    scheduler.set_configuration(state.sched, state.cfg, now)
+    for index in range(1, size.daemons):
+        name = f"entry-{index:04d}"
+        state.members[name] = member.Member(
+            name,
+            "10.1.2.3:9000",
+            f"dc-{index % size.data_centres:02d}",
+            boot="0123456789ab",
+            heard_at=now,
+            listed_at=now,
+        )
+    return state
+
+
+def resident_figures(size: sizes.Sizes) -> list[slopes.Figure]:
+    """Measures the resident memory of this process around a fleet's state.
+
+    Best called first: the parts of an entry are loaded, little else is.
+    """
+    before = _resident_bytes()
+    state = state_of(size, time.monotonic())
+    after = _resident_bytes()
+    data = snapshot.encode(state.cfg)
+    snapshot.decode(data)
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * _KILOBYTE
+    return [
+        slopes.Figure("entry's modules loaded, resident", before, "bytes"),
+        slopes.Figure("with the state of the fleet", after, "bytes"),
+        slopes.Figure("most, with a snapshot encoded, decoded", peak, "bytes"),
+        slopes.Figure("snapshot", len(data), "bytes"),
+    ]
+
+
+def _resident_bytes() -> int:
+    statm = pathlib.Path("/proc/self/statm").read_text()
+    return int(statm.split()[1]) * resource.getpagesize()
+
+
+def controller_figures(size: sizes.Sizes) -> list[slopes.Figure]:
+    """Measures the steps that go through all members or targets."""
+    now = time.monotonic()
+    state = state_of(size, now)
+    own = state.settings.entry.instance
+
+    def own_all() -> None:
+        for name in state.cfg.targets:
+            owners.owner_of(state, name, now)
+
+    work = {
+        "owners of all targets": own_all,
+        "choice of the engines watched": lambda: loads.watched(state.cfg, own),
+        "configuration taken over by the scheduler": lambda: (
+            scheduler.set_configuration(state.sched, state.cfg, now)
+        ),
+        "digest made": lambda: digest.make(state, now),
+    }
+    return [
+        slopes.Figure(f"{name}, processor", slopes.processor_s(run), "s")
+        for name, run in work.items()
+    ]
