--- a/copperloom/tests/systems.py
+++ b/copperloom/tests/systems.py
@@ -30,6 +30,7 @@
         proxy: The fault proxy, if any. Its links are named by the target
             behind them, or platform-INSTANCE for an entry's own way to the
             platform.
+        kv_tokens: KV memory of each engine.
     """
 
     platform: processes.Process
@@ -37,6 +38,7 @@
     services: dict[str, processes.Process]
     entries: dict[str, processes.Process]
     proxy: processes.Process | None = None
+    kv_tokens: int = 400_000
 
     def targets(self) -> dict[str, processes.Process]:
         """Engines and services by name."""
@@ -88,6 +90,7 @@
         },
         {},
     )
+    system.kv_tokens = (engine or {}).get("kv_tokens", system.kv_tokens)
     _launch_proxy(case, system, entries, proxies)
     seed_configuration(system)
     for i in range(entries):
@@ -215,5 +218,6 @@
         "a",
         kinds.ENGINE if is_engine else kinds.SERVICE,
         (MODEL if is_engine else SERVICE,),
+        kv_tokens=system.kv_tokens,
         state=state,
     )
