--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,18 @@
 generate:
 	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --grpclib_python_out=. \
 	  copperloom/peers/peers.proto
+
+# Measurements; they take minutes and most of the machine's cores.
+.PHONY: soak capacity policies relay
+
+soak: install
+	$(BIN)/python -m copperloom.tests.soak --schedules 25 --seed 1
+
+capacity: install
+	$(BIN)/python -m copperloom.experiments.capacity
+
+policies: install
+	$(BIN)/python -m copperloom.experiments.tests.policies experiments/wroclaw.ini
+
+relay: install
+	$(BIN)/python -m copperloom.experiments.tests.relay
