--- a/copperloom/controllers/reclaim.py
+++ b/copperloom/controllers/reclaim.py
@@ -54,13 +54,11 @@
         task.add_done_callback(state.background.discard)
         return task
 
-    addresses = {tgt.address for tgt in state.cfg.targets.values()}
+    def configured(address: str) -> bool:
+        return any(t.address == address for t in state.cfg.targets.values())
+
     cancels.run_due(
-        state.cancels,
-        state.targets,
-        now,
-        configured=addresses.__contains__,
-        spawn=spawn,
+        state.cancels, state.targets, now, configured=configured, spawn=spawn
     )
 
 
