Targets: an answer that stands still breaks and can be resumed

Cause: on a half-open connection in the midst of an answer the client read until the request's time limit, though the engine had the answer. Change: a watch closes a read that waits for 5 s after the first piece; not before it, and not while the reader itself is slow. One timer for each stream looks four times within the limit (ways weighed: asyncio.timeout at each read, which sets and clears a timer a token). Measured: two tests; each fails with its mechanism off.

--- a/copperloom/standins/tests/fixtures.py
+++ b/copperloom/standins/tests/fixtures.py
@@ -64,9 +64,9 @@
     return msgspec.json.encode(value)
 
 
-async def connect_targets(case, *, connect_s: float = 1.0):
+async def connect_targets(case, **limits):
     """Returns a client of targets that is closed when the case ends."""
-    targets = http.connect(connect_s=connect_s)
+    targets = http.connect(**{"connect_s": 1.0, **limits})
     case.addAsyncCleanup(targets.close)
     return targets
 
--- a/copperloom/targets/http.py
+++ b/copperloom/targets/http.py
@@ -15,7 +15,7 @@
 import yarl
 
 from copperloom import exception
-from copperloom.targets import interface, pieces
+from copperloom.targets import interface, pieces, stalls
 
 __all__ = ["connect"]
 
@@ -26,6 +26,10 @@
 # aiohttp rounds longer time limits up to whole seconds, which would let a
 # request pass its deadline; this turns the rounding off.
 _NO_ROUNDING_S = 1e9
+# About seventy times the time between two tokens at the design size, so that
+# a busy engine is not taken for a dead connection; short enough that a caller
+# with a time limit of a minute still gets its answer by another connection.
+_STALL_S = 5.0
 _OK = 200
 _FORBIDDEN = 403
 _NOT_FOUND = 404
@@ -57,18 +61,23 @@
 class _Client:
     """The one session, made by the first call, when the loop runs."""
 
-    def __init__(self, connect_s: float):
+    def __init__(self, connect_s: float, stall_s: float):
         self.connect_s = connect_s
+        self.stall_s = stall_s
         self.session: aiohttp.ClientSession | None = None
 
 
-def connect(*, connect_s: float) -> interface.Targets:
+def connect(
+    *, connect_s: float, stall_s: float = _STALL_S
+) -> interface.Targets:
     """Makes the record of functions for targets that speak this protocol.
 
     Args:
         connect_s: Time limit to connect, in seconds.
+        stall_s: Longest time without a piece in an answer that has begun, in
+            seconds; the answer then breaks and can be resumed.
     """
-    client = _Client(connect_s)
+    client = _Client(connect_s, stall_s)
     bind = functools.partial
     return interface.Targets(
         open=bind(_open, client),
@@ -99,7 +108,7 @@
     )
     async with sending as resp:
         await _check(resp)
-        async for some in pieces.follow(resp.content.readany, req.stream, 0):
+        async for some in _follow(client, resp, req.stream, 0):
             yield some
 
 
@@ -119,7 +128,20 @@
     url = f"{_stream_url(address, stream)}?{query}"
     async with _send(client, "GET", url, timeout_s) as resp:
         await _check(resp)
-        async for some in pieces.follow(resp.content.readany, stream, offset):
+        async for some in _follow(client, resp, stream, offset):
+            yield some
+
+
+async def _follow(
+    client: _Client, resp: aiohttp.ClientResponse, stream: str, offset: int
+) -> AsyncIterator[list[interface.Piece]]:
+    with stalls.watch(
+        resp.content.readany,
+        resp.close,
+        limit_s=client.stall_s,
+        begun=offset > 0,
+    ) as read:
+        async for some in pieces.follow(read, stream, offset):
             yield some
 
 
--- a/copperloom/targets/tests/test_http.py
+++ b/copperloom/targets/tests/test_http.py
@@ -143,6 +143,55 @@
             )
         self.assertEqual(len(engine.truth()["runs"]), 1)
 
+    async def test_stalled_answer_breaks_and_is_resumed(self):
+        # In the midst of an answer the network swallows all bytes towards
+        # this side and tells no end. The answer breaks long before the time
+        # limit, and another connection brings the rest.
+        engine, proxy, _ = await _behind_proxy(self, time_scale=10.0)
+        targets = await fixtures.connect_targets(self, stall_s=0.4)
+        got = []
+        with self.assertRaises(exception.StreamBrokenError):
+            async with asyncio.timeout(_LIMIT_S):
+                async for pieces in _open(
+                    targets,
+                    proxy.addresses["p"],
+                    max_tokens=300,
+                    timeout_s=60.0,
+                ):
+                    got.extend(pieces)
+                    await control.control(
+                        proxy.addresses["listen"], drop_down=True
+                    )
+        rest = targets.resume(
+            engine.addresses["listen"],
+            "s1",
+            sum(piece.tokens for piece in got),
+            "e2.b2",
+            "org",
+            timeout_s=_LIMIT_S,
+        )
+        text = "".join(piece.text for piece in got)
+        text += await fixtures.read_all(rest)
+        messages = fixtures.ask("s1").messages
+        self.assertEqual(text, answers.whole("org", "chat", messages, 300))
+
+    async def test_slow_start_and_slow_reader_are_no_stall(self):
+        # The first token takes longer than a stall may, then the caller
+        # reads more slowly than that.
+        engine = await fixtures.start_engine(self, time_scale=1.0)
+        targets = await fixtures.connect_targets(self, stall_s=0.5)
+        text = ""
+        async for pieces in _open(
+            targets,
+            engine.addresses["listen"],
+            prompt_tokens=20_000,
+            max_tokens=3,
+        ):
+            text += "".join(piece.text for piece in pieces)
+            await asyncio.sleep(0.7)
+        messages = fixtures.ask("s1").messages
+        self.assertEqual(text, answers.whole("org", "chat", messages, 3))
+
     async def test_another_organisations_stream(self):
         engine = await fixtures.start_engine(self)
         targets = await fixtures.connect_targets(self)
