--- a/copperloom/controllers/reclaim.py
+++ b/copperloom/controllers/reclaim.py
@@ -50,7 +50,8 @@
     one's cancel would cut that answer off. The engine knows who owns it.
     """
     await asyncio.sleep(delay_s)
-    while True:
+    infos = []
+    while _is_configured(state, address):
         try:
             infos = await state.targets.streams(
                 address, timeout_s=_LIST_TIMEOUT_S
@@ -74,16 +75,19 @@
 
 
 def _run_due(state: EntryState, now: float) -> None:
-    addresses = {tgt.address for tgt in state.cfg.targets.values()}
     cancels.run_due(
         state.cancels,
         state.targets,
         now,
-        configured=addresses.__contains__,
+        configured=functools.partial(_is_configured, state),
         spawn=functools.partial(_spawn, state),
     )
 
 
+def _is_configured(state: EntryState, address: str) -> bool:
+    return any(t.address == address for t in state.cfg.targets.values())
+
+
 def _spawn(state: EntryState, coroutine) -> asyncio.Task:
     task = asyncio.create_task(coroutine)
     state.background.add(task)
