Entry: /ready fails while work would be refused as unproved

Cause: an entry that refuses all work with code 5006 told the balancer that it is ready, so callers kept coming to it. Change: /ready asks the same rule as the door. Measured: ReadyTest fails without the check, passes with it.

--- a/copperloom/daemons/http.py
+++ b/copperloom/daemons/http.py
@@ -6,6 +6,7 @@
 import prometheus_client
 from aiohttp import web
 
+from copperloom.controllers import config
 from copperloom.daemons import admin
 from copperloom.daemons.state import EntryState
 from copperloom.filters import chain, exchange
@@ -81,6 +82,10 @@
             return web.Response(status=503, text="draining\n")
         if not state.cfg_loaded:
             return web.Response(status=503, text="no configuration\n")
+        now = asyncio.get_running_loop().time()
+        if not config.is_fresh(state, now):
+            # Callers are better served elsewhere until it may admit again.
+            return web.Response(status=503, text="configuration unproved\n")
         return web.Response(text="ready\n")
 
     return handle
--- a/copperloom/daemons/tests/test_admin.py
+++ b/copperloom/daemons/tests/test_admin.py
@@ -5,9 +5,10 @@
 
 from aiohttp import test_utils, web
 
-from copperloom.controllers import config
+from copperloom import configuration
+from copperloom.controllers import config, member
 from copperloom.controllers.tests import fixtures
-from copperloom.daemons import admin
+from copperloom.daemons import admin, http
 
 
 class AdminTest(unittest.IsolatedAsyncioTestCase):
@@ -72,3 +73,27 @@
     async def test_drain(self):
         await self.call("POST", "drain")
         self.assertTrue(self.entry.draining)
+
+
+class ReadyTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.entry = fixtures.entry_state(self, "127.0.0.1:1")
+
+    async def asyncSetUp(self):
+        server = test_utils.TestServer(http.make_app(self.entry))
+        self.client = test_utils.TestClient(server)
+        await self.client.start_server()
+        self.addAsyncCleanup(self.client.close)
+
+    async def ready(self):
+        return (await self.client.get("/ready")).status
+
+    async def test_ready_only_if_work_would_be_admitted(self):
+        self.assertEqual(await self.ready(), 503)
+        config.adopt(self.entry, configuration.Configuration(version=1), 0.0)
+        self.entry.members["b"] = member.Member("b", "127.0.0.1:1")
+        self.assertEqual(await self.ready(), 503)
+        config.confirm(self.entry, time.monotonic())
+        self.assertEqual(await self.ready(), 200)
+        self.entry.draining = True
+        self.assertEqual(await self.ready(), 503)
