Load: a warm-up that is sent and not counted

Cause: in trials of 10 s the border between short and long work had not moved from one engine of six, so that long prompts were refused that a system in use would have taken. Change: [load] warm_up_s; lost requests count also during it.

--- a/copperloom/experiments/mixes.py
+++ b/copperloom/experiments/mixes.py
@@ -34,6 +34,14 @@
     duration_s: float = setting(
         20.0, "Time over which requests arrive.", unit="s", low=0.1, high=86_400
     )
+    warm_up_s: float = setting(
+        0.0,
+        "Requests that arrive before this are sent and not counted, unless "
+        "they are lost.",
+        unit="s",
+        low=0,
+        high=86_400,
+    )
     time_limit_s: float = setting(
         30.0, "Time limit of each request.", unit="s", low=0.1, high=3600
     )
--- a/copperloom/experiments/tests/test_result.py
+++ b/copperloom/experiments/tests/test_result.py
@@ -5,7 +5,7 @@
 import tempfile
 import unittest
 
-from copperloom.experiments import compare, report, result
+from copperloom.experiments import compare, load, report, result
 from copperloom.experiments.tests import samples
 
 
@@ -63,6 +63,17 @@
         (line,) = (x for x in lines if x.startswith("first token p99, short"))
         self.assertIn("2.00", line)
 
+    def test_warm_up_is_left_out_but_lost_requests_are_not(self):
+        mix = samples.mix(warm_up_s=5.0)
+        requests = [
+            dataclasses.replace(samples.REQUEST, index=i, at_s=at)
+            for i, at in enumerate((1.0, 2.0, 6.0))
+        ]
+        seen = samples.run_of({0: 0.1, 1: 0.1, 2: 0.1}).samples
+        seen[1] = dataclasses.replace(seen[1], code=result.LOST)
+        kept = load.counted(mix, requests, seen)
+        self.assertEqual([s.index for s in kept], [1, 2])
+
     def test_report(self):
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "r.html"
