--- a/copperloom/experiments/tests/spread.py
+++ b/copperloom/experiments/tests/spread.py
@@ -2,7 +2,7 @@
 
 Usage:
   spread [--entries=N] [--each=N] [--changes=N] [--organisations=N]
-         [--targets=N]
+         [--targets=N] [--outage]
 
 Options:
   --entries=N        Entries in all [default: 100].
@@ -10,6 +10,7 @@
   --changes=N        Changes to make [default: 10].
   --organisations=N  Organisations in the configuration [default: 0].
   --targets=N        Retired targets in the configuration [default: 0].
+  --outage           Also measure while the platform's table is down.
 """
 
 import asyncio
@@ -35,6 +36,8 @@
 _ROOT = pathlib.Path(__file__).resolve().parents[3]
 _SETTLE_S = 8.0
 _IDLE_S = 6.0
+# Past the entries' confirm_s, after which they ask all members.
+_UNPROVED_S = 10.0
 _PAUSE_S = 1.37
 _LIMIT_S = 60.0
 _STOP_S = 10.0
@@ -65,7 +68,9 @@
 
 def main() -> None:
     """Runs the command line."""
-    args = {k: int(v) for k, v in docopt.docopt(__doc__).items()}
+    given = docopt.docopt(__doc__)
+    outage = given.pop("--outage")
+    args = {k: int(v) for k, v in given.items()}
     with fleet.Cleanups() as cleanups:
         platform = processes.launch(cleanups, "platform", {})
         asyncio.run(_configure(platform.address, args))
@@ -82,6 +87,8 @@
         time.sleep(_SETTLE_S)
         _idle(platform, groups, args["--entries"])
         _changes(platform.address, groups, args)
+        if outage:
+            _outage(platform, groups, args["--entries"])
 
 
 def _start(cleanups, platform: str, first: int, args) -> Group:
@@ -158,6 +165,16 @@
     _print("largest process, resident", resident / 1e6, "MB")
 
 
+def _outage(platform, groups: list[Group], entries: int) -> None:
+    """Measures what entries spend that have no proof from the platform."""
+    platform.control(outage=["table"])
+    time.sleep(_UNPROVED_S)
+    before = sum(relay.processor_s(g) for g in groups)
+    time.sleep(_IDLE_S)
+    used = sum(relay.processor_s(g) for g in groups) - before
+    _print("in an outage, entry, processor", used / _IDLE_S / entries, "core")
+
+
 def _changes(platform: str, groups: list[Group], args) -> None:
     confirmed = {}
     used = sum(relay.processor_s(g) for g in groups)
