--- a/copperloom/controllers/config.py
+++ b/copperloom/controllers/config.py
@@ -9,7 +9,15 @@
 from copperloom.decisions import freshness, scheduler
 from copperloom.logs import event
 
-__all__ = ["adopt", "apply_all", "confirm", "evidence", "may_admit", "step"]
+__all__ = [
+    "adopt",
+    "apply_all",
+    "confirm",
+    "evidence",
+    "is_fresh",
+    "may_admit",
+    "step",
+]
 
 _SCAN_ROWS = 200
 _RETRY_AFTER_S = 1.0
@@ -68,6 +76,7 @@
     previous = state.cfg.version
     state.cfg = cfg
     state.cfg_loaded = True
+    state.metrics.config_version.set(cfg.version)
     scheduler.set_configuration(state.sched, cfg, now)
     leaving.refresh(state, now)
     state.wake.set()
@@ -139,6 +148,15 @@
     )
 
 
+def is_fresh(state, now: float) -> bool:
+    """Returns whether work may be admitted and sent to targets."""
+    try:
+        may_admit(state, now)
+    except exception.StaleConfigurationError:
+        return False
+    return True
+
+
 def may_admit(state, now: float) -> None:
     """Lets new work pass, or refuses it at once.
 
--- a/copperloom/filters/relay.py
+++ b/copperloom/filters/relay.py
@@ -6,7 +6,14 @@
 from copperloom import exception, logs
 from copperloom.controllers import owners, reclaim
 from copperloom.decisions import scheduler
-from copperloom.filters import answers, exchange, once, read, schedule
+from copperloom.filters import (
+    answers,
+    exchange,
+    once,
+    pace,
+    read,
+    schedule,
+)
 from copperloom.targets import groups
 from copperloom.targets.interface import Piece, StreamOpen
 
@@ -17,12 +24,11 @@
 _RESUME_TRIES = 6
 _RESUME_FIRST_S = 0.05
 _RESUME_MOST_S = 1.0
-# How long a stream whose caller went away may be fetched again by name.
-_RESUMABLE_S = 10.0
 # An owner's silence or refusal says nothing of the target's health.
 _NOT_THE_TARGETS_FAULT = (
     exception.PeerUnavailableError,
     exception.CapacityExceededError,
+    exception.StaleConfigurationError,
 )
 
 
@@ -35,6 +41,7 @@
         target: Its name.
         delivered: Answer tokens taken over so far.
         final: Why the answer ended; "" while it has not.
+        taken: Whether a resume got pieces, and so this entry owns it.
     """
 
     def __init__(self, stream: str, address: str, target: str):
@@ -43,6 +50,7 @@
         self.target = target
         self.delivered = 0
         self.final = ""
+        self.taken = False
 
 
 async def relay(ex: exchange.Exchange, nxt: exchange.Next) -> None:
@@ -58,6 +66,7 @@
             exception.TargetRefusedError,
             exception.PeerUnavailableError,
             exception.CapacityExceededError,
+            exception.StaleConfigurationError,
         ) as error:
             await _again(ex, error)
         except exception.StreamBrokenError as error:
@@ -95,6 +104,7 @@
         now = asyncio.get_running_loop().time()
         await owners.reserve(state, placement, now)
     try:
+        schedule.check_placement(ex)
         attempt = _new_attempt(ex, number)
         whole = False
         try:
@@ -159,6 +169,7 @@
 
 async def _copy(ex, attempt: _Attempt, answer, source, sent: float) -> None:
     """Relays what a source gives until the answer's final piece."""
+    gather = pace.Pace(ex.state.settings.limits.gather_ms / 1000)
     async with contextlib.aclosing(source) as batches:
         async for pieces in batches:
             if ex.first_token_at is None:
@@ -166,8 +177,11 @@
                 scheduler.first_token(
                     ex.state.sched, ex.placement, ex.first_token_at, sent=sent
                 )
+            before = ex.tokens
             _take(ex, attempt, pieces)
             await answer.write(pieces)
+            if not attempt.final:
+                await pace.pause(gather, ex.tokens - before)
     if not attempt.final:
         raise exception.StreamBrokenError("no final piece")
 
@@ -238,12 +252,18 @@
     wanted = read.flag(ex.http, read.RESUMABLE_HEADER)
     transport = ex.http.transport
     gone = transport is None or transport.is_closing()
-    delay_s = _RESUMABLE_S if wanted and gone else 0.0
+    resumable_s = ex.state.settings.limits.resumable_s
+    delay_s = resumable_s if wanted and gone else 0.0
     reclaim.cancel(ex.state, attempt.address, attempt.stream, delay_s=delay_s)
 
 
 async def resume(ex: exchange.Exchange, nxt: exchange.Next) -> None:
-    """Gives the rest of a stream, from any entry, by its name and offset."""
+    """Gives the rest of a stream, from any entry, by its name and offset.
+
+    Only a stream that the engine let us read is cancelled when its reading
+    fails: whoever merely knows a stream's name must not be able to end it.
+    """
+    read.set_deadline(ex, ex.state.settings.limits.max_time_limit_s)
     target = ex.cfg.targets.get(ex.http.match_info["target"])
     if target is None:
         raise exception.StreamUnknownError("its target is not configured")
@@ -268,7 +288,7 @@
                 tries = await _pause(attempt, tries)
         whole = True
     finally:
-        if not whole:
+        if attempt.taken and not whole:
             _abandon(ex, attempt)
     await answer.end()
     await nxt(ex)
@@ -277,6 +297,7 @@
 async def _read_rest(ex, attempt: _Attempt, answer) -> None:
     async with contextlib.aclosing(_resume(ex, attempt)) as batches:
         async for pieces in batches:
+            attempt.taken = True
             answers.note_first_token(ex)
             _take(ex, attempt, pieces)
             await answer.write(pieces)
