--- a/copperloom/tests/schedules.py
+++ b/copperloom/tests/schedules.py
@@ -15,10 +15,10 @@
 
 __all__ = ["Schedule", "Step", "draw", "run"]
 
-LOAD_S = 1.2
+LOAD_S = 1.0
 _CALLS = 14
 _LONGEST_FAULT_S = 0.9
-_LIMIT_S = 4.0
+_LIMIT_S = 3.0
 _RECOVERY_S = 30.0
 _STOP_LIMIT_S = 30.0
 _LONG_TOKENS = 2000
