--- a/copperloom/tests/callers.py
+++ b/copperloom/tests/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import socket
 import time
 
 import aiohttp
@@ -11,11 +12,12 @@
 from copperloom.standins import answers
 from copperloom.tests import systems
 
-__all__ = ["Ask", "Seen", "ask", "resume"]
+__all__ = ["Ask", "Seen", "ask", "resume", "send_and_read_nothing"]
 
 # A caller waits longer than its limit, so that a late outcome is told apart
 # from none.
 _PATIENCE_S = 8.0
+_SMALL_BUFFER_BYTES = 4096
 _DATA = b"data: "
 _DONE = b"[DONE]"
 
@@ -120,6 +122,20 @@
     return await _record(entry, want, sent, seen)
 
 
+def send_and_read_nothing(entry, want: Ask) -> socket.socket:
+    """Sends a request over a connection with a small buffer; never reads."""
+    host, _, port = entry.address.rpartition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES)
+    sock.connect((host, int(port)))
+    body = _body(want)
+    headers = _headers(want) | {"Host": host, "Content-Length": len(body)}
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join(["POST /v1/chat/completions HTTP/1.1", *lines])
+    sock.sendall(head.encode() + b"\r\n\r\n" + body)
+    return sock
+
+
 async def _record(entry, want: Ask, sent, seen: Seen) -> Call:
     invoked = time.monotonic()
     cancelled = False
--- a/copperloom/tests/test_stops.py
+++ b/copperloom/tests/test_stops.py
@@ -5,7 +5,7 @@
 import unittest
 
 from copperloom.history import Outcome, PlannedStop
-from copperloom.tests import systems, trials
+from copperloom.tests import callers, systems, trials
 from copperloom.tests.callers import Ask
 
 _STOP_S = 20.0
@@ -73,5 +73,31 @@
         self.assertEqual(outcomes, {Outcome.ANSWERED})
 
 
+class DeafCallerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_caller_that_reads_nothing(self):
+        """A phone keeps its connection and reads none of its long answer.
+
+        All buffers on the way fill, and the entry can't even tell the caller
+        that the limit passed. The request ends all the same: the engine gets
+        its memory back, and the entry can be stopped.
+        """
+        system = systems.start_system(
+            self, entries=1, engines=1, services=0, engine={"time_scale": 300}
+        )
+        trial = await trials.start_trial(self, system)
+        want = Ask("deaf", tokens=60_000, limit_s=4)
+        caller = callers.send_and_read_nothing(system.entries["e0"], want)
+        self.addCleanup(caller.close)
+        engine = system.engines["g0"]
+        await trials.until(lambda: trials.in_use(engine), 5, "work began")
+        await trials.until(
+            lambda: not trials.in_use(engine), _STOP_S, "memory back"
+        )
+        entry = system.entries["e0"]
+        entry.terminate()
+        await trials.until(lambda: not entry.running(), _STOP_S, "e0 ended")
+        await trials.settle(self, trial)
+
+
 if __name__ == "__main__":
     unittest.main()
