Relay: an answer that makes progress may break any number of times

Cause: tries to resume were counted over the whole answer, so a long one was given up at its seventh broken connection, however well it went between. Change: tries count from the last token that came. Measured: test_outcomes.test_one_answer_broken_many_times: 'may_have_run' with the old relay -> answered.

--- a/copperloom/filters/relay.py
+++ b/copperloom/filters/relay.py
@@ -33,6 +33,7 @@
         target: Its name.
         delivered: Answer tokens taken over so far.
         final: Why the answer ended; "" while it has not.
+        resumed_from: Tokens taken over when it was resumed last.
         taken: Whether a resume got pieces, and so this entry owns it.
     """
 
@@ -41,6 +42,7 @@
         self.address = address
         self.target = target
         self.delivered = 0
+        self.resumed_from = 0
         self.final = ""
         self.taken = False
 
@@ -150,7 +152,14 @@
 
 
 async def _pause(attempt: _Attempt, tries: int) -> int:
-    """Waits before the next try to resume; gives up after the last."""
+    """Waits before the next try to resume; gives up after the last.
+
+    Tries count from the last token that came: a long answer may break any
+    number of times, as long as it makes progress.
+    """
+    if attempt.delivered > attempt.resumed_from:
+        attempt.resumed_from = attempt.delivered
+        tries = 0
     if tries >= _RESUME_TRIES:
         raise exception.StreamBrokenError(f"{attempt.target} is lost")
     await asyncio.sleep(min(_RESUME_FIRST_S * 2**tries, _RESUME_MOST_S))
--- a/copperloom/tests/test_outcomes.py
+++ b/copperloom/tests/test_outcomes.py
@@ -216,6 +216,23 @@
         outcomes = {call.outcome for call in self.trial.history.calls}
         self.assertEqual(outcomes, {Outcome.ANSWERED})
 
+    async def test_one_answer_broken_many_times(self):
+        """A long answer's connection breaks again and again, for minutes.
+
+        It makes progress each time; the number of breaks is no reason to
+        give it up.
+        """
+        want = Ask("many breaks", tokens=200, limit_s=20)
+        task, seen, _ = await self.begin_stream(want)
+        for _ in range(8):
+            self.system.proxy.control(reset=True)
+            had = seen.text
+            await trials.until(
+                lambda had=had: seen.text != had or task.done(), 9, "progress"
+            )
+        self.assertEqual((await task).outcome, Outcome.ANSWERED)
+        await trials.settle(self, self.trial)
+
     async def test_callers_go_away(self):
         """Callers hang up in the middle, some before the engine was reached.
 
