--- a/copperloom/tests/test_changes.py
+++ b/copperloom/tests/test_changes.py
@@ -11,8 +11,11 @@
 
 _ENTRIES = ("e0", "e1", "e2")
 _CHANGE_LOST = 5004
+_STALE = 5006
 _SPREAD_S = 5.0
 _CONFIRM_S = 2.0
+# The letter's 12 s, less what the spread of a change takes.
+_STOP_ADMITTING_S = 9.0
 
 
 class ChangesTest(unittest.IsolatedAsyncioTestCase):
@@ -137,6 +140,30 @@
         await trials.settle(self, self.trial)
         self.assertEqual(self.runs_at("g1"), before)
 
+    async def test_entry_cut_from_all(self):
+        """An entry reaches neither the platform nor the other entries.
+
+        Operators may change anything without it. It stops admitting before
+        a change could be promised to be in force, and says "not run".
+        """
+        trials.fault(self, self.system, "platform-e2", refuse=True, reset=True)
+        with trials.frozen(self.trial, "e0"), trials.frozen(self.trial, "e1"):
+            await trials.until(
+                lambda: not trials.admits(self.system.entries["e2"]),
+                _STOP_ADMITTING_S,
+                "e2 stops admitting",
+            )
+            call = await trials.ask(self.trial, "e2", Ask("cut off"))
+            self.assertEqual(call.outcome, Outcome.NOT_RUN)
+            self.assertEqual(call.code, _STALE)
+        trials.heal(self.system)
+        await trials.until(
+            lambda: trials.admits(self.system.entries["e2"]),
+            _SPREAD_S,
+            "e2 admits again",
+        )
+        await trials.settle(self, self.trial)
+
     async def test_platform_lists_a_target_as_leaving(self):
         """The platform takes a target away that no operator retired."""
         address = self.system.engines["g1"].address
--- a/copperloom/tests/test_outcomes.py
+++ b/copperloom/tests/test_outcomes.py
@@ -155,6 +155,20 @@
         self.assertEqual(call.outcome, Outcome.ANSWERED)
         await trials.settle(self, self.trial)
 
+    async def test_replies_lost_for_good(self):
+        """The engine takes the work, and nothing of it ever comes back.
+
+        The entry can't read the answer by name either. The work may not run
+        again: its caller is told that it may have run, and no other engine
+        gets it.
+        """
+        self.fault(cut_down_after=0)
+        want = Ask("no way back", repeatable=False, limit_s=12)
+        call = await trials.ask(self.trial, "e0", want)
+        self.assertEqual(call.outcome, Outcome.MAY_HAVE_RUN)
+        trials.heal(self.system)
+        await trials.settle(self, self.trial)
+
     async def test_cut_towards_engines(self):
         """What the entry sends is swallowed on the way; nothing breaks.
 
--- a/copperloom/tests/test_stops.py
+++ b/copperloom/tests/test_stops.py
@@ -50,7 +50,7 @@
         """
         await trials.extra_entry(self, self.trial, "e7")
         stream, seen = trials.begin(
-            self.trial, "e7", Ask("long", tokens=100, limit_s=20)
+            self.trial, "e7", Ask("long", tokens=250, limit_s=20)
         )
         await trials.until(lambda: seen.text, 9, "first token")
         knocking = [asyncio.create_task(self.knock("e7")) for _ in range(3)]
