--- a/copperloom/tests/test_stops.py
+++ b/copperloom/tests/test_stops.py
@@ -9,6 +9,7 @@
 from copperloom.tests.callers import Ask
 
 _STOP_S = 20.0
+_LAG_S = 1.5
 
 
 class StopsTest(unittest.IsolatedAsyncioTestCase):
@@ -32,14 +33,14 @@
         stop = PlannedStop(entry, since, time.monotonic())
         self.trial.history.stops.append(stop)
 
-    async def knock(self, entry: str) -> int:
-        """Makes short calls over kept connections until nobody is there."""
-        answered = 0
+    async def knock(self, entry: str) -> float:
+        """Makes short calls until nobody is there; returns the last's begin."""
+        last = 0.0
         while True:
-            call = await trials.ask(self.trial, entry, Ask(f"k{answered}"))
+            call = await trials.ask(self.trial, entry, Ask("knock"))
             if call.outcome in (Outcome.UNREACHED, Outcome.CUT):
-                return answered
-            answered += call.outcome is Outcome.ANSWERED
+                return last
+            last = call.invoked
 
     async def test_streams_and_kept_connections(self):
         """An entry is replaced while it serves.
@@ -48,7 +49,9 @@
         while over connections that are open. A second signal comes, as from
         an impatient operator. Nothing of all this is cut.
         """
-        await trials.extra_entry(self, self.trial, "e7")
+        await trials.extra_entry(
+            self, self.trial, "e7", entry={"drain_lag_s": _LAG_S}
+        )
         stream, seen = trials.begin(
             self.trial, "e7", Ask("long", tokens=250, limit_s=20)
         )
@@ -57,7 +60,9 @@
         await asyncio.sleep(0.3)
         await self.stop("e7", signals=2)
         self.assertEqual((await stream).outcome, Outcome.ANSWERED)
-        self.assertGreater(min(await asyncio.gather(*knocking)), 0)
+        since = self.trial.history.stops[0].time
+        last = min(await asyncio.gather(*knocking))
+        self.assertGreater(last, since + _LAG_S / 2)
         await trials.settle(self, self.trial)
 
     async def test_work_waiting_for_memory(self):
