--- a/copperloom/filters/relay.py
+++ b/copperloom/filters/relay.py
@@ -6,7 +6,14 @@
 from copperloom import exception, logs
 from copperloom.controllers import owners, reclaim
 from copperloom.decisions import scheduler
-from copperloom.filters import answers, exchange, once, read, schedule
+from copperloom.filters import (
+    answers,
+    exchange,
+    once,
+    pace,
+    read,
+    schedule,
+)
 from copperloom.targets import groups
 from copperloom.targets.interface import Piece, StreamOpen
 
@@ -21,6 +28,7 @@
 _NOT_THE_TARGETS_FAULT = (
     exception.PeerUnavailableError,
     exception.CapacityExceededError,
+    exception.StaleConfigurationError,
 )
 
 
@@ -60,6 +68,7 @@
             exception.TargetRefusedError,
             exception.PeerUnavailableError,
             exception.CapacityExceededError,
+            exception.StaleConfigurationError,
         ) as error:
             await _again(ex, error)
         except exception.StreamBrokenError as error:
@@ -97,6 +106,7 @@
         now = asyncio.get_running_loop().time()
         await owners.reserve(state, placement, now)
     try:
+        schedule.check_placement(ex)
         attempt = _new_attempt(ex, number)
         whole = False
         try:
@@ -168,6 +178,7 @@
 
 async def _copy(ex, attempt: _Attempt, answer, source, sent: float) -> None:
     """Relays what a source gives until the answer's final piece."""
+    gather = pace.Pace(ex.state.settings.limits.gather_ms / 1000)
     async with contextlib.aclosing(source) as batches:
         async for pieces in batches:
             if ex.first_token_at is None:
@@ -175,8 +186,11 @@
                 scheduler.first_token(
                     ex.state.sched, ex.placement, ex.first_token_at, sent=sent
                 )
+            before = ex.tokens
             _take(ex, attempt, pieces)
             await answer.write(pieces)
+            if not attempt.final:
+                await pace.pause(gather, ex.tokens - before)
     if not attempt.final:
         raise exception.StreamBrokenError("no final piece")
 
