Relay: an engine that lost a stream is a break, not a 404; pages made of code

Cause: read in the code and shown by test_relay: when an engine restarted under a request, the resume's 404 went to the caller as code 2010, and repeatable work that nobody had seen a part of was not run elsewhere (3 of 5 tests failed). A caller waiting for a whole answer had seen nothing either, but its work was given up once a token had come. Ruled out: patching another engine's tokens to a part that was sent. Change: unknown at the resume counts as broken; work runs anew while nothing went to the caller. docs/CONFIGURATION.md and docs/reference are made by make docs.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,10 @@
 	  copperloom/peers/peers.proto
 
 # Measurements; they take minutes and most of the machine's cores.
-.PHONY: soak capacity policies relay
+docs: install
+	$(BIN)/python -m copperloom.utils.reference
+
+.PHONY: docs soak capacity policies relay
 
 soak: install
 	$(BIN)/python -m copperloom.tests.soak --schedules 25 --seed 1
--- a/copperloom/cli/programs.py
+++ b/copperloom/cli/programs.py
@@ -4,10 +4,10 @@
 
 from copperloom import exception
 
-__all__ = ["find"]
+__all__ = ["PROGRAMS", "find"]
 
 # Loaded only when asked for: the command itself starts quickly.
-_PROGRAMS = {
+PROGRAMS = {
     "entry": ("copperloom.daemons.options", "EntrySettings"),
     "standin-engine": ("copperloom.standins.settings", "EngineSettings"),
     "standin-service": ("copperloom.standins.settings", "ServiceSettings"),
@@ -25,9 +25,9 @@
     Raises:
         copperloom.exception.SettingsError: There is no such program.
     """
-    if name not in _PROGRAMS:
+    if name not in PROGRAMS:
         raise exception.SettingsError(
-            f"no program {name}: one of {', '.join(_PROGRAMS)}"
+            f"no program {name}: one of {', '.join(PROGRAMS)}"
         )
-    module, cls = _PROGRAMS[name]
+    module, cls = PROGRAMS[name]
     return getattr(importlib.import_module(module), cls)
--- a/copperloom/filters/relay.py
+++ b/copperloom/filters/relay.py
@@ -74,8 +74,9 @@
         except exception.StreamBrokenError as error:
             # Work that may have run runs again only if that does no harm and
             # nobody has seen a part of the first answer.
-            if not ex.request.repeatable or ex.tokens:
+            if not ex.request.repeatable or ex.response is not None:
                 raise
+            ex.tokens = 0
             await _again(ex, error)
     await nxt(ex)
 
@@ -153,6 +154,11 @@
                 ex.run = before
                 raise
             tries = await _pause(attempt, tries)
+        except exception.StreamUnknownError as error:
+            # The engine restarted: nothing of the stream is left to resume.
+            raise exception.StreamBrokenError(
+                f"{attempt.target} lost the stream"
+            ) from error
         except exception.StreamBrokenError:
             ex.state.metrics.resumes.inc()
             tries = await _pause(attempt, tries)
