Records: old ones are swept, without ever hitting a new holder

Ruled out: removing a row on its version alone: removed and inserted again it has the same version, so a late or second removal would hit the next holder and let a key run twice.

--- a/copperloom/daemons/entry.py
+++ b/copperloom/daemons/entry.py
@@ -31,6 +31,7 @@
     orders,
     owners,
     reclaim,
+    sweep,
 )
 from copperloom.daemons import http, options
 from copperloom.daemons.state import EntryState
@@ -43,6 +44,7 @@
 _DRAIN_POLL_S = 0.02
 _KEEPALIVE_S = 75.0
 _STOP_S = 2.0
+_SWEEP_S = 2.0
 
 Step = Callable[[EntryState, float], Awaitable[None]]
 
@@ -57,6 +59,7 @@
         ("loads", loads.step, own.targets.load_poll_s),
         ("owners", owners.step, own.targets.reservation_s / 4),
         ("reclaim", reclaim.step, own.targets.reclaim_poll_s),
+        ("sweep", sweep.step, _SWEEP_S),
         ("orders", orders.step, orders.interval_s(state)),
     ]
 
--- a/copperloom/daemons/options.py
+++ b/copperloom/daemons/options.py
@@ -166,6 +166,13 @@
         low=0,
         high=1_000_000,
     )
+    record_retention_s: float = setting(
+        86_400.0,
+        "How long an idempotency record is kept; a key may run again after.",
+        unit="s",
+        low=600,
+        high=31_536_000,
+    )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/copperloom/daemons/state.py
+++ b/copperloom/daemons/state.py
@@ -8,7 +8,14 @@
 import time
 
 from copperloom import configuration, messages
-from copperloom.controllers import batch, cancels, member, orders, orphans
+from copperloom.controllers import (
+    batch,
+    cancels,
+    member,
+    orders,
+    orphans,
+    sweep,
+)
 from copperloom.daemons import metrics, options
 from copperloom.decisions import departures, reservation, scheduler
 from copperloom.platform.interface import Platform
@@ -46,6 +53,7 @@
         active: Requests in progress.
         waiting: Futures of queued requests, by request id.
         batcher: Gathers row writes into transactions.
+        sweep: Where the sweep of old idempotency records stands.
         background: Tasks that outlive their request; a stop waits for them.
         metrics: Counters and histograms of this entry.
         wake: Set when the dispatcher has something to look at.
@@ -92,6 +100,7 @@
         self.batcher = batch.Batcher(
             platform, timeout_s=settings.platform.timeout_s
         )
+        self.sweep = sweep.Sweep()
         self.background: set[asyncio.Task] = set()
         self.metrics = metrics.EntryMetrics()
         self.wake = asyncio.Event()
--- a/copperloom/tests/fakes.py
+++ b/copperloom/tests/fakes.py
@@ -4,7 +4,8 @@
 import types
 
 from copperloom import exception
-from copperloom.controllers import batch
+from copperloom.controllers import batch, sweep
+from copperloom.daemons import options
 from copperloom.platform.interface import Row, TransactResult
 
 __all__ = ["FakeTable", "record_state"]
@@ -43,6 +44,15 @@
             raise exception.PlatformUnknownError()
         return result
 
+    async def read(self, key, *, timeout_s):
+        """Returns a row, version 0 if there is none."""
+        return self.row(key)
+
+    async def scan(self, prefix, *, after="", limit=1000, timeout_s):
+        """Returns the rows after a key, in order."""
+        keys = [k for k in sorted(self.rows) if k.startswith(prefix)]
+        return [self.rows[k] for k in keys if k > after][:limit]
+
     def land(self) -> None:
         """Lets the late transactions take effect, if they still can."""
         late, self.late = self.late, []
@@ -60,6 +70,8 @@
         for write in writes:
             version = self.row(write.key).version + 1
             self.rows[write.key] = Row(write.key, write.value, version)
+            if write.value is None:
+                del self.rows[write.key]
         return TransactResult(True)
 
     def row(self, key: str) -> Row:
@@ -69,7 +81,14 @@
 
 def record_state(table: FakeTable) -> types.SimpleNamespace:
     """Returns what the idempotency records need of an entry's state."""
-    platform = types.SimpleNamespace(transact=table.transact)
+    platform = types.SimpleNamespace(
+        transact=table.transact, scan=table.scan, read=table.read
+    )
     return types.SimpleNamespace(
-        batcher=batch.Batcher(platform, timeout_s=1.0), background=set()
+        owner="a.b",
+        sweep=sweep.Sweep(),
+        platform=platform,
+        batcher=batch.Batcher(platform, timeout_s=1.0),
+        background=set(),
+        settings=types.SimpleNamespace(platform=options.PlatformSection()),
     )
