--- a/copperloom/experiments/capacity.py
+++ b/copperloom/experiments/capacity.py
@@ -48,7 +48,9 @@
     found |= _show("Controllers", control.controller_figures(size))
     if not args["--configuration"]:
         found |= _measure_wire()
-        _show_worked(worked.rows(_measured(found, size), size))
+        got = _measured(found, size)
+        for name, wanted in (("design", size), ("today", sizes.TODAY)):
+            _show_worked(name, worked.rows(got, wanted))
         for entries in args["--entries"].split(","):
             _show("Spread", asyncio.run(spread.spread_figures(int(entries))))
     print(f"took {time.monotonic() - begin:.0f} s")
@@ -93,8 +95,8 @@
     )
 
 
-def _show_worked(rows: list[worked.Row]) -> None:
-    print("\nWorked out for one entry at the size designed for")
+def _show_worked(name: str, rows: list[worked.Row]) -> None:
+    print(f"\nWorked out for one entry, size: {name}")
     print(
         f"  {'controller':18}{'what':36}{'1/s':>8}{'bytes/s':>10}"
         f"{'core %':>8}{'reads/s':>9}{'rows/s':>8}"
--- a/copperloom/experiments/sizes.py
+++ b/copperloom/experiments/sizes.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-__all__ = ["BUDGET", "DESIGN", "PLATFORM", "Budget", "Rates", "Sizes"]
+__all__ = ["BUDGET", "DESIGN", "PLATFORM", "TODAY", "Budget", "Rates", "Sizes"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,5 +65,17 @@
 
 
 DESIGN = Sizes()
+# The larger of today's two deployments; the requests are assumed.
+TODAY = Sizes(
+    daemons=9,
+    runners=20,
+    organisations=10,
+    models=1,
+    data_centres=3,
+    regions=1,
+    requests_per_s=50.0,
+    tokens_per_s=2_000.0,
+    changes_per_day=100.0,
+)
 BUDGET = Budget()
 PLATFORM = Rates()
