--- a/copperloom/tests/test_outcomes.py
+++ b/copperloom/tests/test_outcomes.py
@@ -155,6 +155,20 @@
         self.assertEqual(call.outcome, Outcome.ANSWERED)
         await trials.settle(self, self.trial)
 
+    async def test_replies_lost_for_good(self):
+        """The engine takes the work, and nothing of it ever comes back.
+
+        The entry can't read the answer by name either. The work may not run
+        again: its caller is told that it may have run, and no other engine
+        gets it.
+        """
+        self.fault(cut_down_after=0)
+        want = Ask("no way back", repeatable=False, limit_s=12)
+        call = await trials.ask(self.trial, "e0", want)
+        self.assertEqual(call.outcome, Outcome.MAY_HAVE_RUN)
+        trials.heal(self.system)
+        await trials.settle(self, self.trial)
+
     async def test_cut_towards_engines(self):
         """What the entry sends is swallowed on the way; nothing breaks.
 
@@ -216,6 +230,23 @@
         outcomes = {call.outcome for call in self.trial.history.calls}
         self.assertEqual(outcomes, {Outcome.ANSWERED})
 
+    async def test_one_answer_broken_many_times(self):
+        """A long answer's connection breaks again and again, for minutes.
+
+        It makes progress each time; the number of breaks is no reason to
+        give it up.
+        """
+        want = Ask("many breaks", tokens=200, limit_s=20)
+        task, seen, _ = await self.begin_stream(want)
+        for _ in range(8):
+            self.system.proxy.control(reset=True)
+            had = seen.text
+            await trials.until(
+                lambda had=had: seen.text != had or task.done(), 9, "progress"
+            )
+        self.assertEqual((await task).outcome, Outcome.ANSWERED)
+        await trials.settle(self, self.trial)
+
     async def test_callers_go_away(self):
         """Callers hang up in the middle, some before the engine was reached.
 
