--- a/copperloom/filters/relay.py
+++ b/copperloom/filters/relay.py
@@ -41,6 +41,7 @@
         target: Its name.
         delivered: Answer tokens taken over so far.
         final: Why the answer ended; "" while it has not.
+        resumed_from: Tokens taken over when it was resumed last.
         taken: Whether a resume got pieces, and so this entry owns it.
     """
 
@@ -49,6 +50,7 @@
         self.address = address
         self.target = target
         self.delivered = 0
+        self.resumed_from = 0
         self.final = ""
         self.taken = False
 
@@ -72,8 +74,9 @@
         except exception.StreamBrokenError as error:
             # Work that may have run runs again only if that does no harm and
             # nobody has seen a part of the first answer.
-            if not ex.request.repeatable or ex.tokens:
+            if not ex.request.repeatable or ex.response is not None:
                 raise
+            ex.tokens = 0
             await _again(ex, error)
     await nxt(ex)
 
@@ -151,6 +154,11 @@
                 ex.run = before
                 raise
             tries = await _pause(attempt, tries)
+        except exception.StreamUnknownError as error:
+            # The engine restarted: nothing of the stream is left to resume.
+            raise exception.StreamBrokenError(
+                f"{attempt.target} lost the stream"
+            ) from error
         except exception.StreamBrokenError:
             ex.state.metrics.resumes.inc()
             tries = await _pause(attempt, tries)
@@ -160,7 +168,14 @@
 
 
 async def _pause(attempt: _Attempt, tries: int) -> int:
-    """Waits before the next try to resume; gives up after the last."""
+    """Waits before the next try to resume; gives up after the last.
+
+    Tries count from the last token that came: a long answer may break any
+    number of times, as long as it makes progress.
+    """
+    if attempt.delivered > attempt.resumed_from:
+        attempt.resumed_from = attempt.delivered
+        tries = 0
     if tries >= _RESUME_TRIES:
         raise exception.StreamBrokenError(f"{attempt.target} is lost")
     await asyncio.sleep(min(_RESUME_FIRST_S * 2**tries, _RESUME_MOST_S))
