Orders: test of a write that lands late; one fake table

Cause: a second fake of the table stood beside copperloom/tests/fakes.py. Change: the orders' tests use that one, which also reads and gives permits; a lease write that lands after another took the lease has no effect (test).

--- a/copperloom/controllers/tests/engines.py
+++ b/copperloom/controllers/tests/engines.py
@@ -2,15 +2,13 @@
 
 import asyncio
 
-from copperloom import configuration, exception, messages
+from copperloom import configuration, messages
 from copperloom.controllers import owners
 from copperloom.daemons import options
 from copperloom.daemons.state import EntryState
-from copperloom.platform import interface
 from copperloom.standins.tests import fixtures
 
 __all__ = [
-    "FakeTable",
     "configuration_of",
     "entry_state",
     "placement",
@@ -21,43 +19,6 @@
 DEAD_S = 0.5
 
 
-class FakeTable:
-    """The table service in memory, with the faults that leases must bear.
-
-    Attributes:
-        rows: By key.
-        lose_confirmations: Writes to come that take effect, but whose
-            confirmation is lost.
-        weights: Permits of the weight store taken.
-    """
-
-    def __init__(self):
-        self.rows: dict[str, interface.Row] = {}
-        self.lose_confirmations = 0
-        self.weights = 0
-
-    async def read(self, key, *, timeout_s):
-        return self.rows.get(key, interface.Row(key, None, 0))
-
-    async def transact(self, conditions, writes, *, timeout_s):
-        rows = [await self.read(c.key, timeout_s=0) for c in conditions]
-        pairs = zip(rows, conditions, strict=True)
-        if any(row.version != want.version for row, want in pairs):
-            return interface.TransactResult(False, tuple(rows))
-        for write in writes:
-            old = await self.read(write.key, timeout_s=0)
-            self.rows[write.key] = interface.Row(
-                write.key, write.value, old.version + 1
-            )
-        if self.lose_confirmations:
-            self.lose_confirmations -= 1
-            raise exception.PlatformUnknownError
-        return interface.TransactResult(True)
-
-    async def acquire_weights(self, count, *, timeout_s):
-        self.weights += count
-
-
 async def start_engines(case, count: int, **changes) -> dict:
     """Starts engines; returns their servers by target name."""
     return {
--- a/copperloom/controllers/tests/test_orders.py
+++ b/copperloom/controllers/tests/test_orders.py
@@ -11,6 +11,7 @@
 from copperloom.standins import control
 from copperloom.standins.tests import fixtures
 from copperloom.targets import interface
+from copperloom.tests import fakes
 
 _LEASE_S = 0.8
 
@@ -28,7 +29,7 @@
         )
         patch.start()
         self.addCleanup(patch.stop)
-        self.table = engines.FakeTable()
+        self.table = fakes.FakeTable()
 
     async def _start(self, **changes):
         (self.engine,) = (
@@ -108,11 +109,22 @@
 
     async def test_lost_confirmation_is_found_again(self):
         await self._start()
-        self.table.lose_confirmations = 1
+        self.table.faults = ["lost"]
         self.assertFalse(await self._give(0, "long"))
         self.assertTrue(await self._give(0, "long"))
         self.assertEqual(self.table.rows["lease/g0"].value["fencing"], 1)
 
+    async def test_write_that_lands_late(self):
+        # The first entry's write hangs in the network, and a second entry
+        # takes the lease meanwhile. The late write must not take it back.
+        await self._start()
+        self.table.faults = ["late"]
+        self.assertFalse(await self._give(0, "long"))
+        self.assertTrue(await self._give(1, "short"))
+        self.table.land()
+        self.assertFalse(await self._give(0, "long"))
+        self.assertEqual(self._role(), "short")
+
     async def test_two_that_write_at_once(self):
         # Both read the free row before either writes.
         await self._start()
--- a/copperloom/tests/fakes.py
+++ b/copperloom/tests/fakes.py
@@ -20,6 +20,7 @@
             takes effect), "lost" (takes effect, confirmation lost), "late"
             (confirmation lost, takes effect when `land` is called), "" (none).
         late: Transactions that have not landed yet.
+        weights: Permits of the weight store taken.
     """
 
     def __init__(self):
@@ -27,6 +28,7 @@
         self.transactions = 0
         self.faults: list[str] = []
         self.late: list[tuple] = []
+        self.weights = 0
 
     async def transact(self, conditions, writes, *, timeout_s):
         """Does what the platform's `transact` does, or the next fault."""
@@ -43,6 +45,14 @@
             raise exception.PlatformUnknownError()
         return result
 
+    async def read(self, key, *, timeout_s):
+        """Does what the platform's `read` does."""
+        return self.row(key)
+
+    async def acquire_weights(self, count, *, timeout_s):
+        """Does what the platform's `acquire_weights` does, without a rate."""
+        self.weights += count
+
     def land(self) -> None:
         """Lets the late transactions take effect, if they still can."""
         late, self.late = self.late, []
