Reclaim: streams of this instance's earlier boots; silent boots forgotten

Cause: an entry never heard itself, so a connection that an earlier boot of its own left half-open kept its stream as read until the answer's end; and the times of heard boots grew by one a restart for ever. Change: the own boot is noted at each step; boots silent for two hours are dropped. A test of the weight store's rate besides. Forgetting is not tested.

--- a/copperloom/controllers/orphans.py
+++ b/copperloom/controllers/orphans.py
@@ -10,6 +10,10 @@
 __all__ = ["Owners", "is_orphan", "note"]
 
 
+# Far longer than any `dead_s` that makes sense.
+_FORGET_S = 7200.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Seen:
     boot: str
@@ -41,10 +45,18 @@
     if seen is None or seen.boot != boot:
         if seen is None or seen.last < at:
             owners.current[instance] = _Seen(boot, at, at)
+            _forget(owners, at - _FORGET_S)
     elif seen.last < at:
         owners.current[instance] = dataclasses.replace(seen, last=at)
 
 
+def _forget(owners: Owners, before: float) -> None:
+    """Drops boots long silent; unknown ones count as silent just the same."""
+    for name, at in list(owners.heard.items()):
+        if at < before:
+            del owners.heard[name]
+
+
 def is_orphan(
     owners: Owners, info: StreamInfo, now: float, *, dead_s: float
 ) -> bool:
--- a/copperloom/controllers/reclaim.py
+++ b/copperloom/controllers/reclaim.py
@@ -67,7 +67,7 @@
 async def step(state: EntryState, now: float) -> None:
     """Tries unconfirmed cancels again and looks through owned engines."""
     _run_due(state, now)
-    _hear(state)
+    _hear(state, now)
     targets = state.cfg.targets
     # The books that the owners controller keeps name the engines owned.
     engines = [targets[n] for n in state.book.ledgers if n in targets]
@@ -95,8 +95,14 @@
     return task
 
 
-def _hear(state: EntryState) -> None:
-    """Takes over when the members controller last heard each peer."""
+def _hear(state: EntryState, now: float) -> None:
+    """Takes over when the members controller last heard each peer.
+
+    This boot too, so that streams of an earlier boot of this instance count
+    as left behind like those of others.
+    """
+    instance = state.settings.entry.instance
+    orphans.note(state.orphans, instance, state.boot, now)
     for name, member in state.members.items():
         if member.boot:
             orphans.note(state.orphans, name, member.boot, member.heard_at)
--- a/copperloom/controllers/tests/test_orders.py
+++ b/copperloom/controllers/tests/test_orders.py
@@ -201,6 +201,16 @@
         self.assertEqual([o["value"] for o in given], ["m"])
         self.assertGreaterEqual(self.table.weights, 1)
 
+    async def test_weight_store_over_its_rate(self):
+        await self._start()
+        limited = exception.RateLimitedError(retry_after_s=30.0)
+        self.table.acquire_weights = mock.AsyncMock(side_effect=limited)
+        state = self.states[0]
+        await self._load_until(lambda: "g0" in state.orders.not_before)
+        wait_s = state.orders.not_before["g0"] - _now()
+        self.assertTrue(20.0 < wait_s < 46.0, wait_s)
+        self.assertEqual(self.engine.truth()["orders"], [])
+
     async def _load_until(self, condition):
         end = _now() + 10.0
         while not condition():
--- a/copperloom/controllers/tests/test_reclaim.py
+++ b/copperloom/controllers/tests/test_reclaim.py
@@ -147,6 +147,18 @@
         await sources[1].aclose()
         await _steps(state, lambda: not _used(engine))
 
+    async def test_connection_left_by_an_earlier_boot(self):
+        # The machine of this instance vanished without a word and came back.
+        # The engine still counts the old connection as a reader.
+        engine = await fixtures.start_engine(self, **_SLOW)
+        address = engine.addresses["listen"]
+        state = await engines.entry_state(self, {"g0": address})
+        req = fixtures.ask("s", owner="e0.old", **_LONG)
+        source = state.targets.open(address, req, timeout_s=_LIMIT_S)
+        await anext(source)
+        await _steps(state, lambda: not _used(engine))
+        await source.aclose()
+
     def test_conditions(self):
         # Times: this entry listens since 0; it is 100 now; gone after 15 s.
         def orphan(*, attached=False, idle_s=50.0, heard=(), now=100.0):
