Owners: members are looked through once for all engines

Cause: at 1,400 engines and 370 members the owners controller spent 148 ms each 2.5 s, 6 in 100 of a core, against 2.7 for all control; found by a trial at that size. Change: one pass over the members, then each engine is hashed with the members of its data centre. The capacity command measures the new function.

--- a/copperloom/controllers/owners.py
+++ b/copperloom/controllers/owners.py
@@ -23,6 +23,7 @@
 __all__ = [
     "give_back",
     "grant",
+    "owned",
     "owner_of",
     "release",
     "reserve",
@@ -43,21 +44,28 @@
     shortest way to it; all members if there are none.
     """
     tgt = state.cfg.targets.get(target)
-    centre = tgt.data_centre if tgt else ""
-    own = state.settings.entry
-    found = [(m.instance, m.data_centre) for m in member.live(state, now)]
-    if not state.draining or not found:
-        found.append((own.instance, own.data_centre))
-    names = [name for name, where in found if where == centre]
-    names = names or [name for name, _ in found]
-    return max(
-        names, key=lambda n: xxhash.xxh64_intdigest(f"{n}/{target}".encode())
-    )
+    return _choose(_candidates(state, now), target, tgt)
+
+
+def owned(state, now: float) -> dict[str, configuration.Target]:
+    """Returns the engines whose reservations this entry keeps, by name.
+
+    Cost: the members are looked through once, and each engine is hashed with
+    the members of its data centre only.
+    """
+    own = state.settings.entry.instance
+    candidates = _candidates(state, now)
+    return {
+        tgt.name: tgt
+        for tgt in state.cfg.targets.values()
+        if tgt.kind is configuration.TargetKind.ENGINE
+        and _choose(candidates, tgt.name, tgt) == own
+    }
 
 
 async def step(state, now: float) -> None:
     """Opens and closes books as owners change, and renews what is in flight."""
-    mine = _owned(state, now)
+    mine = owned(state, now)
     for target in state.book.ledgers.keys() - mine.keys():
         reservation.close_target(state.book, target)
         event("owner_closed", target=target)
@@ -145,14 +153,28 @@
     return sorted(zip(placement.targets, placement.tokens, strict=True))
 
 
-def _owned(state, now: float) -> dict[str, configuration.Target]:
-    own = state.settings.entry.instance
-    return {
-        tgt.name: tgt
-        for tgt in state.cfg.targets.values()
-        if tgt.kind is configuration.TargetKind.ENGINE
-        and owner_of(state, tgt.name, now) == own
-    }
+def _candidates(state, now: float) -> dict[str, list[bytes]]:
+    """Returns who may own targets, by data centre; "" holds all of them."""
+    own = state.settings.entry
+    found = [(m.instance, m.data_centre) for m in member.live(state, now)]
+    if not state.draining or not found:
+        found.append((own.instance, own.data_centre))
+    candidates: dict[str, list[bytes]] = {}
+    for name, centre in found:
+        candidates.setdefault(centre, []).append(name.encode())
+    candidates[""] = [name.encode() for name, _ in found]
+    return candidates
+
+
+def _choose(
+    candidates: dict[str, list[bytes]],
+    target: str,
+    tgt: configuration.Target | None,
+) -> str:
+    centre = tgt.data_centre if tgt else ""
+    names = candidates.get(centre) or candidates[""]
+    suffix = b"/" + target.encode()
+    return max(names, key=lambda n: xxhash.xxh64_intdigest(n + suffix)).decode()
 
 
 async def _reserve_one(state, placement, target, tokens, now) -> None:
--- a/copperloom/controllers/tests/test_owners.py
+++ b/copperloom/controllers/tests/test_owners.py
@@ -85,6 +85,10 @@
             for t in self.fleet[0].cfg.targets
         }
         self.assertGreater(len(names), 1)
+        now = time.monotonic()
+        owned = [set(owners.owned(e, now)) for e in self.fleet]
+        self.assertEqual(sum(map(len, owned)), len(self.fleet[0].cfg.targets))
+        self.assertEqual(set.union(*owned), set(self.fleet[0].cfg.targets))
 
     async def test_memory_is_not_promised_twice(self):
         """Two entries want more of one engine than it has.
--- a/copperloom/experiments/control.py
+++ b/copperloom/experiments/control.py
@@ -78,12 +78,8 @@
     state = state_of(size, now)
     own = state.settings.entry.instance
 
-    def own_all() -> None:
-        for name in state.cfg.targets:
-            owners.owner_of(state, name, now)
-
     work = {
-        "owners of all targets": own_all,
+        "owners of all targets": lambda: owners.owned(state, now),
         "choice of the engines watched": lambda: loads.watched(state.cfg, own),
         "configuration taken over by the scheduler": lambda: (
             scheduler.set_configuration(state.sched, state.cfg, now)
