--- a/copperloom/decisions/load.py
+++ b/copperloom/decisions/load.py
@@ -13,6 +13,8 @@
     "TargetLoad",
     "add",
     "kv_in_use",
+    "long_kv_in_use",
+    "prefill_tokens",
     "remove",
     "started",
     "take_report",
@@ -55,6 +57,7 @@
         failures: Failures in a row.
         ejections: Ejections in a row.
         ejected_until: Monotonic time until which it gets no work.
+        denials: Refusals of memory in a row by its owner.
         full_until: Monotonic time until which it gets no long work.
     """
 
@@ -80,6 +83,7 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = float("-inf")
+    denials: int = 0
     full_until: float = float("-inf")
 
 
@@ -175,9 +179,32 @@
     )
 
 
+def prefill_tokens(tgt: TargetLoad, now: float) -> float:
+    """Estimates the prompt tokens of all entries that wait for prefill."""
+    own = tgt.prefill_tokens + tgt.long_prefill_tokens
+    if tgt.report is None:
+        return own + tgt.peer_prefill_tokens
+    weight = 0.5 ** (max(0.0, now - tgt.reported_at) / REPORT_HALF_LIFE_S)
+    seen = tgt.report.prefill_tokens * weight
+    return max(own + tgt.peer_prefill_tokens, seen)
+
+
 def kv_in_use(tgt: TargetLoad) -> int:
     """Estimates the KV tokens in use: the last report and our work since."""
     if tgt.report is None:
         return tgt.held_tokens
     since = max(0, tgt.held_tokens - tgt.held_at_report)
     return max(tgt.held_tokens, tgt.report.kv_used + since)
+
+
+def long_kv_in_use(tgt: TargetLoad, short_tokens: int) -> int:
+    """Estimates the KV tokens that long work of all entries holds.
+
+    A report tells the tokens and the streams but not whose they are; each
+    stream is taken for a short one of `short_tokens`, and what is held beyond
+    is long work's.
+    """
+    if tgt.report is None:
+        return tgt.long_tokens
+    beyond = tgt.report.kv_used - tgt.report.running * short_tokens
+    return max(tgt.long_tokens, beyond)
