--- a/copperloom/tests/processes.py
+++ b/copperloom/tests/processes.py
@@ -250,7 +250,11 @@
             "dead_s": 2.0,
             "confirm_s": 2.0,
         },
-        "targets": {"load_poll_s": 0.1, "reclaim_poll_s": 0.3},
+        "targets": {
+            "load_poll_s": 0.1,
+            "reclaim_poll_s": 0.3,
+            "reservation_s": 1.0,
+        },
     }
     for section, values in sections.items():
         merged[section] = merged.get(section, {}) | values
--- a/copperloom/tests/systems.py
+++ b/copperloom/tests/systems.py
@@ -57,6 +57,7 @@
     proxies: tuple[str, ...] = (),
     engine: dict | None = None,
     entry: dict[str, dict] | None = None,
+    short_floor: float = 0.4,
 ) -> System:
     """Starts a system and waits until its entries serve.
 
@@ -69,6 +70,7 @@
             each entry), "engines", "services".
         engine: Settings of the engines.
         entry: Settings of the entries by section.
+        short_floor: The presets' share of engines kept free of long work.
     """
     system = System(
         processes.launch(
@@ -89,7 +91,7 @@
         {},
     )
     _launch_proxy(case, system, entries, proxies)
-    seed_configuration(system)
+    seed_configuration(system, short_floor)
     for i in range(entries):
         add_entry(case, system, f"e{i}", entry or {})
     for process in system.entries.values():
@@ -155,9 +157,11 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
-def seed_configuration(system: System) -> None:
+def seed_configuration(system: System, short_floor: float) -> None:
     """Writes version 1 straight into the platform's table."""
-    puts = [configuration.encode_entity(e) for e in _entities(system)]
+    puts = [
+        configuration.encode_entity(e) for e in _entities(system, short_floor)
+    ]
     change = configuration.Change(
         1, "seed", "tests", tuple(puts), wall_time_s=time.time()
     )
@@ -182,7 +186,7 @@
     return reply["committed"]
 
 
-def _entities(system: System) -> list:
+def _entities(system: System, short_floor: float) -> list:
     out = [
         configuration.Organisation(name, digest(token_of(name)))
         for name in ORGANISATIONS
@@ -192,7 +196,7 @@
         configuration.Deployment(SERVICE, configuration.TargetKind.SERVICE)
     )
     for name in ("ordinary", "peak"):
-        out.append(configuration.Preset(name))
+        out.append(configuration.Preset(name, short_floor=short_floor))
     out.append(configuration.PresetInForce("ordinary"))
     for name in system.engines:
         out.append(target(system, name))
