Freshness: an entry that knows nobody yet is no majority

Cause: an entry that had just started and was then cut off knew no member, took itself for the whole fleet (1 of 1) and admitted for ever under the version that it had: seen in a trial of test_changes.test_entry_cut_from_all, still admitting after 6 s with confirm_s of 2 s, status contacts 1 known_members 1. Change: alone counts as a majority only once the platform's list has named this boot of the entry, and so is new enough to name who was there before. test_stale_entry_refuses_at_once said that alone is always enough; it now demands both halves. An entry that the list names before any other entry of the fleet, and that is cut off for good at that moment, still goes on alone; with no known size of the fleet it can't be told from a fleet of one.

--- a/copperloom/controllers/config.py
+++ b/copperloom/controllers/config.py
@@ -145,6 +145,7 @@
         told_version=max((m.version for m in members), default=0),
         contacts=len(contacts) + 1,
         members=known,
+        listed=state.membership.listed_self,
     )
 
 
--- a/copperloom/controllers/member.py
+++ b/copperloom/controllers/member.py
@@ -59,6 +59,7 @@
         tasks: Calls under way by name, so that no call is made twice at once.
         looked_at: When reading the platform's list was last begun.
         listed_at: When a reading that worked was begun.
+        listed_self: Whether a reading named this boot of this instance.
         listed_leaving: Targets that the list names as leaving.
         rounds: Steps made.
     """
@@ -69,6 +70,7 @@
         self.tasks: dict[str, asyncio.Task] = {}
         self.looked_at = _NEVER
         self.listed_at = _NEVER
+        self.listed_self = False
         self.listed_leaving: frozenset[str] = frozenset()
         self.rounds = 0
 
--- a/copperloom/controllers/members.py
+++ b/copperloom/controllers/members.py
@@ -80,6 +80,10 @@
     for row in rows:
         if row.kind == "entry" and row.name != own.instance:
             _note_row(state, row, now)
+        # The address tells this boot from an earlier one, which the list may
+        # still show.
+        if row.name == own.instance and row.address == state.peers_address:
+            state.membership.listed_self = True
 
 
 def _note_row(state, row: interface.InstanceRow, now: float) -> None:
--- a/copperloom/controllers/tests/test_config.py
+++ b/copperloom/controllers/tests/test_config.py
@@ -149,6 +149,9 @@
         now = time.monotonic()
         config.may_admit(self.entry, now)
         late = now + self.entry.settings.membership.confirm_s + 1
+        with self.assertRaises(exception.StaleConfigurationError):
+            config.may_admit(self.entry, late)  # Not known to be the only one.
+        self.entry.membership.listed_self = True
         config.may_admit(self.entry, late)  # Alone is more than half of one.
         self.entry.members["b"] = _Silent()
         with self.assertRaises(exception.StaleConfigurationError) as caught:
--- a/copperloom/decisions/freshness.py
+++ b/copperloom/decisions/freshness.py
@@ -21,6 +21,8 @@
         told_version: Greatest version that any member told of.
         contacts: Members that answered lately, this one included.
         members: Members known, this one included.
+        listed: Whether the platform's list has named this entry, and so is
+            new enough to name the others too.
     """
 
     loaded: bool
@@ -29,6 +31,7 @@
     told_version: int
     contacts: int
     members: int
+    listed: bool = True
 
 
 def has_majority(contacts: int, members: int) -> bool:
@@ -65,6 +68,10 @@
         return (
             f"version {evidence.told_version} is in force and not fetched yet"
         )
+    if evidence.contacts == 1 and not evidence.listed:
+        # An entry that has just started knows nobody and would take itself
+        # for the whole fleet, for as long as it is cut off.
+        return "in contact with nobody and not named in any list of instances"
     if has_majority(evidence.contacts, evidence.members):
         return None
     return (
--- a/copperloom/decisions/tests/test_freshness.py
+++ b/copperloom/decisions/tests/test_freshness.py
@@ -38,5 +38,13 @@
     def test_majority_that_knows_a_newer_version_waits_for_it(self):
         self.assertTrue(_refused(contacts=9, told_version=6))
 
+    def test_only_member_goes_on(self):
+        self.assertFalse(_refused(contacts=1, members=1))
+
+    def test_entry_that_knows_nobody_yet_is_no_majority(self):
+        """It has just started: the list is too old to name anybody."""
+        self.assertTrue(_refused(contacts=1, members=1, listed=False))
+        self.assertFalse(_refused(contacts=2, members=3, listed=False))
+
     def test_nothing_loaded_stops(self):
         self.assertTrue(_refused(loaded=False, confirmed_at=_NOW))
--- a/copperloom/tests/test_changes.py
+++ b/copperloom/tests/test_changes.py
@@ -146,10 +146,16 @@
         Operators may change anything without it. It stops admitting before
         a change could be promised to be in force, and says "not run".
         """
+        e2 = self.system.entries["e2"]
+        await trials.until(
+            lambda: trials.admin(e2, "GET", "status")["known_members"] >= 3,
+            _SPREAD_S,
+            "e2 knows the others",
+        )
         trials.fault(self, self.system, "platform-e2", refuse=True, reset=True)
         with trials.frozen(self.trial, "e0"), trials.frozen(self.trial, "e1"):
             await trials.until(
-                lambda: not trials.admits(self.system.entries["e2"]),
+                lambda: not trials.admits(e2),
                 _STOP_ADMITTING_S,
                 "e2 stops admitting",
             )
@@ -158,10 +164,30 @@
             self.assertEqual(call.code, _STALE)
         trials.heal(self.system)
         await trials.until(
-            lambda: trials.admits(self.system.entries["e2"]),
-            _SPREAD_S,
-            "e2 admits again",
+            lambda: trials.admits(e2), _SPREAD_S, "e2 admits again"
+        )
+        await trials.settle(self, self.trial)
+
+    async def test_entry_that_knows_nobody(self):
+        """An entry has just started when the platform goes down.
+
+        The list of instances was too old to name anybody, so it is alone to
+        its knowledge. It must not take itself for the whole fleet: the others
+        may accept a change once the platform is back for them.
+        """
+        platform = self.system.platform
+        platform.control(list_lag_s=60)
+        self.addCleanup(platform.control, list_lag_s=0.3, outage=[])
+        await trials.extra_entry(self, self.trial, "e8")
+        platform.control(outage=["table", "instances", "objects"])
+        e8 = self.system.entries["e8"]
+        await trials.until(
+            lambda: not trials.admits(e8), _STOP_ADMITTING_S, "e8 stops"
         )
+        for entry in _ENTRIES:
+            self.assertTrue(trials.admits(self.system.entries[entry]))
+        platform.control(outage=[])
+        await trials.until(lambda: trials.admits(e8), _SPREAD_S, "e8 admits")
         await trials.settle(self, self.trial)
 
     async def test_platform_lists_a_target_as_leaving(self):
