--- a/copperloom/daemons/state.py
+++ b/copperloom/daemons/state.py
@@ -8,7 +8,14 @@
 import time
 
 from copperloom import configuration, messages
-from copperloom.controllers import batch, cancels, member, orders, orphans
+from copperloom.controllers import (
+    batch,
+    cancels,
+    member,
+    orders,
+    orphans,
+    sweep,
+)
 from copperloom.daemons import metrics, options
 from copperloom.decisions import departures, reservation, scheduler
 from copperloom.platform.interface import Platform
@@ -46,6 +53,7 @@
         active: Requests in progress.
         waiting: Futures of queued requests, by request id.
         batcher: Gathers row writes into transactions.
+        sweep: Where the sweep of old idempotency records stands.
         background: Tasks that outlive their request; a stop waits for them.
         metrics: Counters and histograms of this entry.
         wake: Set when the dispatcher has something to look at.
@@ -54,6 +62,7 @@
         orphans: Boots of other entries, to tell whose streams are left.
         reports: Newest load report by target.
         polling: Targets whose load report is asked for now.
+        polled_at: When each target's load report was last asked for.
         orders: Orders given to engines, and the leases for them.
     """
 
@@ -92,6 +101,7 @@
         self.batcher = batch.Batcher(
             platform, timeout_s=settings.platform.timeout_s
         )
+        self.sweep = sweep.Sweep()
         self.background: set[asyncio.Task] = set()
         self.metrics = metrics.EntryMetrics()
         self.wake = asyncio.Event()
@@ -100,6 +110,7 @@
         self.orphans = orphans.Owners(time.monotonic())
         self.reports: dict[str, LoadReport] = {}
         self.polling: set[str] = set()
+        self.polled_at: dict[str, float] = {}
         self.orders = orders.Orders()
         self._sequence = itertools.count(1)
 
