Entry: a stop takes in what is on the way before it closes sockets

Change: the loop takes in what has come before a socket closes; the entry lingers 0.3 s after the last request, since a connection accepted last has its request on the way.

--- a/copperloom/daemons/entry.py
+++ b/copperloom/daemons/entry.py
@@ -42,6 +42,11 @@
 __all__ = ["EntryService", "main", "start"]
 
 _DRAIN_POLL_S = 0.02
+# Accepting a connection, reading from it and starting its request take five.
+_TAKE_IN_TURNS = 10
+# A connection accepted last has its request on the way; many times the round
+# trip between a caller and an entry.
+_LINGER_S = 0.3
 _KEEPALIVE_S = 75.0
 _STOP_S = 2.0
 _SWEEP_S = 2.0
@@ -137,13 +142,28 @@
     own = state.settings.entry
     end = loop.time() + own.drain_limit_s
     await asyncio.sleep(own.drain_lag_s)
+    await _take_in()
     await stop_listening()
-    while state.active and loop.time() < end:
+    quiet_since = loop.time()
+    while loop.time() < min(end, quiet_since + _LINGER_S):
         await asyncio.sleep(_DRAIN_POLL_S)
+        await _take_in()
+        if state.active:
+            quiet_since = loop.time()
     if state.active:
         logs.event("drain_limit", level="ERROR", cut=state.active)
 
 
+async def _take_in() -> None:
+    """Lets the loop take in what has come over the network by now.
+
+    Closing a socket resets the connections that wait to be accepted and the
+    requests that wait to be read; their callers would see a cut.
+    """
+    for _ in range(_TAKE_IN_TURNS):
+        await asyncio.sleep(0)
+
+
 async def _listen(
     state: EntryState,
 ) -> tuple[web.AppRunner, web.TCPSite, str]:
