--- a/copperloom/controllers/member.py
+++ b/copperloom/controllers/member.py
@@ -74,6 +74,7 @@
         announced_at: When this instance was last announced.
         looked_at: When reading the platform's list was last begun.
         listed_at: When a reading that worked was begun.
+        listed_self: Whether a reading named this boot of this instance.
         listed_leaving: Targets that the list names as leaving.
         rounds: Steps made.
     """
@@ -85,6 +86,7 @@
         self.announced_at = _NEVER
         self.looked_at = _NEVER
         self.listed_at = _NEVER
+        self.listed_self = False
         self.listed_leaving: frozenset[str] = frozenset()
         self.rounds = 0
 
