Soak: a balancer that stops sending, entries found once they serve

Change: calls go elsewhere 0.3 s after a planned stop's signal; a new boot is called once it serves. The checkers are as before.

--- a/copperloom/tests/schedules.py
+++ b/copperloom/tests/schedules.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
 import random
 import time
@@ -22,6 +21,8 @@
 _RECOVERY_S = 30.0
 _STOP_LIMIT_S = 30.0
 _LONG_TOKENS = 2000
+# Under the 0.5 s of drain_lag_s in tests.
+_BALANCER_LAG_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,12 +116,26 @@
         want = _draw_call(rng, f"{seed}-{number}")
         entries = sorted(trial.system.entries)
         copies = 2 if want.key and rng.random() < 0.6 else 1
-        for entry in rng.sample(entries, copies):
+        for drawn in rng.sample(entries, copies):
+            entry = _balanced(trial, drawn)
             gone_s = rng.uniform(0, 1) if rng.random() < 0.15 else None
             call = _call(trial, rng.choice(entries), entry, want, gone_s)
             trial.tasks.append(asyncio.create_task(call))
 
 
+def _balanced(trial: trials.Trial, drawn: str) -> str:
+    """Returns the entry that the platform's balancer would take.
+
+    It goes on sending to a stopping entry for a while, less than that entry's
+    drain_lag_s, as the operators' page demands.
+    """
+    told = trial.leaving.get(drawn)
+    if told is None or time.monotonic() - told < _BALANCER_LAG_S:
+        return drawn
+    others = [e for e in sorted(trial.system.entries) if e not in trial.leaving]
+    return others[0] if others else drawn
+
+
 def _draw_call(rng: random.Random, name: str) -> callers.Ask:
     keyed = rng.random() < 0.5
     service = rng.random() < 0.4
@@ -173,33 +188,46 @@
 async def _kill_entry(case, trial, rng, lasts_s) -> None:
     name = _entry(trial, rng)
     since = time.monotonic()
+    if not trial.system.entries[name].running():
+        return
     trial.system.entries[name].kill()
     await _replace(case, trial, name, since)
 
 
 async def _replace(case, trial, name, since: float) -> None:
     """Starts a new boot of an entry that was killed."""
-    process = systems.add_entry(case, trial.system, name, {})
-    with contextlib.suppress(AssertionError):
-        await trials.until(
-            lambda: trials.admits(process), _RECOVERY_S, f"{name} serves"
-        )
+    await _start_again(case, trial, name)
     fault = history.Fault(name, since, time.monotonic())
     trial.history.faults.append(fault)
 
 
+async def _start_again(case, trial, name) -> None:
+    """Starts a new boot of an entry; callers find it once it serves."""
+    ended = trial.system.entries[name]
+    process = systems.add_entry(case, trial.system, name, {})
+    trial.system.entries[name] = ended
+    await trials.until(
+        lambda: trials.admits(process), _RECOVERY_S, f"{name} serves"
+    )
+    trial.system.entries[name] = process
+    trial.leaving.pop(name, None)
+
+
 async def _stop_entry(case, trial, rng, lasts_s) -> None:
     name = _entry(trial, rng)
     process = trial.system.entries[name]
     since = time.monotonic()
+    if not process.running() or name in trial.leaving:
+        return
     process.terminate()
+    trial.leaving[name] = since
     await trials.until(
         lambda: not process.running(), _STOP_LIMIT_S, f"{name} ended"
     )
     stop = history.PlannedStop(name, since, time.monotonic())
     trial.history.stops.append(stop)
     if trial.system.entries[name] is process:
-        systems.add_entry(case, trial.system, name, {})
+        await _start_again(case, trial, name)
 
 
 async def _freeze_target(case, trial, rng, lasts_s) -> None:
--- a/copperloom/tests/trials.py
+++ b/copperloom/tests/trials.py
@@ -38,12 +38,14 @@
         session: The callers' HTTP client.
         history: What was seen.
         tasks: Calls begun.
+        leaving: Entries told to stop, with the time.
     """
 
     system: systems.System
     session: aiohttp.ClientSession
     history: history.History
     tasks: list[asyncio.Task] = dataclasses.field(default_factory=list)
+    leaving: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 async def start_trial(case, system: systems.System) -> Trial:
