Admission: nothing is refused for a guess of its length

Change: the predicted stay is 0 while nothing was seen; what can't finish is judged by the prompt alone.

--- a/copperloom/decisions/admission.py
+++ b/copperloom/decisions/admission.py
@@ -3,7 +3,7 @@
 import random
 
 from copperloom import configuration, messages
-from copperloom.decisions import concurrency, fairqueue, load
+from copperloom.decisions import fairqueue, load
 from copperloom.decisions import pool as pool_module
 
 __all__ = [
@@ -57,10 +57,14 @@
 
 
 def run_s(pool: pool_module.Pool, cost: int, *, long: bool) -> float:
-    """Predicts how long a request stays at its target."""
+    """Predicts how long a request stays at its target.
+
+    0 while nothing has been seen: a guess would refuse work for which an idle
+    engine has all the time that it needs.
+    """
     stay = pool.long_stay if long else pool.short_stay
     if stay.samples == 0:
-        return (cost + concurrency.OVERHEAD_TOKENS) * pool.pace.quick_s
+        return 0.0
     if long:
         return stay.seconds * cost / max(stay.cost, 1.0)
     return stay.seconds
@@ -117,8 +121,12 @@
 def doomed(
     pool: pool_module.Pool, req: messages.Request, now: float, *, long: bool
 ) -> bool:
-    """Tells whether a queued request can't finish any more."""
-    needed = DOOMED_SHARE * run_s(pool, cost_of(req), long=long)
+    """Tells whether a queued request can't finish any more.
+
+    Only the prompt is counted: the answer's tokens are a bound that callers
+    set high and few answers reach.
+    """
+    needed = DOOMED_SHARE * run_s(pool, max(1, req.prompt_tokens), long=long)
     return now + needed > req.deadline
 
 
