Members: digests and list readings grow less than the fleet

Cause: docs/CAPACITY.md: at 370 entries the list took 18.8 KB/s and digests 8.1 KB/s of the 2 KB/s for control. Change: an entry sends one digest a second at least and else in proportion to 9 entries; the list's interval likewise. Not measured with 370 entries. What it costs, worked out only: in a data centre of 20 entries a member is heard about each 12 s and its loads count for 6 s, so about half of the peers' loads are unknown at any time; the engines' reports are as before. controllers.tests.test_members: 16 passed.

--- a/copperloom/controllers/member.py
+++ b/copperloom/controllers/member.py
@@ -11,6 +11,7 @@
     "Member",
     "Membership",
     "is_silent",
+    "list_interval",
     "list_interval_s",
     "list_is_fresh",
     "live",
@@ -75,7 +76,8 @@
         looked_at: When reading the platform's list was last begun.
         listed_at: When a reading that worked was begun.
         listed_leaving: Targets that the list names as leaving.
-        rounds: Steps made.
+        credit: Part of an exchange that is due.
+        turns: Exchanges begun in the ordinary way.
     """
 
     def __init__(self, *, seed: str):
@@ -86,7 +88,8 @@
         self.looked_at = _NEVER
         self.listed_at = _NEVER
         self.listed_leaving: frozenset[str] = frozenset()
-        self.rounds = 0
+        self.credit = 0.0
+        self.turns = 0
 
 
 def live(state, now: float) -> list[Member]:
@@ -103,15 +106,25 @@
 
 
 def list_interval_s(state) -> float:
-    """Returns the seconds between this entry's readings of the list.
+    """Returns the seconds between this entry's readings of the list."""
+    poll_s = state.settings.platform.instances_poll_s
+    return list_interval(poll_s, len(state.members) + 1)
 
-    Load: the list of 370 entries and 1,400 targets is about 180 KB. Harm
-    prevented: read by each entry every 2 s it would take forty times the
-    budget for control. Limits: about as many entries read it at any time as
-    are in a small fleet; what one of them learns, digests pass on.
+
+def list_interval(poll_s: float, entries: int) -> float:
+    """Returns the seconds between one entry's readings of the list.
+
+    Load: the list of 370 entries is about 38 KB, with their targets four
+    times that. Harm prevented: read by each entry every 2 s it takes ten
+    times the budget for control, or more. Limits: about as many entries read
+    it at any time as are in a small fleet; what one of them learns, digests
+    pass on.
+
+    Args:
+        poll_s: The interval in the settings.
+        entries: Entries in the fleet.
     """
-    readers = max(1.0, (len(state.members) + 1) / _LIST_READERS)
-    return state.settings.platform.instances_poll_s * readers
+    return poll_s * max(1.0, entries / _LIST_READERS)
 
 
 def list_is_fresh(state, now: float) -> bool:
--- a/copperloom/controllers/members.py
+++ b/copperloom/controllers/members.py
@@ -10,17 +10,23 @@
 
 from copperloom import exception
 from copperloom.controllers import contacts, fetch, leaving, member
+from copperloom.daemons import options
 from copperloom.decisions import limits, scheduler
 from copperloom.logs import event
 from copperloom.peers import client
 from copperloom.platform import interface
 
-__all__ = ["close", "step"]
+__all__ = ["close", "exchanges_per_s", "step"]
 
 _NEVER = float("-inf")
 # Every fourth digest goes to another data centre, so that versions cross even
 # if the platform's service does not.
 _FAR_EVERY = 4
+# Up to this many entries the settings alone say how many digests are sent.
+_SMALL_FLEET = 9
+# An exchange costs about 700 bytes both ways, and as many are answered as
+# asked, so one a second leaves the rest of 2 KB a second to other control.
+_LEAST_EXCHANGES_PER_S = 1.0
 # A peer that crashed is counted this long, so that a cut-off part of the
 # fleet does not take itself for the whole of it.
 _FORGET_S = 600.0
@@ -34,7 +40,6 @@
     platform holds up no other.
     """
     membership = state.membership
-    membership.rounds += 1
     poll_s = state.settings.platform.instances_poll_s
     if now - membership.announced_at >= poll_s:
         membership.announced_at = now
@@ -53,6 +58,24 @@
         member.spawn(state, "fetch", fetch.run(state))
 
 
+def exchanges_per_s(own: options.MembershipSection, entries: int) -> float:
+    """Returns how many digests an entry sends a second to others.
+
+    Load: 370 entries. Harm prevented: digests at the rate of a small fleet
+    cost each entry four times its budget for control, and most of them tell
+    nothing that the platform has not told. Limits: a large fleet sends fewer
+    in proportion, but one a second at least, so that a departure crosses a
+    data centre of 20 entries within some seconds.
+
+    Args:
+        own: The settings.
+        entries: Entries in the fleet.
+    """
+    most = own.exchange_fanout / own.exchange_s
+    share = min(1.0, _SMALL_FLEET / entries)
+    return max(most * share, min(most, _LEAST_EXCHANGES_PER_S))
+
+
 async def close(state) -> None:
     """Ends all calls and connections."""
     tasks = list(state.membership.tasks.values())
@@ -129,16 +152,28 @@
     here = state.settings.entry.data_centre
     near = [m for m in members if m.data_centre == here]
     far = [m for m in members if m.data_centre != here]
-    fanout = own.exchange_fanout
-    begin = state.membership.rounds * fanout
-    turns = range(begin, begin + fanout)
+    fanout = _take_turns(state)
+    turns = range(state.membership.turns - fanout, state.membership.turns)
     wanted_far = sum(1 for turn in turns if turn % _FAR_EVERY == 0)
     # One that failed is tried soon again, since nobody else counts on it.
     chosen = [m for m in failing[:1] if m.asked_at <= now - own.suspect_s]
+    chosen = chosen[:fanout]
     chosen += far[: max(wanted_far, fanout - len(near))]
     return chosen + near[: max(0, fanout - len(chosen))]
 
 
+def _take_turns(state) -> int:
+    """Returns how many members to ask in this step."""
+    own = state.settings.membership
+    membership = state.membership
+    rate = exchanges_per_s(own, len(state.members) + 1)
+    membership.credit += rate * own.exchange_s
+    count = int(membership.credit)
+    membership.credit -= count
+    membership.turns += count
+    return count
+
+
 def _forget(state, now: float) -> None:
     """Drops members that left, and those long neither listed nor heard."""
     own = state.settings.membership
