--- a/copperloom/experiments/demo.py
+++ b/copperloom/experiments/demo.py
@@ -131,11 +131,11 @@
     """Returns the summary as lines of text."""
     mixed = result.summarise(seen.mixed)
     alone = result.summarise(seen.alone)
-    lines = [f"{'outcome':24}{'without long':>14}{'mixed':>14}"]
+    lines = [f"{'outcome':24}{'without long':>18}{'mixed':>18}"]
     for code in sorted(alone.outcomes | mixed.outcomes):
         name = "whole answer" if code == result.OK else f"code {code}"
         counts = (alone.outcomes.get(code, 0), mixed.outcomes.get(code, 0))
-        lines.append(f"{name:24}{counts[0]:14d}{counts[1]:14d}")
+        lines.append(f"{name:24}{counts[0]:18d}{counts[1]:18d}")
     lines += ["", f"{'first token, p50 / p99':24}" + lines[0][24:]]
     low = 1
     for high in result.BUCKETS:
@@ -159,9 +159,9 @@
     for summary in (alone, mixed):
         if high in summary.bucket_p50_s:
             p50, p99 = summary.bucket_p50_s[high], summary.bucket_p99_s[high]
-            line += f"{f'{p50:.2f} / {p99:.2f} s':>14}"
+            line += f"{f'{p50:.2f} / {p99:.2f} s':>18}"
         else:
-            line += f"{'-':>14}"
+            line += f"{'-':>18}"
     return line
 
 
