--- /dev/null
+++ b/copperloom/tests/test_schedules.py
@@ -0,0 +1,42 @@
+"""The schedules of the soak: the same seed draws the same, and they run."""
+
+import asyncio
+import unittest
+
+from copperloom import history
+from copperloom.tests import schedules, soak
+
+
+class SchedulesTest(unittest.TestCase):
+    def test_same_seed_draws_the_same(self):
+        self.assertEqual(schedules.draw("1/5"), schedules.draw("1/5"))
+        self.assertNotEqual(schedules.draw("1/5"), schedules.draw("1/6"))
+
+    def test_all_faults_are_drawn(self):
+        drawn = {
+            step.kind
+            for number in range(200)
+            for step in schedules.draw(f"1/{number}").steps
+        }
+        self.assertEqual(drawn, set(schedules.FAULTS))
+
+    def test_one_schedule_runs_and_breaks_no_promise(self):
+        """An entry is killed while a way loses bytes and writes get lost."""
+        schedule = schedules.Schedule(
+            "ci",
+            (
+                schedules.Step("kill_entry", 0.2, 0.3, 1),
+                schedules.Step("link_drops_down", 0.3, 0.3, 2),
+                schedules.Step("confirmations_lost", 0.1, 0.5, 3),
+                schedules.Step("operators_race", 0.4, 0.1, 4),
+            ),
+        )
+        system = soak.start_system(self)
+        trial = asyncio.run(
+            soak.run_schedule(self, system, schedule, history.History())
+        )
+        self.assertEqual(history.check(trial.history), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
