--- a/copperloom/tests/fakes.py
+++ b/copperloom/tests/fakes.py
@@ -21,6 +21,7 @@
             takes effect), "lost" (takes effect, confirmation lost), "late"
             (confirmation lost, takes effect when `land` is called), "" (none).
         late: Transactions that have not landed yet.
+        weights: Permits of the weight store taken.
     """
 
     def __init__(self):
@@ -28,6 +29,7 @@
         self.transactions = 0
         self.faults: list[str] = []
         self.late: list[tuple] = []
+        self.weights = 0
 
     async def transact(self, conditions, writes, *, timeout_s):
         """Does what the platform's `transact` does, or the next fault."""
@@ -48,6 +50,10 @@
         """Returns a row, version 0 if there is none."""
         return self.row(key)
 
+    async def acquire_weights(self, count, *, timeout_s):
+        """Does what the platform's `acquire_weights` does, without a rate."""
+        self.weights += count
+
     async def scan(self, prefix, *, after="", limit=1000, timeout_s):
         """Returns the rows after a key, in order."""
         keys = [k for k in sorted(self.rows) if k.startswith(prefix)]
