--- a/copperloom/tests/test_schedules.py
+++ b/copperloom/tests/test_schedules.py
@@ -4,7 +4,7 @@
 import unittest
 
 from copperloom import history
-from copperloom.tests import schedules, soak
+from copperloom.tests import faults, schedules, soak
 
 
 class SchedulesTest(unittest.TestCase):
@@ -18,7 +18,7 @@
             for number in range(200)
             for step in schedules.draw(f"1/{number}").steps
         }
-        self.assertEqual(drawn, set(schedules.FAULTS))
+        self.assertEqual(drawn, set(faults.FAULTS))
 
     def test_one_schedule_runs_and_breaks_no_promise(self):
         """An entry is killed while a way loses bytes and writes get lost."""
