--- a/copperloom/decisions/tests/ablation.py
+++ b/copperloom/decisions/tests/ablation.py
@@ -14,12 +14,12 @@
 
 from copperloom import configuration
 from copperloom.decisions import policies
-from copperloom.decisions.tests import world
+from copperloom.decisions.tests import callers, world
 
 SEEDS = (1, 2, 3)
 SECONDS = 120.0
 SETTLE_S = 10.0
-DRAIN_S = world.LONG_LIMIT_S + 20.0
+DRAIN_S = callers.LONG_LIMIT_S + 20.0
 COUNT = 15
 
 
@@ -35,7 +35,7 @@
     slow: tuple[tuple[str, float], ...] = ()
     down: tuple[str, ...] = ()
     objective: str = "first_token"
-    limit_s: float = world.LIMIT_S
+    limit_s: float = callers.LIMIT_S
     max_queue_wait_s: float = 30.0
 
 
@@ -67,8 +67,8 @@
 ):
     """Plays a scenario; returns the world and the outcomes."""
     share = scenario.long_share
-    rate = world.rate_for(scenario.load, COUNT, long_share=share)
-    reqs = world.requests(
+    rate = callers.rate_for(scenario.load, COUNT, long_share=share)
+    reqs = callers.requests(
         seed,
         rate,
         SECONDS,
@@ -102,7 +102,7 @@
 def measure(scenario, seed, **options):
     """Returns the figures of one run."""
     made, outcomes = play(scenario, seed, **options)
-    summary = world.summarise(outcomes, since=SETTLE_S)
+    summary = callers.summarise(outcomes, since=SETTLE_S)
     small = [o for o in outcomes if o.request.organisation != "o0" and o.short]
     small = [o for o in small if o.request.arrived >= SETTLE_S]
     answered = [o for o in small if not o.error]
@@ -115,7 +115,7 @@
         "slowdown p99": slowdown(outcomes, alone),
         "late": summary.late,
         "refused": summary.refused,
-        "small p99": world.quantile([o.first_s for o in answered], 0.99),
+        "small p99": callers.quantile([o.first_s for o in answered], 0.99),
         "small ok": len(answered) / max(1, len(small)),
         "long ok": summary.long_answered,
         "goodput": summary.goodput,
@@ -129,7 +129,7 @@
 def slowdown(outcomes, alone, q=0.99):
     """Returns a quantile of short answers' times over those without long."""
     base = {o.request.id: o.total_s for o in alone if not o.error}
-    return world.quantile(
+    return callers.quantile(
         [
             o.total_s / base[o.request.id]
             for o in outcomes
--- a/copperloom/decisions/tests/test_invariants.py
+++ b/copperloom/decisions/tests/test_invariants.py
@@ -7,7 +7,7 @@
 
 from copperloom import configuration, messages
 from copperloom.decisions import policies, scheduler
-from copperloom.decisions.tests import world
+from copperloom.decisions.tests import callers, world
 
 STEPS = st.lists(
     st.tuples(
@@ -50,7 +50,7 @@
         tokens = TOKENS[number % len(TOKENS)]
         name = f"r{len(self.queued) + len(self.placed) + len(self.over)}"
         org = f"o{number % 3}"
-        req = world.make_request(
+        req = callers.make_request(
             name,
             org,
             tokens,
@@ -177,13 +177,13 @@
             (6_000_000, "PromptTooLargeError"),
         ]
         for tokens, error in cases:
-            req = world.make_request("r", "o", tokens, 1, 0.0, 10.0)
+            req = callers.make_request("r", "o", tokens, 1, 0.0, 10.0)
             refusal = scheduler.offer(model.sched, req, 0.0)
             self.assertEqual(refusal.error, error)
         preset = configuration.Preset("night", admit_long=False)
         cfg = world.make_configuration(6, preset=preset)
         scheduler.set_configuration(model.sched, cfg, 0.0)
-        req = world.make_request("r", "o", 100_000, 1, 0.0, 10.0)
+        req = callers.make_request("r", "o", 100_000, 1, 0.0, 10.0)
         refusal = scheduler.offer(model.sched, req, 0.0)
         self.assertEqual(refusal.error, "CapacityExceededError")
 
@@ -192,7 +192,7 @@
         model = Model("copperloom", frozenset())
         retried = 0
         for i in range(100):
-            req = world.make_request(f"r{i}", "o", 600, 1, 0.0, 60.0)
+            req = callers.make_request(f"r{i}", "o", 600, 1, 0.0, 60.0)
             self.assertIsNone(scheduler.offer(model.sched, req, 0.0))
             for made in scheduler.dispatch(model.sched, 0.0):
                 refusal = scheduler.requeue(
--- a/copperloom/decisions/tests/test_load.py
+++ b/copperloom/decisions/tests/test_load.py
@@ -3,14 +3,14 @@
 import unittest
 
 from copperloom import configuration
-from copperloom.decisions.tests import ablation, world
+from copperloom.decisions.tests import ablation, callers, world
 
 SEED = 1
 
 
 def outcomes_of(scenario, **options):
     _, outcomes = ablation.play(scenario, SEED, **options)
-    return outcomes, world.summarise(outcomes, since=ablation.SETTLE_S)
+    return outcomes, callers.summarise(outcomes, since=ablation.SETTLE_S)
 
 
 class LoadTest(unittest.TestCase):
@@ -89,7 +89,7 @@
         self.assertTrue(refused)
         for outcome in refused:
             self.assertGreater(outcome.retry_after_s, 0.0)
-            self.assertLess(outcome.decided_s, world.LIMIT_S)
+            self.assertLess(outcome.decided_s, callers.LIMIT_S)
         at_once = [o for o in refused if o.decided_s < 0.1]
         self.assertGreater(len(at_once), 0.95 * len(refused))
 
@@ -129,8 +129,8 @@
             ablation.SCENARIOS["mix"], SEED, disable=off
         )
         self.assertGreater(hits(made), 1.3 * hits(base))
-        first = world.summarise(outcomes).first_p50
-        self.assertLess(first, 0.9 * world.summarise(plain).first_p50)
+        first = callers.summarise(outcomes).first_p50
+        self.assertLess(first, 0.9 * callers.summarise(plain).first_p50)
 
     def test_a_hot_prefix_does_not_pile_up(self):
         """Six in ten prompts start alike and so have the same home.
@@ -183,7 +183,7 @@
         the counts return to zero though no further event pushes them.
         """
         made = world.World(count=4, preset=configuration.Preset("p"))
-        reqs = world.requests(SEED, 200.0, 1.0, long_share=0.05)
+        reqs = callers.requests(SEED, 200.0, 1.0, long_share=0.05)
         outcomes = made.run(reqs, 300.0)
         self.assertEqual({o.outcomes for o in outcomes}, {1})
         answered = [o for o in outcomes if not o.error]
--- a/copperloom/decisions/tests/world.py
+++ b/copperloom/decisions/tests/world.py
@@ -2,11 +2,10 @@
 
 import dataclasses
 import math
-import random
 
 from copperloom import configuration, messages
 from copperloom.decisions import reservation, scheduler
-from copperloom.decisions.tests import engines
+from copperloom.decisions.tests import callers, engines
 from copperloom.targets.interface import LoadReport
 
 REPORT_S = 0.5
@@ -15,25 +14,6 @@
 OWNER_DELAY_S = 0.003
 RESERVATION_S = 10.0
 KV_TOKENS = 400_000
-LIMIT_S = 20.0
-LONG_LIMIT_S = 240.0
-
-
-@dataclasses.dataclass
-class Outcome:
-    """What became of one request; `error` is "" if it was answered."""
-
-    request: messages.Request
-    error: str = "lost"
-    first_s: float = math.inf
-    total_s: float = math.inf
-    decided_s: float = math.inf
-    retry_after_s: float = 0.0
-    outcomes: int = 0
-
-    @property
-    def short(self) -> bool:
-        return self.request.prompt_tokens <= 16_000
 
 
 def make_configuration(count, *, preset=None, organisations=(), kv=KV_TOKENS):
@@ -91,7 +71,7 @@
         ]
         self.told = [{} for _ in self.scheds]
         self.woken = [math.inf] * entries
-        self.outcomes: dict[str, Outcome] = {}
+        self.outcomes: dict[str, callers.Outcome] = {}
         self.denied = 0
         self.unreachable = 0
         self.lag_s = report_lag_s
@@ -113,7 +93,7 @@
         return list(self.outcomes.values())
 
     def _arrive(self, req, index):
-        self.outcomes[req.id] = Outcome(req)
+        self.outcomes[req.id] = callers.Outcome(req)
         refusal = scheduler.offer(self.scheds[index], req, self.clock.now)
         if refusal is not None:
             self._refused(refusal)
@@ -323,133 +303,3 @@
         )
         world._end(self.placement.request, error)
         world._dispatch(self.index)
-
-
-def requests(
-    seed,
-    rate,
-    seconds,
-    *,
-    long_share=0.02,
-    organisations=10,
-    large=0.3,
-    hot=0.0,
-    limit_s=LIMIT_S,
-    start=0.0,
-):
-    """Draws open-loop arrivals.
-
-    Short prompts have 500 to 16,000 tokens (median 2,500), long ones 100,000
-    to a million (evenly in the logarithm). A long request takes the place of
-    a drawn short one, so that the same seed without long work gives the same
-    short requests.
-    """
-    rng = random.Random(seed)
-    now = start
-    out = []
-    while True:
-        now += rng.expovariate(rate)
-        if now > start + seconds:
-            return out
-        tokens = int(min(16_000, max(500, rng.lognormvariate(7.8, 0.8))))
-        answer = rng.randint(20, 200)
-        first = rng.random() < large
-        org = 0 if first else rng.randrange(1, max(2, organisations))
-        long_tokens = int(100_000 * 10 ** rng.random())
-        is_long = rng.random() < long_share
-        prefix = f"o{org}p{rng.randrange(4)}"
-        if rng.random() < hot:
-            prefix = "hot"
-        out.append(
-            make_request(
-                f"s{seed}.{start}.{len(out)}",
-                f"o{org}",
-                long_tokens if is_long else tokens,
-                answer,
-                now,
-                LONG_LIMIT_S if is_long else limit_s,
-                "" if is_long else prefix,
-            )
-        )
-
-
-def make_request(name, org, tokens, answer, now, limit_s, prefix=""):
-    return messages.Request(
-        name,
-        org,
-        1.0,
-        "d",
-        configuration.TargetKind.ENGINE,
-        "m",
-        tokens,
-        answer,
-        now,
-        now + limit_s,
-        1,
-        prefix,
-    )
-
-
-def work_s(req):
-    """Returns about the engine seconds that a request takes."""
-    return req.prompt_tokens * engines.PREFILL_S + req.max_tokens * (
-        engines.STEP_S / 16 + engines.DECODE_S
-    )
-
-
-def rate_for(load, count, *, seed=99, long_share=0.02):
-    """Returns the arrivals a second that load the engines so much."""
-    drawn = requests(seed, 100.0, 100.0, long_share=long_share)
-    mean = sum(map(work_s, drawn)) / len(drawn)
-    return load * count / mean
-
-
-def quantile(values, q):
-    values = sorted(values)
-    if not values:
-        return math.inf
-    return values[min(len(values) - 1, int(q * len(values)))]
-
-
-@dataclasses.dataclass(frozen=True)
-class Summary:
-    """What the callers of a run saw; an unanswered one counts as infinite."""
-
-    offered: int
-    answered: int
-    late: int
-    refused: int
-    lost: int
-    long_answered: float
-    first_p50: float
-    first_p99: float
-    total_p99: float
-    goodput: float
-    slowest_refusal_s: float
-
-
-def summarise(outcomes, *, since=0.0, until=math.inf):
-    """Sums up requests that arrived between two times."""
-    part = [o for o in outcomes if since <= o.request.arrived < until]
-    short = [o for o in part if o.short]
-    long = [o for o in part if not o.short]
-    answered = [o for o in part if not o.error]
-    late = [o for o in part if o.error == "TimeLimitPassedError"]
-    lost = [o for o in part if o.outcomes != 1]
-    refused = [o for o in part if o.error and o not in late and o not in lost]
-    ok = [o for o in short if not o.error]
-    done = sum(o.request.prompt_tokens + o.request.max_tokens for o in answered)
-    span = max((o.request.arrived for o in part), default=1.0) - since
-    return Summary(
-        len(part),
-        len(answered),
-        len(late),
-        len(refused),
-        len(lost),
-        sum(not o.error for o in long) / max(1, len(long)),
-        quantile([o.first_s for o in short], 0.5),
-        quantile([o.first_s for o in short], 0.99),
-        quantile([o.total_s for o in ok], 0.99),
-        done / span,
-        max((o.decided_s for o in refused), default=0.0),
-    )
