--- a/copperloom/controllers/config.py
+++ b/copperloom/controllers/config.py
@@ -86,7 +86,6 @@
         previous=previous,
         preset=cfg.preset.name,
         targets=len(cfg.targets),
-        instance=state.settings.entry.instance,
     )
     return True
 
@@ -145,6 +144,7 @@
         told_version=max((m.version for m in members), default=0),
         contacts=len(contacts) + 1,
         members=known,
+        listed=state.membership.listed_self,
     )
 
 
