Changes: an entry that knows nobody yet accepts none

Cause: by reading: an entry that has just started counts one member, itself, so it had a majority and took an operator's change as in force everywhere. Change: freshness.in_majority, used for admitting and for changes; tests of systems begin once the entries have met, and the race is one of two entries that know each other.

--- a/copperloom/daemons/admin.py
+++ b/copperloom/daemons/admin.py
@@ -159,6 +159,8 @@
     if _in_majority(state):
         return
     facts = config.evidence(state, time.monotonic())
+    if not freshness.knows_the_fleet(facts):
+        raise exception.StaleConfigurationError("it does not know others yet")
     raise exception.StaleConfigurationError(
         f"in contact with {facts.contacts} of {facts.members} members: "
         "use an entry in contact with more than half"
@@ -166,8 +168,7 @@
 
 
 def _in_majority(state) -> bool:
-    facts = config.evidence(state, time.monotonic())
-    return freshness.has_majority(facts.contacts, facts.members)
+    return freshness.in_majority(config.evidence(state, time.monotonic()))
 
 
 async def wait_in_force(state, version: int, wait_s: float) -> InForce:
@@ -229,6 +230,7 @@
             "confirmed_age_s": _age(now, state.confirmed_at),
             "contacts": facts.contacts,
             "known_members": facts.members,
+            "knows_the_fleet": freshness.knows_the_fleet(facts),
             "draining": state.draining,
             "active": state.active,
             "leaving_targets": sorted(state.sched.leaving),
--- a/copperloom/daemons/tests/test_admin.py
+++ b/copperloom/daemons/tests/test_admin.py
@@ -18,6 +18,7 @@
     async def asyncSetUp(self):
         self.entry = fixtures.entry_state(self, self.standin.address)
         await config.step(self.entry, time.monotonic())
+        self.entry.membership.listed_self = True
         app = web.Application()
         app.add_routes(admin.routes(self.entry))
         self.client = test_utils.TestClient(test_utils.TestServer(app))
@@ -46,6 +47,18 @@
         status, _ = await self.call("GET", "config", token="")
         self.assertEqual(status, 403)
 
+    async def test_entry_that_knows_nobody_accepts_no_change(self):
+        """An operator asks an entry that has just started and is cut off.
+
+        It knows no member yet. Taking itself for the whole fleet, it would
+        accept the change and say that it is in force everywhere, while the
+        others go on without it.
+        """
+        self.entry.membership.listed_self = False
+        status, body = await self.put(fixtures.target("t"))
+        self.assertEqual((status, body["code"]), (503, 5006), body)
+        self.assertEqual(self.entry.cfg.version, 0)
+
     async def test_change_is_in_force_when_it_answers(self):
         status, body = await self.put(fixtures.target("t"))
         self.assertEqual(status, 200, body)
--- a/copperloom/decisions/freshness.py
+++ b/copperloom/decisions/freshness.py
@@ -6,7 +6,13 @@
 
 import dataclasses
 
-__all__ = ["Evidence", "has_majority", "why_not_admit"]
+__all__ = [
+    "Evidence",
+    "has_majority",
+    "in_majority",
+    "knows_the_fleet",
+    "why_not_admit",
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +45,22 @@
     return 2 * contacts > members
 
 
+def knows_the_fleet(evidence: Evidence) -> bool:
+    """Returns whether a majority of the members known means anything.
+
+    An entry that has just started knows nobody and would take itself for the
+    whole fleet, for as long as it is cut off.
+    """
+    return evidence.contacts > 1 or evidence.listed
+
+
+def in_majority(evidence: Evidence) -> bool:
+    """Returns whether the entry is in contact with more than half of all."""
+    if not knows_the_fleet(evidence):
+        return False
+    return has_majority(evidence.contacts, evidence.members)
+
+
 def why_not_admit(
     evidence: Evidence, now: float, *, confirm_s: float
 ) -> str | None:
@@ -68,11 +90,9 @@
         return (
             f"version {evidence.told_version} is in force and not fetched yet"
         )
-    if evidence.contacts == 1 and not evidence.listed:
-        # An entry that has just started knows nobody and would take itself
-        # for the whole fleet, for as long as it is cut off.
+    if not knows_the_fleet(evidence):
         return "in contact with nobody and not named in any list of instances"
-    if has_majority(evidence.contacts, evidence.members):
+    if in_majority(evidence):
         return None
     return (
         f"no proof for {confirm_s:g} s that version {evidence.version} is the "
--- a/copperloom/tests/systems.py
+++ b/copperloom/tests/systems.py
@@ -99,6 +99,7 @@
         add_entry(case, system, f"e{i}", entry or {})
     for process in system.entries.values():
         wait_ready(process)
+        wait_met(process, entries)
     return system
 
 
@@ -155,6 +156,23 @@
     )
 
 
+def wait_met(process: processes.Process, entries: int) -> None:
+    """Waits until an entry is in contact with all others.
+
+    Before that it takes no change, since it does not know the fleet.
+    """
+
+    def met() -> bool:
+        status = processes.call(
+            process.address, "GET", "/admin/v1/status", token=OPERATOR_TOKEN
+        )
+        return status["knows_the_fleet"] and status["contacts"] == entries
+
+    processes.wait_until(
+        met, processes.READY_LIMIT_S, f"{process.name} has met the others"
+    )
+
+
 def digest(text: str) -> str:
     """Returns the hex digest that the configuration keeps of a token."""
     return hashlib.sha256(text.encode()).hexdigest()
