--- a/copperloom/decisions/tests/test_load.py
+++ b/copperloom/decisions/tests/test_load.py
@@ -167,6 +167,28 @@
         self.assertFalse([o for o in outcomes if o.error])
         self.assertLess(made.unreachable, 0.5 * base.unreachable)
 
+    def test_all_targets_refuse_connections(self):
+        """A rack is gone, and with it all targets of a deployment.
+
+        Without a budget each caller's request is tried until its time limit,
+        and the caller hears nothing until then.
+        """
+        waited = {}
+        for off in ((), ("retries",)):
+            made = world.World(count=4, seed=SEED, disable=frozenset(off))
+            for engine in made.engines.values():
+                engine.down = True
+            reqs = callers.requests(
+                SEED, 10.0, 5.0, long_share=0.0, limit_s=2.0
+            )
+            outcomes = made.run(reqs, 20.0)
+            self.assertEqual({o.error for o in outcomes}, {"OverloadedError"})
+            times = [o.decided_s for o in outcomes]
+            waited[off] = callers.quantile(times, 0.5), made.unreachable
+        self.assertLess(waited[()][0], 0.1)
+        self.assertGreater(waited["retries",][0], 1.0)
+        self.assertLess(waited[()][1], 0.5 * waited["retries",][1])
+
     def test_missing_and_stale_reports(self):
         """No engine reports, or all reports are five seconds old."""
         for lag_s, reports in ((0.5, False), (5.0, True)):
