Bench: measuring tools stand apart from the tests

Cause: policies, relay, spread and the soak start processes, which no program of the product may, and so lay in tests/ folders; a newcomer took them for tests, and they made the tests more than a third of the code. Change: they are in bench/ now, outside the package. A refusal that trying again can't help carries no Retry-After (a prompt too large had 0). Measured: tests.run bad_input test_schedules test_policies test_demo: 20 passed; the check for retry_after_s failed before.

--- a/Makefile
+++ b/Makefile
@@ -39,13 +39,13 @@
 .PHONY: docs soak capacity policies relay
 
 soak: install
-	$(BIN)/python -m copperloom.tests.soak --schedules 25 --seed 1
+	$(BIN)/python -m bench.soak --schedules 25 --seed 1
 
 capacity: install
 	$(BIN)/python -m copperloom.experiments.capacity
 
 policies: install
-	$(BIN)/python -m copperloom.experiments.tests.policies experiments/wroclaw.ini
+	$(BIN)/python -m bench.policies experiments/wroclaw.ini
 
 relay: install
-	$(BIN)/python -m copperloom.experiments.tests.relay
+	$(BIN)/python -m bench.relay
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that start processes: policies, relay, spread, soak."""
--- a/copperloom/experiments/tests/policies.py
+++ b/bench/policies.py
@@ -23,10 +23,10 @@
 
 import docopt
 
+from bench import fleet
 from copperloom import settings
 from copperloom.decisions import policies
 from copperloom.experiments import compare, load, mixes, plan, result
-from copperloom.experiments.tests import fleet
 
 __all__ = ["main", "variants"]
 
--- a/copperloom/experiments/tests/relay.py
+++ b/bench/relay.py
@@ -22,8 +22,8 @@
 import aiohttp
 import docopt
 
+from bench import fleet
 from copperloom.experiments import load, mixes, plan, result
-from copperloom.experiments.tests import fleet
 from copperloom.tests import processes
 
 __all__ = ["main"]
--- a/copperloom/tests/schedules.py
+++ b/bench/schedules.py
@@ -9,8 +9,9 @@
 import random
 import time
 
+from bench import faults
 from copperloom import history
-from copperloom.tests import callers, faults, systems, trials
+from copperloom.tests import callers, systems, trials
 
 __all__ = ["Schedule", "Step", "draw", "run"]
 
--- a/copperloom/tests/soak.py
+++ b/bench/soak.py
@@ -1,6 +1,6 @@
 """Runs randomised schedules of faults and checks the promises.
 
-Run as `python -m copperloom.tests.soak`.
+Run as `python -m bench.soak`.
 
 Usage:
   soak [options]
@@ -23,8 +23,9 @@
 import aiohttp
 import docopt
 
+from bench import schedules
 from copperloom import history
-from copperloom.tests import schedules, systems, trials
+from copperloom.tests import systems, trials
 
 __all__ = ["main", "run_schedule"]
 
--- a/copperloom/experiments/tests/spread.py
+++ b/bench/spread.py
@@ -25,15 +25,15 @@
 
 import docopt
 
+from bench import fleet, relay
 from copperloom import configuration
 from copperloom.experiments import cluster, plan, result, sizes, slopes
-from copperloom.experiments.tests import fleet, relay
 from copperloom.platform import http as platform_http
 from copperloom.tests import processes
 
 __all__ = ["main"]
 
-_ROOT = pathlib.Path(__file__).resolve().parents[3]
+_ROOT = pathlib.Path(__file__).resolve().parents[1]
 _SETTLE_S = 8.0
 _IDLE_S = 6.0
 # Past the entries' confirm_s, after which they ask all members.
--- a/copperloom/controllers/dispatcher.py
+++ b/copperloom/controllers/dispatcher.py
@@ -81,4 +81,6 @@
 def error_of(refusal: messages.Refusal) -> exception.CopperloomError:
     """Makes the error that a refusal names."""
     cls = getattr(exception, refusal.error)
-    return cls(refusal.message, retry_after_s=refusal.retry_after_s)
+    # 0 stands for "never": a prompt that is too large stays so.
+    retry_after_s = refusal.retry_after_s or None
+    return cls(refusal.message, retry_after_s=retry_after_s)
--- a/copperloom/experiments/capacity.py
+++ b/copperloom/experiments/capacity.py
@@ -12,7 +12,7 @@
 
 All runs in this process, on loopback. Costs of requests and tokens, which
 need an entry in a process of its own, are measured by
-`python -m copperloom.experiments.tests.relay`.
+`python -m bench.relay`.
 """
 
 import asyncio
--- a/copperloom/experiments/tests/test_policies.py
+++ b/copperloom/experiments/tests/test_policies.py
@@ -3,8 +3,9 @@
 import dataclasses
 import unittest
 
+from bench import policies
 from copperloom.decisions import policies as decisions
-from copperloom.experiments.tests import policies, samples
+from copperloom.experiments.tests import samples
 
 
 class PoliciesTest(unittest.TestCase):
--- a/copperloom/tests/test_bad_input.py
+++ b/copperloom/tests/test_bad_input.py
@@ -48,6 +48,8 @@
         self.assertEqual(got, status, reply)
         self.assertEqual(reply["error"]["code"], code)
         self.assertEqual(reply["error"]["run"], "not_run")
+        # None of these gets better by trying again.
+        self.assertNotIn("retry_after_s", reply["error"])
         got, reply = await self.post(_GOOD)
         self.assertEqual(got, 200, reply)
 
--- a/copperloom/tests/test_schedules.py
+++ b/copperloom/tests/test_schedules.py
@@ -3,8 +3,8 @@
 import asyncio
 import unittest
 
+from bench import faults, schedules, soak
 from copperloom import history
-from copperloom.tests import faults, schedules, soak
 
 
 class SchedulesTest(unittest.TestCase):
