--- a/copperloom/filters/chain.py
+++ b/copperloom/filters/chain.py
@@ -9,6 +9,7 @@
     outcome,
     read,
     relay,
+    resume,
     schedule,
     service,
 )
@@ -43,7 +44,7 @@
     outcome.outcome,
     identify.identify,
     fresh.fresh,
-    relay.resume,
+    resume.resume,
 )
 
 
--- /dev/null
+++ b/copperloom/utils/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of copperloom.utils."""
