Settings: a key that nothing read is gone

Cause: limits.piece_buffer_tokens promised a bound that another mechanism keeps: the relay awaits each write, so a slow caller holds the connection's buffer and reading from the engine stops (test_caller_that_reads_nothing). Ruled out: other such keys; each other setting is read outside options.py.

--- a/copperloom/daemons/options.py
+++ b/copperloom/daemons/options.py
@@ -144,13 +144,6 @@
         low=0,
         high=3600,
     )
-    piece_buffer_tokens: int = setting(
-        4096,
-        "Answer held for a slow caller before reading from the engine stops.",
-        unit="tokens",
-        low=16,
-        high=1_000_000,
-    )
     gather_ms: float = setting(
         25.0,
         "Longest time that tokens of a fast stream are gathered before they "
