Filters: failing over stands once, and targets are met where they are now

Cause: the read-through before landing: relay and service each had their own accounting of a failed attempt (the service's wrote no log line) and their own look-up of the target, which took the address of the version that the request was admitted under even when a newer one had moved the target. Change: schedule.fail_over and schedule.lead_target, used by both.

--- a/copperloom/filters/relay.py
+++ b/copperloom/filters/relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from copperloom import exception, logs
+from copperloom import exception
 from copperloom.controllers import owners
 from copperloom.decisions import scheduler
 from copperloom.filters import (
@@ -17,13 +17,6 @@
 
 __all__ = ["relay"]
 
-# An owner's silence or refusal says nothing of the target's health.
-_NOT_THE_TARGETS_FAULT = (
-    exception.PeerUnavailableError,
-    exception.CapacityExceededError,
-    exception.StaleConfigurationError,
-)
-
 
 async def relay(ex: exchange.Exchange, nxt: exchange.Next) -> None:
     """Tries targets until one runs the work; relays its answer."""
@@ -40,35 +33,17 @@
             exception.CapacityExceededError,
             exception.StaleConfigurationError,
         ) as error:
-            await _again(ex, error)
+            await schedule.fail_over(ex, error)
         except exception.StreamBrokenError as error:
             # Work that may have run runs again only if that does no harm and
             # nobody has seen a part of the first answer.
             if not ex.request.repeatable or ex.response is not None:
                 raise
             ex.tokens = 0
-            await _again(ex, error)
+            await schedule.fail_over(ex, error)
     await nxt(ex)
 
 
-async def _again(
-    ex: exchange.Exchange, error: exception.CopperloomError
-) -> None:
-    now = asyncio.get_running_loop().time()
-    failed = ex.placement.targets[0]
-    if not isinstance(error, _NOT_THE_TARGETS_FAULT):
-        scheduler.target_failed(ex.state.sched, failed, now)
-    ex.state.metrics.retries.labels(type(error).__name__).inc()
-    logs.event(
-        "attempt_failed",
-        request=ex.id,
-        target=failed,
-        code=error.code,
-        error=str(error),
-    )
-    await schedule.place_again(ex, avoid=failed)
-
-
 async def _attempt(ex: exchange.Exchange, number: int) -> None:
     """Runs one placement to the end of its answer."""
     state = ex.state
@@ -92,11 +67,8 @@
 
 
 def _new_attempt(ex: exchange.Exchange, number: int) -> attempt.Attempt:
-    lead = ex.placement.targets[0]
-    target = ex.cfg.targets.get(lead) or ex.state.cfg.targets.get(lead)
-    if target is None:
-        raise exception.TargetUnreachableError(f"{lead} is not configured")
-    return attempt.Attempt(f"{ex.id}-{number}", target.address, lead)
+    lead = schedule.lead_target(ex)
+    return attempt.Attempt(f"{ex.id}-{number}", lead.address, lead.name)
 
 
 async def _run(ex: exchange.Exchange, own: attempt.Attempt) -> None:
--- a/copperloom/filters/schedule.py
+++ b/copperloom/filters/schedule.py
@@ -6,12 +6,25 @@
 
 import asyncio
 
-from copperloom import exception
+from copperloom import configuration, exception, logs
 from copperloom.controllers import config, dispatcher
 from copperloom.decisions import scheduler
 from copperloom.filters import exchange
 
-__all__ = ["check_placement", "place_again", "schedule"]
+__all__ = [
+    "check_placement",
+    "fail_over",
+    "lead_target",
+    "place_again",
+    "schedule",
+]
+
+# An owner's silence or refusal says nothing of the target's health.
+_NOT_THE_TARGETS_FAULT = (
+    exception.PeerUnavailableError,
+    exception.CapacityExceededError,
+    exception.StaleConfigurationError,
+)
 
 
 async def schedule(ex: exchange.Exchange, nxt: exchange.Next) -> None:
@@ -32,6 +45,45 @@
         ex.state.wake.set()
 
 
+def lead_target(ex: exchange.Exchange) -> configuration.Target:
+    """Returns the (leading) target as it is configured now.
+
+    The version that the request was admitted under may name an address that
+    the target has left since.
+
+    Raises:
+        copperloom.exception.TargetUnreachableError: It is not configured.
+    """
+    name = ex.placement.targets[0]
+    target = ex.state.cfg.targets.get(name)
+    if target is None:
+        raise exception.TargetUnreachableError(f"{name} is not configured")
+    return target
+
+
+async def fail_over(
+    ex: exchange.Exchange, error: exception.CopperloomError
+) -> None:
+    """Accounts for a failed attempt and waits for another placement.
+
+    Raises:
+        copperloom.exception.CopperloomError: The scheduler gave it up.
+    """
+    now = asyncio.get_running_loop().time()
+    failed = ex.placement.targets[0]
+    if not isinstance(error, _NOT_THE_TARGETS_FAULT):
+        scheduler.target_failed(ex.state.sched, failed, now)
+    ex.state.metrics.retries.labels(type(error).__name__).inc()
+    logs.event(
+        "attempt_failed",
+        request=ex.id,
+        target=failed,
+        code=error.code,
+        error=str(error),
+    )
+    await place_again(ex, avoid=failed)
+
+
 async def place_again(ex: exchange.Exchange, *, avoid: str) -> None:
     """Gives back a placement that was not run and waits for another.
 
--- a/copperloom/filters/service.py
+++ b/copperloom/filters/service.py
@@ -5,7 +5,6 @@
 from aiohttp import web
 
 from copperloom import exception
-from copperloom.decisions import scheduler
 from copperloom.filters import answers, exchange, once, schedule
 from copperloom.targets.interface import ServiceCall, ServiceReply
 
@@ -22,33 +21,22 @@
             exception.StaleConfigurationError,
             exception.TargetUnreachableError,
             exception.TargetRefusedError,
-        ):
-            await _again(ex)
-        except exception.StreamBrokenError:
+        ) as error:
+            await schedule.fail_over(ex, error)
+        except exception.StreamBrokenError as error:
             if not ex.request.repeatable:
                 raise
-            await _again(ex)
+            await schedule.fail_over(ex, error)
     await _finish(ex, reply)
     await nxt(ex)
 
 
-async def _again(ex: exchange.Exchange) -> None:
-    now = asyncio.get_running_loop().time()
-    failed = ex.placement.targets[0]
-    scheduler.target_failed(ex.state.sched, failed, now)
-    ex.state.metrics.retries.labels("service").inc()
-    await schedule.place_again(ex, avoid=failed)
-
-
 async def _attempt(ex: exchange.Exchange) -> ServiceReply:
     now = asyncio.get_running_loop().time()
     if now >= ex.deadline:
         raise exception.TimeLimitPassedError(run=ex.run)
     schedule.check_placement(ex)
-    name = ex.placement.targets[0]
-    target = ex.cfg.targets.get(name) or ex.state.cfg.targets.get(name)
-    if target is None:
-        raise exception.TargetUnreachableError(f"{name} is not configured")
+    target = schedule.lead_target(ex)
     before = ex.run
     ex.run = exception.Run.MAY_HAVE_RUN
     try:
--- a/copperloom/filters/tests/test_schedule.py
+++ b/copperloom/filters/tests/test_schedule.py
@@ -45,6 +45,22 @@
         placed = messages.Placement(self.request, ("t",), (0,), 0)
         return types.SimpleNamespace(state=self.entry, placement=placed)
 
+    async def test_target_that_has_moved(self):
+        """A target gets another address while a request waits for it.
+
+        Sent to the old one, it would reach nobody, or whoever has that
+        address now.
+        """
+        put = fixtures.target("t", kind=_SERVICE, serves=("d",))
+        put[1]["address"] = "127.0.0.1:10"
+        change = configuration.Change(2, "n", "o", (put,))
+        ex = self.exchange()
+        ex.cfg = self.entry.cfg
+        config.adopt(
+            self.entry, configuration.apply(self.entry.cfg, change), self.now
+        )
+        self.assertEqual(schedule.lead_target(ex).address, "127.0.0.1:10")
+
     async def test_queued_work_waits_for_a_proof(self):
         """The process wakes up with work queued and an old configuration.
 
