--- /dev/null
+++ b/copperloom/daemons/front.py
@@ -0,0 +1,224 @@
+"""copperloom-front: an entry instance on the users' platform.
+
+Usage:
+  copperloom-front [--settings=FILE]
+  copperloom-front --help
+
+Options:
+  --settings FILE  INI file with settings of our own; defaults if not given.
+
+Where the instance stands and what it may use is in the file that the platform
+names in the environment. Stops gracefully on SIGTERM or SIGINT: first it tells
+that it is not ready, goes on accepting while the balancer learns that, then
+finishes the requests in progress and ends. SIGHUP reads the settings again.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import os
+import signal
+
+import docopt
+import mode
+
+from copperloom import exception, logs, settings
+from copperloom.ingress import follow, gossip, roster, sender, server
+from copperloom.ingress.state import IngressState
+from copperloom.peers import catalog, client
+from copperloom.platform import settings as platform_settings
+from copperloom.platform import store
+
+__all__ = ["FrontService", "FrontSettings", "drain", "main"]
+
+# The balancer asks once a second and takes an instance out after two misses;
+# connections that it opened until then are on their way.
+LISTEN_ON_S = 2.6
+# Requests that came last are read within this time.
+LINGER_S = 0.3
+# Kept from the grace: ending takes some time too.
+RESERVE_S = 0.9
+_POLL_S = 0.02
+_RESTART_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class LogSection:
+    """What is logged."""
+
+    level: str = settings.setting(
+        "INFO",
+        "Least level of log lines.",
+        choices=("DEBUG", "INFO", "WARNING", "ERROR"),
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class MetricsSection:
+    """Where metrics are served."""
+
+    port: int = settings.setting(
+        9464, "Port for metrics; 0 serves none.", low=0, high=65_535
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class FrontSettings:
+    """All settings of `copperloom-front`."""
+
+    log: LogSection = LogSection()
+    metrics: MetricsSection = MetricsSection()
+
+
+class FrontService(mode.Service):
+    """The instance as a service: start it, stop it gracefully.
+
+    Attributes:
+        entry: What the instance holds in memory.
+        metrics_address: IP:port for metrics, "" for none.
+        listeners: What is open, once started.
+    """
+
+    def __init__(self, state: IngressState, metrics: str):
+        super().__init__()
+        self.entry = state
+        self.metrics_address = metrics
+        self.listeners: server.Listeners | None = None
+        self.calls = None
+        self.gossip: gossip.Gossip | None = None
+
+    async def on_start(self) -> None:
+        """Listens and starts the controllers."""
+        state = self.entry
+        self.gossip = await gossip.open_gossip(state)
+        self.calls = await catalog.serve(state)
+        self.listeners = await server.listen(state, self.metrics_address)
+        for name, loop in (
+            ("routes", lambda: follow.follow_routes(state)),
+            ("targets", lambda: follow.follow_targets(state)),
+            ("gossip", lambda: gossip.run(self.gossip)),
+            ("members", lambda: roster.join(state, self.gossip.address)),
+        ):
+            self.add_future(_keep_running(name, loop))
+        logs.event(
+            "started",
+            boot=state.boot,
+            listen=state.settings.callers_listen,
+            store=state.settings.store,
+        )
+
+    async def on_stop(self) -> None:
+        """Drains, then closes everything."""
+        await drain(self.entry, self.listeners, self.gossip)
+        await roster.leave(self.entry)
+        await server.close(self.listeners)
+        if self.calls is not None:
+            self.calls.close()
+        logs.event("stopped", boot=self.entry.boot)
+
+    async def on_shutdown(self) -> None:
+        """Closes the clients, once the controllers have ended."""
+        self.gossip.transport.close()
+        client.close(self.entry.channels)
+        await sender.close(self.entry.sender)
+        await store.close(self.entry.store)
+
+
+async def _keep_running(name: str, loop) -> None:
+    """Runs a controller's loop again after an unforeseen error.
+
+    One that ended would leave the instance serving with routes, targets or
+    members that never move.
+    """
+    while True:
+        try:
+            await loop()
+        except Exception as error:
+            logs.event(
+                "controller_failed",
+                level="ERROR",
+                controller=name,
+                error=repr(error),
+            )
+        await asyncio.sleep(_RESTART_S)
+
+
+async def drain(
+    state: IngressState,
+    listeners: server.Listeners,
+    told: gossip.Gossip,
+) -> None:
+    """Waits until this instance may end without cutting a request.
+
+    The balancer goes on sending for a while after readiness fails; an instance
+    that refused or closed at once would cut those requests. Then it takes no
+    new connections, and ends when nothing is in progress, at the latest
+    RESERVE_S before the platform kills it.
+    """
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+    state.draining = True
+    logs.event("draining", active=state.active)
+    gossip.tell(told, begun)
+    end = begun + state.settings.grace_s - RESERVE_S
+    await asyncio.sleep(min(LISTEN_ON_S, state.settings.grace_s / 2))
+    await server.close_callers(listeners)
+    quiet_since = loop.time()
+    while loop.time() < min(end, quiet_since + LINGER_S):
+        await asyncio.sleep(_POLL_S)
+        if state.active:
+            quiet_since = loop.time()
+    if state.active:
+        logs.event("drain_limit", level="ERROR", cut=state.active)
+
+
+def _reload(state: IngressState, path: str) -> None:
+    """Reads the platform's settings again; listeners stay as they are."""
+    try:
+        fresh = platform_settings.load(path)
+    except exception.SettingsError as error:
+        logs.event(
+            "reload_failed", level="ERROR", code=error.code, error=str(error)
+        )
+        return
+    state.settings = fresh
+    state.store.address = fresh.store
+    logs.event("reloaded", store=fresh.store, grace_s=fresh.grace_s)
+
+
+async def _run(own: FrontSettings, path: str) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    state = IngressState(platform_settings.load(path))
+    logs.setup_bounded(own.log.level, instance=state.settings.instance)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # A second signal changes nothing: it must not cut what the first one
+        # promised to finish.
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, state, path)
+    port = own.metrics.port
+    service = FrontService(state, f"{state.settings.ip}:{port}" if port else "")
+    await service.start()
+    crashed = asyncio.ensure_future(service._crashed.wait())
+    stop = asyncio.ensure_future(stopping.wait())
+    await asyncio.wait([crashed, stop], return_when=asyncio.FIRST_COMPLETED)
+    for task in (crashed, stop):
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+    await service.stop()
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Runs the program."""
+    args = docopt.docopt(__doc__, argv)
+    own = settings.load_or_exit(args["--settings"], FrontSettings)
+    path = os.environ.get(platform_settings.ENVIRONMENT, "")
+    try:
+        asyncio.run(_run(own, path))
+    except exception.SettingsError as error:
+        raise SystemExit(f"error {error.code}: {error}") from error
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/copperloom/decisions/board.py
@@ -0,0 +1,210 @@
+"""What all instances together have in progress at each target.
+
+Each instance sees only its own callers. Where nine instances place by their
+own counts alone, each finds the same target idle and all send to it. So each
+tells the others what it has in progress, and placement looks at the sum. What
+a peer said fades when the peer falls silent: a dead instance's work ends with
+its connections, and counting it for ever would leave its targets unused.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+__all__ = [
+    "Board",
+    "PeerWork",
+    "TargetLoad",
+    "Work",
+    "begin",
+    "end",
+    "forget_target",
+    "hear",
+    "loads",
+    "note_writing",
+    "own_work",
+]
+
+# A peer tells its work at least twice a second; three seconds are six lost
+# messages in a row, far beyond the loss of a working network.
+PEER_SILENT_S = 3.0
+# Reading that takes longer than predicted still goes on; this share of its
+# predicted time counts until its first token shows that it has ended.
+_LEAST_LEFT = 0.15
+# A reading that is this much overdue counts no longer: the caller's own
+# patience ends it, and its target is most likely not working.
+_OVERDUE_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """One request's share of the work of one target.
+
+    Attributes:
+        target: The target's name.
+        reads_s: Predicted time of the reading there, 0 for plain services.
+        writes: Whether the target also writes the answer.
+        tokens: Memory held there, in tokens.
+        pause_aim_s: Longest pause that the caller accepts.
+        begun: Monotonic time at which it was sent.
+        writing: Whether its first token has come, so that reading is over.
+    """
+
+    target: str
+    reads_s: float
+    writes: bool
+    tokens: int
+    pause_aim_s: float
+    begun: float
+    writing: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerWork:
+    """What a peer has in progress, and when it said so.
+
+    Attributes:
+        boot: The run of the peer's process.
+        sequence: Number of the message.
+        heard_at: Monotonic time at which it came.
+        work: Its work; begun is on this instance's clock.
+    """
+
+    boot: str
+    sequence: int
+    heard_at: float
+    work: tuple[Work, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetLoad:
+    """The sum of the work at one target.
+
+    Attributes:
+        requests: Requests that write or will write there, or are called.
+        parts: Requests that it only reads a part for.
+        reading_s: Predicted reading still to do.
+        reading: Requests and parts that are being read.
+        writers: Accepted pause of each answer being written.
+        context: Tokens of context of the answers being written.
+        tokens: Memory held.
+    """
+
+    requests: int = 0
+    parts: int = 0
+    reading_s: float = 0.0
+    reading: int = 0
+    writers: tuple[float, ...] = ()
+    context: int = 0
+    tokens: int = 0
+
+
+class Board:
+    """The work in progress that this instance knows of.
+
+    Attributes:
+        own: This instance's work by request id.
+        peers: The peers' work by instance name.
+        changes: Grows with each change of this instance's own work.
+    """
+
+    def __init__(self):
+        self.own: dict[str, tuple[Work, ...]] = {}
+        self.peers: dict[str, PeerWork] = {}
+        self.changes = 0
+
+
+def begin(board: Board, request: str, work: Iterable[Work]) -> None:
+    """Notes work that is about to be sent, replacing the request's earlier."""
+    board.own[request] = tuple(work)
+    board.changes += 1
+
+
+def note_writing(board: Board, request: str) -> None:
+    """Notes the first token: all parts are read, only the writer is left."""
+    now_writing = tuple(
+        dataclasses.replace(w, writing=True)
+        for w in board.own.get(request, ())
+        if w.writes or w.tokens
+    )
+    if request in board.own:
+        board.own[request] = now_writing
+        board.changes += 1
+
+
+def end(board: Board, request: str) -> None:
+    """Notes that a request has nothing in progress any more."""
+    if board.own.pop(request, None) is not None:
+        board.changes += 1
+
+
+def hear(board: Board, peer: str, told: PeerWork) -> bool:
+    """Takes over what a peer says; False if it is older than what is known.
+
+    Messages may overtake each other. A new boot knows nothing of the earlier
+    one's work, so it replaces all that was known.
+    """
+    known = board.peers.get(peer)
+    same_boot = known is not None and known.boot == told.boot
+    if same_boot and told.sequence <= known.sequence:
+        return False
+    board.peers[peer] = told
+    return True
+
+
+def forget_target(board: Board, target: str) -> None:
+    """Drops what peers had at a target that has started again."""
+    for name, told in board.peers.items():
+        kept = tuple(w for w in told.work if w.target != target)
+        board.peers[name] = dataclasses.replace(told, work=kept)
+
+
+def own_work(board: Board) -> list[Work]:
+    """Lists this instance's own work."""
+    return [w for works in board.own.values() for w in works]
+
+
+def loads(board: Board, now: float) -> dict[str, TargetLoad]:
+    """Sums the work at each target; targets without any are left out.
+
+    Args:
+        board: The work in progress.
+        now: Monotonic time.
+
+    Returns:
+        The load by target name.
+    """
+    by_target: dict[str, list[Work]] = {}
+    for work in own_work(board):
+        by_target.setdefault(work.target, []).append(work)
+    for told in board.peers.values():
+        if now - told.heard_at > PEER_SILENT_S:
+            continue
+        for work in told.work:
+            by_target.setdefault(work.target, []).append(work)
+    return {name: _sum(works, now) for name, works in by_target.items()}
+
+
+def _sum(works: list[Work], now: float) -> TargetLoad:
+    writing = [w for w in works if w.writing and w.writes]
+    reading = [w for w in works if not w.writing and w.reads_s > 0]
+    return TargetLoad(
+        requests=sum(w.writes for w in works),
+        parts=sum(not w.writes and not w.writing for w in works),
+        reading_s=_reading_left(reading, now),
+        reading=len(reading),
+        writers=tuple(w.pause_aim_s for w in writing),
+        context=sum(w.tokens for w in writing),
+        tokens=sum(w.tokens for w in works),
+    )
+
+
+def _reading_left(reading: list[Work], now: float) -> float:
+    """Plays the readings one after the other and says what is left of them."""
+    done_at = 0.0
+    least = 0.0
+    for work in sorted(reading, key=lambda w: w.begun):
+        if now - work.begun > work.reads_s + _OVERDUE_S:
+            continue
+        done_at = max(done_at, work.begun) + work.reads_s
+        least += work.reads_s * _LEAST_LEFT
+    return max(done_at - now, least)
--- /dev/null
+++ b/copperloom/decisions/health.py
@@ -0,0 +1,56 @@
+"""Which targets have failed of late, and how much that counts against them.
+
+Made for a target that fails a part of its requests while it calls itself
+healthy, or hangs: with nothing in progress it looks like the best one and
+draws requests that fail. Each failure adds a penalty to its cost that halves
+every few seconds; a target is never shut out for good, because a fault that
+hits many targets at once would leave none, and because only new requests show
+that it works again.
+"""
+
+import dataclasses
+
+__all__ = ["Health", "failed", "penalty", "succeeded"]
+
+# Half of a penalty is forgotten in this time: a fault that lasts is found
+# again by one request in about three half-lives.
+HALF_LIFE_S = 3.0
+# A target that could not be reached works for nobody; one that answered with
+# a failure works for some.
+UNREACHABLE = 3.0
+BROKEN = 1.0
+# An answer takes away this share: two in a row clear most of a failure.
+FORGIVEN = 0.6
+MOST = 12.0
+
+
+@dataclasses.dataclass(slots=True)
+class Health:
+    """The penalty of one target.
+
+    Attributes:
+        points: Penalty at `at`.
+        at: Monotonic time.
+    """
+
+    points: float = 0.0
+    at: float = 0.0
+
+
+def penalty(known: Health | None, now: float) -> float:
+    """Returns the penalty now; 0 for a target without failures."""
+    if known is None or not known.points:
+        return 0.0
+    return known.points * 0.5 ** ((now - known.at) / HALF_LIFE_S)
+
+
+def failed(known: Health, now: float, points: float = BROKEN) -> None:
+    """Notes a failure."""
+    known.points = min(MOST, penalty(known, now) + points)
+    known.at = now
+
+
+def succeeded(known: Health, now: float) -> None:
+    """Notes an answer."""
+    known.points = penalty(known, now) * (1.0 - FORGIVEN)
+    known.at = now
--- /dev/null
+++ b/copperloom/decisions/registry.py
@@ -0,0 +1,114 @@
+"""Which targets may get new work, from what the platform's table says.
+
+Made for a table that forgets: while it is away, the registrations of targets
+that are well may lapse, and they are written again within about two seconds
+of its return. Dropping all of them at once would refuse every request though
+all targets work. So for that long a target that is missing is kept as a last
+resort: used only where its service has no other target left.
+"""
+
+from collections.abc import Iterable
+
+from copperloom import routing
+
+__all__ = ["Registry", "note_trouble", "replace", "update", "usable"]
+
+# Registrations that lapsed during an outage are back within about this time
+# of the platform's return; one still missing then is gone.
+LAPSE_S = 2.0
+
+
+class Registry:
+    """The registered targets.
+
+    Attributes:
+        entries: Entries in the table, by name.
+        missing: Entries that vanished around an outage, with the monotonic
+            time until which they count.
+        version: Version of the table that this is as of.
+        trouble_at: Monotonic time of the last failed call to the platform.
+    """
+
+    def __init__(self):
+        self.entries: dict[str, routing.TargetEntry] = {}
+        self.missing: dict[str, tuple[routing.TargetEntry, float]] = {}
+        self.version = 0
+        self.trouble_at = float("-inf")
+
+
+def note_trouble(reg: Registry, now: float) -> None:
+    """Notes that the platform did not answer."""
+    reg.trouble_at = now
+
+
+def replace(
+    reg: Registry,
+    entries: Iterable[routing.TargetEntry],
+    version: int,
+    now: float,
+) -> list[routing.TargetEntry]:
+    """Takes over the whole table.
+
+    Returns:
+        Targets that are new, or started again under their old name.
+    """
+    if version < reg.version:
+        return []
+    wanted = {e.name: e for e in entries}
+    changes = [(name, None) for name in reg.entries if name not in wanted]
+    return update(reg, [*changes, *wanted.items()], version, now)
+
+
+def update(
+    reg: Registry,
+    changes: Iterable[tuple[str, routing.TargetEntry | None]],
+    version: int,
+    now: float,
+) -> list[routing.TargetEntry]:
+    """Takes over changed rows; None is a row that names no target.
+
+    Returns:
+        Targets that are new, or started again under their old name.
+    """
+    started = []
+    for name, entry in changes:
+        old = reg.entries.get(name)
+        if entry is None:
+            _remove(reg, name, now)
+            continue
+        if old is not None and entry.born_ms < old.born_ms:
+            # A row of an earlier start that comes late.
+            continue
+        reg.entries[name] = entry
+        reg.missing.pop(name, None)
+        if old is None or entry.born_ms > old.born_ms:
+            started.append(entry)
+    reg.version = max(reg.version, version)
+    return started
+
+
+def _remove(reg: Registry, name: str, now: float) -> None:
+    old = reg.entries.pop(name, None)
+    if old is None or old.draining:
+        return
+    until = reg.trouble_at + LAPSE_S
+    if now < until:
+        reg.missing[name] = (old, until)
+
+
+def usable(
+    reg: Registry, service: str, now: float
+) -> list[routing.TargetEntry]:
+    """Lists the targets of a service that may get new work."""
+    found = [
+        e
+        for e in reg.entries.values()
+        if e.service == service and not e.draining
+    ]
+    if found:
+        return found
+    return [
+        entry
+        for entry, until in reg.missing.values()
+        if entry.service == service and now < until
+    ]
--- /dev/null
+++ b/copperloom/decisions/spread.py
@@ -0,0 +1,259 @@
+"""Places prompts by what they gain and by the harm that they do.
+
+Made for short prompts among long ones on the same engines. Reading a prompt
+of 150,000 tokens takes one engine three seconds, in which every answer being
+written there stands still. The time is the same in sum however it is divided,
+so a long prompt is read in parts by several engines: its own wait shrinks,
+and each writer beside it waits for one part only. How many parts is weighed
+per request: the worth that it loses by being late against the worth that the
+writers at the engines lose, for each number of parts.
+
+The worth of a request grows with its prompt (a caller who sends 150,000 tokens
+has more at stake, and has paid for more), less than linearly.
+"""
+
+import dataclasses
+import math
+
+from copperloom import routing
+from copperloom.decisions import board, passes
+
+__all__ = ["Candidate", "Plan", "Prompt", "plan_prompt", "plan_service"]
+
+# An engine takes at most this many helpers for one prompt.
+MOST_HELPERS = 16
+# Times are predicted to about this; lateness is a slope, not a step, so that
+# of two placements near the limit the quicker one is taken.
+BLUR_S = 0.035
+# Kept free below a limit for the way, for timers and for what is not known.
+WAY_S = 0.03
+# What is left of a request's worth when it is late.
+LATE_LOSS = 0.75
+# Reading a prompt of this size is worth one unit.
+UNIT_TOKENS = 5000
+WORTH_POWER = 0.75
+# Cost of each part more: an exchange between engines, and one more engine
+# whose loss breaks the request.
+PART_COST = 0.02
+# Cost of a second of waiting, to tell placements apart that are all in time.
+WAIT_COST = 0.25
+# While nearly all engines read a part that is longer than this, a short
+# prompt that comes would be late wherever it goes.
+LONG_PART_S = 0.13
+# Share of the engines that is then left alone.
+SPARED_SHARE = 0.3
+# A failure of late costs as much as this many units of worth.
+PENALTY_COST = 0.5
+# Callers leave a stream that shows no token for four times its objective.
+LEAVES_AFTER = 3.5
+# Memory kept free for what peers place at the same moment.
+MEMORY_SLACK_TOKENS = 4000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prompt:
+    """What is to be placed.
+
+    Attributes:
+        tokens: Tokens of the prompt.
+        answer_tokens: Tokens of the answer, as far as can be guessed.
+        first_token_aim_s: When its first token should come.
+        pause_aim_s: Longest pause that its caller accepts.
+        waited_s: How long it has waited already.
+    """
+
+    tokens: int
+    answer_tokens: int
+    first_token_aim_s: float
+    pause_aim_s: float
+    waited_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A target that the work could go to.
+
+    Attributes:
+        name: Its name.
+        load: What it has in progress.
+        penalty: Its failures of late.
+        slots: Requests that it works on at once.
+        near: Whether it stands in the same data centre.
+    """
+
+    name: str
+    load: board.TargetLoad
+    penalty: float
+    slots: int
+    near: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Where a request goes.
+
+    Attributes:
+        lead: The target that gets the request.
+        helpers: Targets that read parts.
+        part_s: Predicted reading at each of them.
+        first_token_s: Predicted time to the first token.
+        cost: What was weighed, in units of worth.
+    """
+
+    lead: str
+    helpers: tuple[str, ...]
+    part_s: float
+    first_token_s: float
+    cost: float
+
+
+def plan_prompt(
+    engine: routing.EngineSpec, prompt: Prompt, candidates: list[Candidate]
+) -> Plan | None:
+    """Chooses the engine that writes and those that help it read.
+
+    Every number of parts is tried with the engines that it harms least; the
+    cost is (parts x engines x log engines), so a caller with hundreds of
+    engines passes a sample.
+
+    Args:
+        engine: Figures of the service's engines.
+        prompt: What is to be placed.
+        candidates: The engines that may be used.
+
+    Returns:
+        The plan with the least cost, or None if no engine has a free slot
+        and memory.
+    """
+    need = prompt.tokens + prompt.answer_tokens
+    leads = [c for c in candidates if _has_room(engine, c, need)]
+    if not leads:
+        return None
+    total_s = passes.read_s(engine, prompt.tokens)
+    best: Plan | None = None
+    for parts in _part_counts(total_s, len(candidates)):
+        plan = _plan_parts(engine, prompt, leads, candidates, total_s, parts)
+        if plan is not None and (best is None or plan.cost < best.cost):
+            best = plan
+    return best
+
+
+def plan_service(candidates: list[Candidate]) -> Plan | None:
+    """Chooses a target of a plain service: the least loaded for its size.
+
+    Returns:
+        The plan, or None if there are no candidates.
+    """
+    if not candidates:
+        return None
+    best = min(candidates, key=_service_cost)
+    return Plan(best.name, (), 0.0, 0.0, _service_cost(best))
+
+
+def _service_cost(tgt: Candidate) -> float:
+    # A caller waits for whole slots: below one request a slot targets are
+    # equal but for the way, above it the queue counts.
+    load = tgt.load.requests / max(1, tgt.slots)
+    return load + tgt.penalty - (0.05 if tgt.near else 0.0)
+
+
+def _has_room(engine: routing.EngineSpec, tgt: Candidate, need: int) -> bool:
+    if tgt.load.requests >= min(tgt.slots, engine.slots):
+        return False
+    free = engine.kv_tokens - tgt.load.tokens - MEMORY_SLACK_TOKENS
+    return need <= free
+
+
+def _part_counts(total_s: float, candidates: int) -> list[int]:
+    """Lists the numbers of parts worth trying."""
+    most = min(MOST_HELPERS + 1, candidates)
+    # Parts shorter than a fifth of a pass gain less than they cost.
+    most = min(most, max(1, math.ceil(total_s / 0.02)))
+    return list(range(1, most + 1))
+
+
+def _plan_parts(
+    engine, prompt, leads, candidates, total_s, parts
+) -> Plan | None:
+    part_s = total_s / parts
+    if parts > 1 and part_s > LONG_PART_S:
+        spared = math.ceil(len(candidates) * SPARED_SHARE)
+        if parts > max(1, len(candidates) - spared):
+            return None
+    costs = {c.name: _harm(engine, c, part_s) for c in candidates}
+    lead = min(leads, key=lambda c: costs[c.name] + _lead_cost(engine, c))
+    others = sorted(
+        (
+            c
+            for c in candidates
+            if c.name != lead.name and c.load.parts < engine.slots - 1
+        ),
+        key=lambda c: costs[c.name],
+    )[: parts - 1]
+    if len(others) < parts - 1:
+        return None
+    chosen = [lead, *others]
+    first_s = _first_token(engine, prompt, lead, chosen, part_s)
+    cost = sum(costs[c.name] for c in chosen)
+    cost += _lead_cost(engine, lead)
+    cost += _own_loss(prompt, first_s)
+    cost += PART_COST * (parts - 1)
+    names = tuple(c.name for c in others)
+    return Plan(lead.name, names, part_s, first_s, cost)
+
+
+def _first_token(engine, prompt, lead, chosen, part_s) -> float:
+    """Predicts the time to the first token, waiting until now included."""
+    own = passes.pass_s(
+        engine,
+        len(lead.load.writers) + 1,
+        lead.load.context + prompt.tokens // len(chosen),
+    )
+    ready = 0.0
+    for tgt in chosen:
+        # The pass that runs when the request comes is half over on average.
+        running = _idle_pass(engine, tgt) / 2 if tgt.load.writers else 0.0
+        ready = max(ready, running + tgt.load.reading_s + part_s)
+    return prompt.waited_s + ready + own
+
+
+def _idle_pass(engine: routing.EngineSpec, tgt: Candidate) -> float:
+    return passes.pass_s(engine, len(tgt.load.writers), tgt.load.context)
+
+
+def _own_loss(prompt: Prompt, first_s: float) -> float:
+    worth = _worth(prompt.tokens)
+    aim = prompt.first_token_aim_s
+    loss = LATE_LOSS * _late(first_s, aim - WAY_S)
+    loss += (1 - LATE_LOSS) * _late(first_s, aim * LEAVES_AFTER)
+    return worth * loss + WAIT_COST * first_s / max(aim, 0.05)
+
+
+def _harm(engine: routing.EngineSpec, tgt: Candidate, part_s: float) -> float:
+    """Predicts the worth that others lose when a target reads a part."""
+    before = _idle_pass(engine, tgt) + tgt.load.reading_s
+    harm = 0.0
+    for pause in tgt.load.writers:
+        limit = pause - WAY_S
+        harm += _late(before + part_s, limit) - _late(before, limit)
+    harm *= LATE_LOSS
+    # Prompts that are being read there wait for the part too.
+    harm += tgt.load.reading * part_s * WAIT_COST
+    harm += tgt.penalty * PENALTY_COST
+    return harm + WAIT_COST * tgt.load.reading_s
+
+
+def _lead_cost(engine: routing.EngineSpec, tgt: Candidate) -> float:
+    """Spreads answers over engines: each writer slows those beside it."""
+    taken = tgt.load.requests / max(1, engine.slots)
+    full = tgt.load.tokens / engine.kv_tokens
+    return 0.15 * taken + 0.1 * full - (0.005 if tgt.near else 0.0)
+
+
+def _worth(tokens: int) -> float:
+    return max(0.5, (tokens / UNIT_TOKENS) ** WORTH_POWER)
+
+
+def _late(time_s: float, limit_s: float) -> float:
+    """Returns the chance that a predicted time is over a limit."""
+    return 1.0 / (1.0 + math.exp(min(50.0, (limit_s - time_s) / BLUR_S)))
--- a/copperloom/filters/chain.py
+++ b/copperloom/filters/chain.py
@@ -1,5 +1,6 @@
 """The filters that every request passes, in order, in one list each."""
 
+from copperloom import chains
 from copperloom.filters import (
     estimate,
     exchange,
@@ -48,18 +49,4 @@
 )
 
 
-async def run(
-    chain: tuple[exchange.Filter, ...], ex: exchange.Exchange
-) -> None:
-    """Passes a request through the filters, the first outermost."""
-    await _call(chain, 0, ex)
-
-
-async def _call(chain, index: int, ex: exchange.Exchange) -> None:
-    if index == len(chain):
-        return
-
-    async def following(ex: exchange.Exchange) -> None:
-        await _call(chain, index + 1, ex)
-
-    await chain[index](ex, following)
+run = chains.run
--- /dev/null
+++ b/copperloom/ingress/admit.py
@@ -0,0 +1,80 @@
+"""Finds a request's route and organisation, and reads its body."""
+
+import asyncio
+
+from aiohttp import hdrs, http
+
+from copperloom import exception, routing
+from copperloom.decisions import budget, registry
+from copperloom.ingress import exchange
+
+__all__ = ["authorise", "find_route", "read_body"]
+
+_NOT_READY_RETRY_S = 1.0
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+async def find_route(ex: exchange.Exchange, nxt: exchange.Next) -> None:
+    """Sets the route, the service and the final deadline."""
+    table = ex.state.table
+    if not table.version:
+        # An instance that knows no routes can't say that one does not exist.
+        raise exception.StaleConfigurationError(
+            "no routes are known here yet", retry_after_s=_NOT_READY_RETRY_S
+        )
+    ex.table_version = table.version
+    path = ex.http.raw_path.partition("?")[0]
+    host = ex.http.headers.get(hdrs.HOST, "")
+    route = routing.match(table, host, path)
+    if route is None:
+        raise exception.UnknownDeploymentError("no route for this path")
+    ex.route = route
+    ex.priority = route.priority
+    ex.deadline = min(ex.deadline, ex.arrived + route.timeout_s)
+    ex.limit.reschedule(ex.deadline)
+    await nxt(ex)
+
+
+async def authorise(ex: exchange.Exchange, nxt: exchange.Next) -> None:
+    """Sets the organisation that holds the request's key."""
+    table = ex.state.table
+    if table.keyed and not ex.route.public:
+        holder = table.organisations.get(ex.head.key)
+        if holder is None:
+            raise exception.UnknownOrganisationError("unknown key")
+        ex.organisation = holder.name
+        if holder.priority is not None:
+            ex.priority = holder.priority
+    now = asyncio.get_running_loop().time()
+    ex.service = _service(ex, now)
+    budget.note_request(ex.state.budget, ex.service, now)
+    await nxt(ex)
+
+
+def _service(ex: exchange.Exchange, now: float) -> str:
+    usable = frozenset(
+        b.service
+        for b in ex.route.backends
+        if registry.usable(ex.state.targets, b.service, now)
+    )
+    return routing.choose_service(ex.route, usable, ex.state.rng)
+
+
+async def read_body(ex: exchange.Exchange, nxt: exchange.Next) -> None:
+    """Reads the whole body, so that it can be sent to a second target."""
+    most = ex.state.table.limits.max_body_bytes
+    length = ex.http.content_length
+    if length is not None and length > most:
+        raise exception.BodyTooLargeError(f"over {most} bytes")
+    expects = ex.http.headers.get(hdrs.EXPECT, "").lower()
+    if expects == "100-continue" and ex.http.version >= http.HttpVersion11:
+        await ex.http.writer.write(_CONTINUE)
+    parts = []
+    size = 0
+    async for part in ex.http.content.iter_any():
+        size += len(part)
+        if size > most:
+            raise exception.BodyTooLargeError(f"over {most} bytes")
+        parts.append(part)
+    ex.body = b"".join(parts)
+    await nxt(ex)
--- /dev/null
+++ b/copperloom/ingress/follow.py
@@ -0,0 +1,159 @@
+"""Keeps routes and targets as the platform's tables say.
+
+One loop a table: the whole table first, then its changes as they come. Where
+the platform does not answer, what is known stays in force, and what peers have
+heard is taken over (see `copperloom.ingress.gossip`).
+"""
+
+import asyncio
+
+from copperloom import exception, logs
+from copperloom.decisions import board, registry
+from copperloom.ingress.state import IngressState, live_members
+from copperloom.platform import catalog, decoding, store
+
+__all__ = ["adopt_routes", "follow_routes", "follow_targets"]
+
+# One of the instances asks anew about every second, so that even if all open
+# connections fall silent at once a change is heard in time by one, who tells
+# the others.
+WAIT_PER_MEMBER_S = 1.0
+LEAST_WAIT_S = 3.0
+MOST_WAIT_S = 20.0
+_JITTER = 0.25
+_FIRST_RETRY_S = 0.15
+_MOST_RETRY_S = 1.2
+
+
+async def follow_routes(state: IngressState) -> None:
+    """Follows the operators' document for ever."""
+    await _follow(state, catalog.ROUTES_TABLE, _take_routes)
+
+
+async def follow_targets(state: IngressState) -> None:
+    """Follows the registrations of targets for ever."""
+    await _follow(state, catalog.TARGETS_TABLE, _take_targets)
+
+
+async def _follow(state: IngressState, table: str, take) -> None:
+    version: int | None = None
+    failures = 0
+    while True:
+        try:
+            if version is None:
+                feed = await store.read_all(state.store, table)
+                take(state, feed, whole=True)
+            else:
+                wait_s = _wait_s(state)
+                feed = await store.feed(state.store, table, version, wait_s)
+                take(state, feed, whole=False)
+            version = max(version or 0, feed.version)
+            if failures:
+                logs.event("store_regained", table=table, version=version)
+            failures = 0
+        except store.HistoryGoneError:
+            logs.event("store_history_gone", table=table, version=version)
+            version = None
+        except exception.CopperloomError as error:
+            failures += 1
+            _lost(state, table, error, failures)
+            await asyncio.sleep(_backoff(state, failures))
+
+
+def _wait_s(state: IngressState) -> float:
+    now = asyncio.get_running_loop().time()
+    members = len(live_members(state, now)) + 1
+    wait_s = min(MOST_WAIT_S, max(LEAST_WAIT_S, members * WAIT_PER_MEMBER_S))
+    return wait_s * (1.0 + state.rng.uniform(-_JITTER, _JITTER))
+
+
+def _backoff(state: IngressState, failures: int) -> float:
+    most = min(_MOST_RETRY_S, _FIRST_RETRY_S * 2 ** min(failures, 8))
+    return most * state.rng.uniform(0.5, 1.0)
+
+
+def _lost(state, table: str, error, failures: int) -> None:
+    registry.note_trouble(state.targets, asyncio.get_running_loop().time())
+    state.metrics.store_failures.labels(table).inc()
+    if failures == 1:
+        logs.event("store_lost", table=table, code=error.code, error=str(error))
+
+
+def _take_routes(state: IngressState, feed: store.Feed, *, whole: bool) -> None:
+    row = catalog.routes_row(feed)
+    if row is not None:
+        adopt_routes(state, row.value, "store")
+
+
+def adopt_routes(state: IngressState, raw: bytes, source: str) -> bool:
+    """Takes over an operators' document if it is newer than what is known.
+
+    Only a higher version is taken: what comes late, from the platform or a
+    peer, must not take back what callers have seen in force.
+    """
+    table = decoding.decode_table(raw)
+    if table is None:
+        logs.event("routes_unreadable", level="ERROR", source=source)
+        return False
+    if table.version <= state.table.version:
+        return False
+    logs.event(
+        "routes_adopted",
+        version=table.version,
+        before=state.table.version,
+        routes=len(table.routes),
+        source=source,
+    )
+    state.table = table
+    state.routes_raw = raw
+    state.changed.set()
+    return True
+
+
+def _take_targets(
+    state: IngressState, feed: store.Feed, *, whole: bool
+) -> None:
+    now = asyncio.get_running_loop().time()
+    changes = catalog.target_changes(feed)
+    _keep_raw(state, feed, whole)
+    if whole:
+        entries = [entry for _, entry in changes if entry is not None]
+        started = registry.replace(state.targets, entries, feed.version, now)
+    else:
+        version = max((r.version for r in feed.rows), default=0)
+        started = registry.update(state.targets, changes, version, now)
+    note_targets(state, changes, started, "store")
+
+
+def note_targets(state: IngressState, changes, started, source: str) -> None:
+    """Logs changes of targets, and forgets what started targets had."""
+    for name, entry in changes:
+        logs.event(
+            "target_changed",
+            target=name,
+            state=_word(entry),
+            service=entry.service if entry else "",
+            version=state.targets.version,
+            source=source,
+        )
+    for entry in started:
+        board.forget_target(state.board, entry.name)
+        state.health.pop(entry.name, None)
+    state.changed.set()
+
+
+def _word(entry) -> str:
+    if entry is None:
+        return "gone"
+    return "draining" if entry.draining else "ready"
+
+
+def _keep_raw(state: IngressState, feed: store.Feed, whole: bool) -> None:
+    """Keeps the registrations as they are, to pass them on to peers."""
+    if whole:
+        state.targets_raw = {}
+    for row in feed.rows:
+        if row.value is None:
+            state.targets_raw.pop(row.key, None)
+        else:
+            state.targets_raw[row.key] = row.value
--- /dev/null
+++ b/copperloom/ingress/forward.py
@@ -0,0 +1,226 @@
+"""Sends a request to targets until one gives its answer.
+
+What may be sent again follows from the route: a request that may run once is
+sent again only after a target's own word that it did not run it, or when no
+connection was made. Every send after the first takes from the budget that all
+instances share, and no request goes to more targets than its route allows.
+"""
+
+import asyncio
+
+from copperloom import exception, logs, routing
+from copperloom.decisions import board, budget, health
+from copperloom.ingress import exchange, place, relay, sender
+from copperloom.ingress.state import live_members
+from copperloom.platform import headers
+
+__all__ = ["forward"]
+
+# Connections that could not be made cost no run, but each costs the caller
+# CONNECT_S.
+_MOST_UNREACHABLE = 4
+# Engines admit 0 first. Short prompts go before long ones: the long one's
+# reading is counted in seconds, the short one's in hundredths.
+_SHORT_PRIORITY = 1
+_LONG_PRIORITY = 6
+_LONG_TOKENS = 16_000
+_REFUSED_RETRY_S = 0.15
+# Share of the time left that a plain answer may take before it is asked for
+# at another target: the second one has as long.
+_PLAIN_PATIENCE = 0.45
+_MISDIRECTED = 421
+_SERVER_ERROR = 500
+
+
+async def forward(ex: exchange.Exchange, nxt: exchange.Next) -> None:
+    """Sends the request and relays the answer."""
+    unreachable = 0
+    while True:
+        ex.plan = await place.place(ex)
+        entry = ex.state.targets.entries.get(ex.plan.lead)
+        if entry is None:
+            continue
+        try:
+            await _attempt(ex, entry)
+            break
+        except exception.TargetUnreachableError as error:
+            unreachable += 1
+            _failed(ex, error, health.UNREACHABLE)
+            if unreachable >= _MOST_UNREACHABLE:
+                raise
+        except exception.TargetRefusedError as error:
+            _failed(ex, error, health.BROKEN)
+            if not _may_send_again(ex):
+                error.retry_after_s = _REFUSED_RETRY_S
+                raise
+        except exception.StreamBrokenError as error:
+            _failed(ex, error, health.BROKEN)
+            if not ex.route.repeatable or not _may_send_again(ex):
+                raise
+    await nxt(ex)
+
+
+def _may_send_again(ex: exchange.Exchange) -> bool:
+    if ex.sends >= ex.route.max_attempts:
+        return False
+    now = asyncio.get_running_loop().time()
+    members = len(live_members(ex.state, now)) + 1
+    allowed = budget.spend(ex.state.budget, ex.service, now, members)
+    if not allowed:
+        logs.event("repeat_denied", request=ex.id, members=members)
+    return allowed
+
+
+def _failed(ex, error: exception.CopperloomError, points: float) -> None:
+    now = asyncio.get_running_loop().time()
+    culprit = getattr(error, "target", "") or ex.plan.lead
+    ex.avoid.add(culprit)
+    known = ex.state.health.setdefault(culprit, health.Health())
+    health.failed(known, now, points)
+    ex.state.metrics.attempts.labels(type(error).__name__).inc()
+    logs.event(
+        "attempt_failed",
+        request=ex.id,
+        target=ex.plan.lead,
+        culprit=culprit,
+        code=error.code,
+        error=str(error),
+        sends=ex.sends,
+        last_event=ex.last_event,
+    )
+
+
+async def _attempt(ex: exchange.Exchange, entry: routing.TargetEntry) -> None:
+    """Sends once; counts the work while it lasts."""
+    state = ex.state
+    now = asyncio.get_running_loop().time()
+    if now >= ex.deadline:
+        raise exception.TimeLimitPassedError(run=ex.run)
+    board.begin(state.board, ex.id, _work(ex, now))
+    before = ex.run
+    ex.sends += 1
+    ex.run = exception.Run.MAY_HAVE_RUN
+    try:
+        async with sender.send(
+            state.sender,
+            entry.address,
+            ex.http.method,
+            ex.http.raw_path,
+            _headers(ex, now),
+            ex.body,
+            patience_s=_patience(ex, now),
+        ) as reply:
+            await relay.relay(ex, reply, _judge(ex, reply))
+        _answered(ex, entry.name)
+    except exception.TargetUnreachableError:
+        ex.sends -= 1
+        ex.run = before
+        raise
+    except exception.TargetRefusedError:
+        ex.run = before
+        raise
+    finally:
+        board.end(state.board, ex.id)
+        state.changed.set()
+
+
+def _patience(ex: exchange.Exchange, now: float) -> float | None:
+    """Returns the longest wait for the head of an answer.
+
+    A request that may run again is tried elsewhere while time is left for
+    it; one that may not waits for its answer to the end.
+    """
+    if not ex.route.repeatable or ex.sends >= ex.route.max_attempts:
+        return None
+    if ex.route.kind is routing.RouteKind.STREAM:
+        return relay.first_event_patience(ex)
+    return (ex.deadline - now) * _PLAIN_PATIENCE
+
+
+def _answered(ex: exchange.Exchange, target: str) -> None:
+    known = ex.state.health.get(target)
+    if known is not None:
+        health.succeeded(known, asyncio.get_running_loop().time())
+    ex.state.metrics.attempts.labels("answered").inc()
+
+
+def _judge(ex: exchange.Exchange, reply: sender.Reply) -> headers.ReplyFacts:
+    """Says whether a reply is the target's answer to this request.
+
+    Raises:
+        copperloom.exception.TargetRefusedError: It did not run it.
+        copperloom.exception.StreamBrokenError: It is no answer to it, or one
+            that is better asked for again.
+    """
+    facts = headers.read_reply(reply.headers)
+    if facts.not_run or reply.status == _MISDIRECTED:
+        error = exception.TargetRefusedError(f"status {reply.status}")
+        error.target = _named(ex, facts.at_fault)
+        raise error
+    if facts.request and facts.request != ex.id:
+        raise exception.StreamBrokenError("another request's answer")
+    if facts.encoded:
+        raise exception.StreamBrokenError("an encoded body")
+    if reply.status < 300 and not facts.sealed:
+        raise exception.StreamBrokenError("a success without its seal")
+    if reply.status < _SERVER_ERROR:
+        return facts
+    again = ex.route.repeatable and ex.sends < ex.route.max_attempts
+    if again or not facts.sealed:
+        raise exception.StreamBrokenError(f"status {reply.status}")
+    return facts
+
+
+def _named(ex: exchange.Exchange, at_fault: str) -> str:
+    """Finds the helper that a refusal names, by name or address."""
+    for name, entry in ex.state.targets.entries.items():
+        if at_fault and at_fault in (name, entry.address):
+            return name
+    return ""
+
+
+def _work(ex: exchange.Exchange, now: float) -> list[board.Work]:
+    plan = ex.plan
+    tokens = 0
+    if ex.head.prompt_tokens:
+        tokens = ex.head.prompt_tokens + ex.head.max_tokens
+    lead = board.Work(
+        target=plan.lead,
+        reads_s=plan.part_s,
+        writes=True,
+        tokens=tokens,
+        pause_aim_s=ex.route.pause_aim_s,
+        begun=now,
+    )
+    parts = [
+        board.Work(
+            target=name,
+            reads_s=plan.part_s,
+            writes=False,
+            tokens=0,
+            pause_aim_s=ex.route.pause_aim_s,
+            begun=now,
+        )
+        for name in plan.helpers
+    ]
+    return [lead, *parts]
+
+
+def _headers(ex: exchange.Exchange, now: float):
+    priority = None
+    if ex.head.prompt_tokens:
+        long = ex.head.prompt_tokens > _LONG_TOKENS
+        priority = _LONG_PRIORITY if long else _SHORT_PRIORITY
+    entries = ex.state.targets.entries
+    helpers = tuple(
+        entries[name].address for name in ex.plan.helpers if name in entries
+    )
+    own = headers.TargetHeaders(
+        target=ex.plan.lead,
+        organisation=ex.organisation,
+        time_left_s=ex.deadline - now,
+        priority=priority,
+        helpers=helpers,
+        last_event_id=ex.last_event,
+    )
+    return headers.for_target(ex.http.headers.items(), own)
--- /dev/null
+++ b/copperloom/ingress/gossip.py
@@ -0,0 +1,231 @@
+"""Tells the other instances what this one has in progress, and hears them.
+
+Datagrams to every member at each change, gathered for some milliseconds, and
+twice a second without one. Each bears all of the sender's work, so that a lost
+one is made good by the next. They also bear the versions that the sender goes
+by: who is behind fetches what it lacks from the sender.
+"""
+
+import asyncio
+import socket
+
+import msgspec
+
+from copperloom import exception, logs
+from copperloom.decisions import board
+from copperloom.ingress.state import IngressState, Member
+from copperloom.peers import catalog
+
+__all__ = ["Gossip", "open_gossip", "run"]
+
+# Work of a few requests that come together goes out in one datagram; much
+# shorter than a pass (40 ms), so that placements see each other.
+GATHER_S = 0.008
+BEAT_S = 0.5
+# Members that were never heard are told for so long: they may be starting.
+_UNHEARD_S = 30.0
+# Below the size that loopback and Ethernet links take in few fragments.
+_MOST_BYTES = 60_000
+_MS = 1000.0
+# A peer that is ahead is asked at most so often.
+_FETCH_EVERY_S = 0.3
+# The platform's own word mostly comes within this time of a peer's.
+_FETCH_DELAY_S = 0.05
+
+
+class _Work(msgspec.Struct, array_like=True):
+    target: str
+    reads_ms: int
+    writes: bool
+    tokens: int
+    pause_ms: int
+    age_ms: int
+    writing: bool
+
+
+class _Digest(msgspec.Struct, array_like=True):
+    instance: str
+    boot: str
+    sequence: int
+    datagrams: str
+    calls: str
+    routes_version: int
+    targets_version: int
+    leaving: bool
+    work: list[_Work]
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_Digest)
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """The datagram socket.
+
+    Attributes:
+        state: The instance's state.
+        address: IP:port of the socket.
+        transport: Its transport.
+        sequence: Number of the last datagram sent.
+        fetching: The fetch under way, if any.
+        fetched_at: Monotonic time of the last fetch's start.
+    """
+
+    def __init__(self, state: IngressState, address: str):
+        self.state = state
+        self.address = address
+        self.transport: asyncio.DatagramTransport | None = None
+        self.sequence = 0
+        self.fetching: asyncio.Task | None = None
+        self.fetched_at = float("-inf")
+
+    def connection_made(self, transport) -> None:
+        """Keeps the transport."""
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr) -> None:
+        """Takes a peer's digest."""
+        try:
+            told = _DECODER.decode(data)
+        except msgspec.MsgspecError as error:
+            logs.event("peer_unreadable", peer=addr[0], error=str(error))
+            return
+        if told.instance != self.state.settings.instance:
+            _hear(self, told)
+
+    def error_received(self, exc: Exception) -> None:
+        """A member's port is closed: it is stopping or has not begun."""
+
+
+async def open_gossip(state: IngressState) -> Gossip:
+    """Opens the datagram socket."""
+    loop = asyncio.get_running_loop()
+    ip, port = state.settings.ip, state.settings.internal_ports[0]
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.bind((ip, port))
+    gossip = Gossip(state, f"{ip}:{port}")
+    await loop.create_datagram_endpoint(lambda: gossip, sock=sock)
+    return gossip
+
+
+async def run(gossip: Gossip) -> None:
+    """Tells the members for ever."""
+    loop = asyncio.get_running_loop()
+    told = -1
+    last = float("-inf")
+    while True:
+        now = loop.time()
+        if gossip.state.board.changes != told or now - last >= BEAT_S:
+            told = gossip.state.board.changes
+            last = now
+            tell(gossip, now)
+        await asyncio.sleep(GATHER_S)
+
+
+def tell(gossip: Gossip, now: float) -> None:
+    """Sends one digest to every member that may hear it."""
+    state = gossip.state
+    gossip.sequence += 1
+    data = _ENCODER.encode(_digest(gossip, now))
+    if len(data) > _MOST_BYTES:
+        logs.event("digest_too_long", level="ERROR", bytes=len(data))
+        return
+    for member in list(state.members.values()):
+        known_at = max(member.first_at, member.heard_at)
+        if now - known_at > _UNHEARD_S:
+            del state.members[member.instance]
+            logs.event("member_gone", member=member.instance)
+            continue
+        host, _, port = member.datagrams.rpartition(":")
+        gossip.transport.sendto(data, (host, int(port)))
+
+
+def _digest(gossip: Gossip, now: float) -> _Digest:
+    state = gossip.state
+    return _Digest(
+        instance=state.settings.instance,
+        boot=state.boot,
+        sequence=gossip.sequence,
+        datagrams=gossip.address,
+        calls=state.settings.peers_listen,
+        routes_version=state.table.version,
+        targets_version=state.targets.version,
+        leaving=state.draining,
+        work=[_encode(w, now) for w in board.own_work(state.board)],
+    )
+
+
+def _encode(work: board.Work, now: float) -> _Work:
+    return _Work(
+        target=work.target,
+        reads_ms=int(work.reads_s * _MS),
+        writes=work.writes,
+        tokens=work.tokens,
+        pause_ms=int(work.pause_aim_s * _MS),
+        age_ms=int((now - work.begun) * _MS),
+        writing=work.writing,
+    )
+
+
+def _decode(raw: _Work, now: float) -> board.Work:
+    return board.Work(
+        target=raw.target,
+        reads_s=raw.reads_ms / _MS,
+        writes=raw.writes,
+        tokens=raw.tokens,
+        pause_aim_s=raw.pause_ms / _MS,
+        begun=now - raw.age_ms / _MS,
+        writing=raw.writing,
+    )
+
+
+def _hear(gossip: Gossip, told: _Digest) -> None:
+    state = gossip.state
+    now = asyncio.get_running_loop().time()
+    work = tuple(_decode(w, now) for w in told.work)
+    heard = board.PeerWork(told.boot, told.sequence, now, work)
+    if not board.hear(state.board, told.instance, heard):
+        return
+    member = state.members.get(told.instance)
+    if member is None:
+        member = Member(told.instance, told.datagrams, told.calls, now)
+        state.members[told.instance] = member
+        logs.event("member_joined", member=told.instance, boot=told.boot)
+    member.datagrams = told.datagrams
+    member.calls = told.calls
+    member.heard_at = now
+    member.leaving = told.leaving
+    member.routes_version = told.routes_version
+    member.targets_version = told.targets_version
+    if work or state.board.own:
+        state.changed.set()
+    _catch_up(gossip, member, now)
+
+
+def _catch_up(gossip: Gossip, member: Member, now: float) -> None:
+    """Fetches from a member that is ahead, one at a time."""
+    busy = gossip.fetching is not None and not gossip.fetching.done()
+    if busy or not member.calls or not _is_ahead(gossip.state, member):
+        return
+    if now - gossip.fetched_at < _FETCH_EVERY_S:
+        return
+    gossip.fetched_at = now
+    gossip.fetching = asyncio.ensure_future(_fetch(gossip.state, member))
+
+
+def _is_ahead(state: IngressState, member: Member) -> bool:
+    return (
+        member.routes_version > state.table.version
+        or member.targets_version > state.targets.version
+    )
+
+
+async def _fetch(state: IngressState, member: Member) -> None:
+    await asyncio.sleep(_FETCH_DELAY_S)
+    if not _is_ahead(state, member):
+        return
+    try:
+        await catalog.fetch(state, member.calls)
+    except exception.PeerUnavailableError as error:
+        logs.event("peer_unavailable", member=member.instance, error=str(error))
--- /dev/null
+++ b/copperloom/ingress/metrics.py
@@ -0,0 +1,78 @@
+"""The metrics of an instance that serves by host and path."""
+
+import prometheus_client
+
+__all__ = ["IngressMetrics"]
+
+# Seconds. Around the aims of short streams (0.3), middle (1.5), long (3).
+_FIRST_BUCKETS_S = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.5,
+    0.75,
+    1,
+    1.5,
+    2,
+    3,
+    5,
+    10,
+    20,
+)
+
+
+class IngressMetrics:
+    """Counters and histograms, in a registry of their own."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = prometheus_client.Counter(
+            "copperloom_requests",
+            "Requests by status and result code (0: the target's answer).",
+            ["status", "code"],
+            registry=self.registry,
+        )
+        self.first = prometheus_client.Histogram(
+            "copperloom_first_byte_seconds",
+            "Time to a stream's first event or a plain answer.",
+            ["kind"],
+            buckets=_FIRST_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.pause = prometheus_client.Histogram(
+            "copperloom_stream_pause_seconds",
+            "Longest pause between two events of a stream.",
+            buckets=_FIRST_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.attempts = prometheus_client.Counter(
+            "copperloom_attempts",
+            "Sends to targets by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.store_failures = prometheus_client.Counter(
+            "copperloom_store_failures",
+            "Failed calls to the platform's table, by table.",
+            ["table"],
+            registry=self.registry,
+        )
+        self.active = prometheus_client.Gauge(
+            "copperloom_active_requests",
+            "Requests in progress.",
+            registry=self.registry,
+        )
+        self.versions = prometheus_client.Gauge(
+            "copperloom_version",
+            "Version of what this instance goes by.",
+            ["of"],
+            registry=self.registry,
+        )
+        self.log_lines_dropped = prometheus_client.Gauge(
+            "copperloom_log_lines_dropped",
+            "Log lines dropped because standard output took no more.",
+            registry=self.registry,
+        )
--- /dev/null
+++ b/copperloom/ingress/outcome.py
@@ -0,0 +1,126 @@
+"""Gives every request its one outcome, within its time limit.
+
+The outermost filter: it alone turns errors into answers. Two statuses are
+promises: 503 tells that the request has not run and never will, so it is given
+only while nothing was sent that may still run; after that it is 502, or 504 at
+the time limit.
+"""
+
+import asyncio
+
+from aiohttp import web
+
+from copperloom import exception, logs
+from copperloom.filters import deadline
+from copperloom.ingress import exchange
+
+__all__ = ["outcome"]
+
+_UNAVAILABLE = 503
+_BAD_GATEWAY = 502
+_GATEWAY_TIMEOUT = 504
+# Targets' refusals pass within a pass or two, a few tens of ms each.
+DEFAULT_RETRY_S = 0.2
+_TIME_LIMIT_RETRY_S = 0.05
+
+
+async def outcome(ex: exchange.Exchange, nxt: exchange.Next) -> None:
+    """Runs the other filters under the deadline and answers errors."""
+    state = ex.state
+    state.active += 1
+    state.metrics.active.inc()
+    ex.limit = deadline.Deadline(ex.deadline)
+    code = exception.CopperloomError.code
+    ex.outcome = "caller_gone"
+    try:
+        code = await _settle(ex, nxt)
+    finally:
+        state.active -= 1
+        state.metrics.active.dec()
+        _account(ex, code)
+
+
+async def _settle(ex: exchange.Exchange, nxt: exchange.Next) -> int:
+    try:
+        await deadline.within(ex.limit, nxt(ex))
+        ex.outcome = ex.outcome.replace("caller_gone", "answered")
+        return 0
+    except ConnectionError:
+        return exception.CopperloomError.code
+    except exception.CopperloomError as error:
+        _refuse(ex, error)
+        return error.code
+    except Exception as error:
+        # A fault of our own still is an outcome: without this the caller
+        # would see a closed connection and not know whether the work ran.
+        logs.event("fault", level="ERROR", request=ex.id, error=repr(error))
+        known = exception.CopperloomError("internal error", run=ex.run)
+        _refuse(ex, known)
+        return known.code
+
+
+def _refuse(ex: exchange.Exchange, error: exception.CopperloomError) -> None:
+    """Answers with an error, or breaks off a stream that has begun."""
+    ex.outcome = type(error).__name__.removesuffix("Error")
+    if ex.response is not None:
+        # Without its last chunk no HTTP client takes the stream for whole.
+        if ex.http.transport is not None:
+            ex.http.transport.abort()
+        return
+    status = _status(ex, error)
+    headers = {"Copperloom-Error": str(error.code)}
+    if status == _UNAVAILABLE:
+        headers["Retry-After"] = f"{_retry_after(error):.3f}"
+    ex.response = web.Response(
+        status=status,
+        text=f"{error.code} {error}\n",
+        headers=headers,
+    )
+
+
+def _status(ex: exchange.Exchange, error: exception.CopperloomError) -> int:
+    if 400 <= error.status < 500:
+        return error.status
+    if ex.run is exception.Run.NOT_RUN:
+        return _UNAVAILABLE
+    if isinstance(error, exception.TimeLimitPassedError):
+        return _GATEWAY_TIMEOUT
+    return _BAD_GATEWAY
+
+
+def _retry_after(error: exception.CopperloomError) -> float:
+    if error.retry_after_s is not None:
+        return error.retry_after_s
+    if isinstance(error, exception.TimeLimitPassedError):
+        return _TIME_LIMIT_RETRY_S
+    return DEFAULT_RETRY_S
+
+
+def _account(ex: exchange.Exchange, code: int) -> None:
+    now = asyncio.get_running_loop().time()
+    status = ex.response.status if ex.response is not None else 0
+    ex.state.metrics.requests.labels(status, code).inc()
+    pairs = {
+        "request": ex.id,
+        "outcome": ex.outcome,
+        "status": status,
+        "code": code,
+        "seconds": now - ex.arrived,
+        "sends": ex.sends,
+        "service": ex.service,
+        "routes_version": ex.table_version,
+    }
+    if ex.plan is not None:
+        pairs["target"] = ex.plan.lead
+        pairs["helpers"] = len(ex.plan.helpers)
+    if ex.first_at is not None:
+        first = ex.first_at - ex.arrived
+        pairs["first_s"] = first
+        kind = ex.route.kind.value if ex.route else ""
+        ex.state.metrics.first.labels(kind).observe(first)
+    if ex.longest_pause_s:
+        pairs["pause_s"] = ex.longest_pause_s
+        ex.state.metrics.pause.observe(ex.longest_pause_s)
+    if ex.head.prompt_tokens:
+        pairs["prompt_tokens"] = ex.head.prompt_tokens
+    logs.event("outcome", **pairs)
--- /dev/null
+++ b/copperloom/ingress/place.py
@@ -0,0 +1,123 @@
+"""Chooses the target of a request, waiting for a place if there is none."""
+
+import asyncio
+
+from copperloom import exception, logs, routing
+from copperloom.decisions import board, health, registry, spread
+from copperloom.ingress import exchange
+
+__all__ = ["place"]
+
+# Longest wait for a change before the targets are looked at again: peers'
+# loads fade with time, without an event.
+_LOOK_AGAIN_S = 0.05
+# Share of the time left that a request may wait for a place: after that it
+# could not be served any more, and its caller can use the rest elsewhere.
+WAIT_SHARE = 0.6
+# When to come back if no target of the service is known.
+_NO_TARGET_RETRY_S = 0.5
+_FULL_RETRY_S = 0.3
+# Requests of a plain service beyond its slots that its targets queue.
+_PLAIN_QUEUE = 2
+# The guess of an answer's length if the caller gives none.
+_DEFAULT_ANSWER_TOKENS = 800
+
+
+async def place(ex: exchange.Exchange) -> spread.Plan:
+    """Returns where to send a request now.
+
+    Raises:
+        copperloom.exception.NoTargetError: No target is known.
+        copperloom.exception.OverloadedError: All stayed full.
+    """
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+    give_up = begun + (ex.deadline - begun) * WAIT_SHARE
+    while True:
+        now = loop.time()
+        known = _entries(ex, now)
+        if not known:
+            raise exception.NoTargetError(
+                f"no target of {ex.service}", retry_after_s=_NO_TARGET_RETRY_S
+            )
+        plan = _plan(ex, known, now)
+        if plan is not None:
+            _tell(ex, plan, now - begun, len(known))
+            return plan
+        if now >= give_up or _never_fits(ex):
+            raise exception.OverloadedError(
+                f"all {len(known)} targets of {ex.service} are full",
+                retry_after_s=_FULL_RETRY_S,
+            )
+        await _wait(ex)
+
+
+def _entries(ex: exchange.Exchange, now: float) -> list[routing.TargetEntry]:
+    known = registry.usable(ex.state.targets, ex.service, now)
+    fresh = [e for e in known if e.name not in ex.avoid]
+    return fresh or known
+
+
+def _never_fits(ex: exchange.Exchange) -> bool:
+    engine = _engine(ex)
+    return engine is not None and ex.head.prompt_tokens > engine.kv_tokens
+
+
+def _engine(ex: exchange.Exchange) -> routing.EngineSpec | None:
+    spec = ex.state.table.services.get(ex.service)
+    return spec.engine if spec is not None else None
+
+
+def _plan(
+    ex: exchange.Exchange, known: list[routing.TargetEntry], now: float
+) -> spread.Plan | None:
+    load = board.loads(ex.state.board, now)
+    candidates = [_candidate(ex, e, load, now) for e in known]
+    engine = _engine(ex)
+    if engine is None or not ex.head.prompt_tokens:
+        return spread.plan_service(
+            [c for c in candidates if c.load.requests < c.slots * _PLAIN_QUEUE]
+        )
+    prompt = spread.Prompt(
+        tokens=ex.head.prompt_tokens,
+        answer_tokens=ex.head.max_tokens or _DEFAULT_ANSWER_TOKENS,
+        first_token_aim_s=ex.route.target_latency_s,
+        pause_aim_s=ex.route.pause_aim_s,
+        waited_s=now - ex.arrived,
+    )
+    return spread.plan_prompt(engine, prompt, candidates)
+
+
+def _candidate(ex, entry: routing.TargetEntry, load, now: float):
+    return spread.Candidate(
+        name=entry.name,
+        load=load.get(entry.name, board.TargetLoad()),
+        penalty=health.penalty(ex.state.health.get(entry.name), now),
+        slots=entry.slots,
+        near=entry.data_centre == ex.state.settings.data_centre,
+    )
+
+
+async def _wait(ex: exchange.Exchange) -> None:
+    ex.state.changed.clear()
+    try:
+        async with asyncio.timeout(_LOOK_AGAIN_S):
+            await ex.state.changed.wait()
+    except TimeoutError:
+        return
+
+
+def _tell(ex, plan: spread.Plan, waited_s: float, known: int) -> None:
+    logs.event(
+        "placed",
+        request=ex.id,
+        service=ex.service,
+        target=plan.lead,
+        helpers=len(plan.helpers),
+        part_s=plan.part_s,
+        predicted_s=plan.first_token_s,
+        cost=plan.cost,
+        waited_s=waited_s,
+        targets=known,
+        targets_version=ex.state.targets.version,
+    )
--- /dev/null
+++ b/copperloom/ingress/relay.py
@@ -0,0 +1,139 @@
+"""Passes a target's answer on to the caller, unchanged and only if whole."""
+
+import asyncio
+
+from aiohttp import web
+
+from copperloom import exception
+from copperloom.decisions import board
+from copperloom.ingress import events, exchange, sender
+from copperloom.platform import headers
+
+__all__ = ["first_event_patience", "relay"]
+
+# A plain answer longer than this goes out in pieces; below it is held until
+# it is whole, so that one that breaks off can be asked for again.
+_HOLD_BYTES = 1024 * 1024
+_EVENT_STREAM = "text/event-stream"
+# Silence after which a stream is taken up at another target: well over the
+# longest pass of a healthy engine, and under the two seconds after which
+# callers leave.
+STALL_S = 1.3
+# The same in pauses that the caller accepts.
+STALL_PAUSES = 3.0
+# Patience for the first event: what was predicted, with room for what came in
+# between. Short streams' callers leave after two seconds.
+FIRST_SLACK_S = 1.1
+FIRST_FACTOR = 1.6
+
+
+async def relay(
+    ex: exchange.Exchange, reply: sender.Reply, facts: headers.ReplyFacts
+) -> None:
+    """Relays one reply.
+
+    Raises:
+        copperloom.exception.StreamBrokenError: It broke off.
+    """
+    content_type = reply.headers.get("Content-Type", "")
+    if reply.status < 300 and content_type.startswith(_EVENT_STREAM):
+        await _stream(ex, reply)
+    else:
+        await _whole(ex, reply)
+
+
+async def _whole(ex: exchange.Exchange, reply: sender.Reply) -> None:
+    parts = []
+    async for part in reply.response.content.iter_any():
+        parts.append(part)
+    reply.check_whole()
+    if ex.response is not None:
+        # The stream had begun at another target; this is no part of it.
+        raise exception.StreamBrokenError("no stream to go on with")
+    ex.first_at = asyncio.get_running_loop().time()
+    ex.response = web.Response(
+        status=reply.status,
+        reason=reply.response.reason,
+        body=b"".join(parts),
+        headers=headers.for_caller(reply.headers.items()),
+    )
+
+
+async def _stream(ex: exchange.Exchange, reply: sender.Reply) -> None:
+    """Relays whole events as they come; half an event is never passed on."""
+    loop = asyncio.get_running_loop()
+    splitter = events.Splitter()
+    content = reply.response.content
+    begun = False
+    while True:
+        chunk = await _read(content, _patience(ex, begun))
+        if not chunk:
+            break
+        whole = events.feed(splitter, chunk)
+        if whole is None:
+            continue
+        if not begun:
+            begun = True
+            board.note_writing(ex.state.board, ex.id)
+        _note_event(ex, loop.time())
+        await _pass_on(ex, reply, whole)
+    reply.check_whole()
+    if splitter.rest:
+        raise exception.StreamBrokenError("ended within an event")
+    if ex.response is None:
+        await _begin(ex, reply)
+    await ex.response.write_eof()
+
+
+def _note_event(ex: exchange.Exchange, now: float) -> None:
+    if ex.first_at is None:
+        ex.first_at = now
+    else:
+        ex.longest_pause_s = max(ex.longest_pause_s, now - ex.last_at)
+    ex.last_at = now
+
+
+def _patience(ex: exchange.Exchange, begun: bool) -> float | None:
+    """Returns the longest silence that a stream may keep; None: any.
+
+    Only one that may be resumed is given up: any other goes on until the
+    time limit.
+    """
+    if not ex.route.resumable:
+        return None
+    if not begun:
+        return first_event_patience(ex)
+    return max(STALL_S, STALL_PAUSES * ex.route.pause_aim_s)
+
+
+def first_event_patience(ex: exchange.Exchange) -> float:
+    """Returns the longest wait for a stream's first event, in seconds."""
+    return FIRST_SLACK_S + FIRST_FACTOR * ex.plan.first_token_s
+
+
+async def _read(content, patience_s: float | None) -> bytes:
+    try:
+        async with asyncio.timeout(patience_s):
+            return await content.readany()
+    except TimeoutError as error:
+        raise exception.StreamBrokenError("stands still") from error
+
+
+async def _pass_on(ex, reply, whole: events.Events) -> None:
+    if ex.response is None:
+        await _begin(ex, reply)
+    await ex.response.write(whole.data)
+    if whole.last_id:
+        ex.last_event = whole.last_id
+
+
+async def _begin(ex: exchange.Exchange, reply: sender.Reply) -> None:
+    response = web.StreamResponse(
+        status=reply.status,
+        reason=reply.response.reason,
+        headers=headers.for_caller(reply.headers.items()),
+    )
+    if ex.state.draining:
+        response.force_close()
+    ex.response = response
+    await response.prepare(ex.http)
--- /dev/null
+++ b/copperloom/ingress/server.py
@@ -0,0 +1,138 @@
+"""Listens for callers, for the balancer's readiness checks and for metrics."""
+
+import asyncio
+
+import prometheus_client
+from aiohttp import web
+
+from copperloom import chains, logs
+from copperloom.ingress import chain, exchange
+from copperloom.ingress.state import IngressState
+
+__all__ = ["Listeners", "close", "close_callers", "is_ready", "listen"]
+
+_LONGEST_LINE = 65_536
+_UNAVAILABLE = 503
+# Connections that come at once: callers move here together when another
+# instance stops.
+_BACKLOG = 1024
+_STOP_S = 0.5
+# Callers close their own idle connections sooner. One that this side closed
+# could meet a request on its way.
+_KEPT_S = 300.0
+
+
+class Listeners:
+    """What is open for others to connect to.
+
+    Attributes:
+        callers: The library's server for callers.
+        sockets: The listening sockets, by what they are for.
+    """
+
+    def __init__(self):
+        self.callers: web.Server | None = None
+        self.sockets: dict[str, asyncio.Server] = {}
+
+
+def is_ready(state: IngressState) -> bool:
+    """Tells whether new connections should come here.
+
+    An instance that knows no routes or no targets could only refuse.
+    """
+    known = bool(state.table.version and state.targets.entries)
+    return known and not state.draining
+
+
+async def listen(state: IngressState, metrics: str) -> Listeners:
+    """Opens the listeners.
+
+    Args:
+        state: The instance's state.
+        metrics: IP:port for metrics, "" for none.
+    """
+    own = Listeners()
+    own.callers = web.Server(
+        _caller(state),
+        access_log=None,
+        handler_cancellation=True,
+        auto_decompress=False,
+        keepalive_timeout=_KEPT_S,
+        max_line_size=_LONGEST_LINE,
+        max_field_size=_LONGEST_LINE,
+        lingering_time=0,
+    )
+    addresses = {
+        "readiness": (state.settings.readiness_listen, _readiness(state)),
+        "metrics": (metrics, _metrics(state)),
+    }
+    for name, (address, handler) in addresses.items():
+        if address:
+            server = web.Server(handler, access_log=None)
+            own.sockets[name] = await _open(address, server)
+    own.sockets["callers"] = await _open(
+        state.settings.callers_listen, own.callers
+    )
+    return own
+
+
+async def close_callers(own: Listeners) -> None:
+    """Takes no further connections of callers; those open go on."""
+    server = own.sockets.pop("callers", None)
+    if server is not None:
+        server.close()
+
+
+async def close(own: Listeners) -> None:
+    """Closes everything, idle connections too."""
+    await close_callers(own)
+    for server in own.sockets.values():
+        server.close()
+    if own.callers is not None:
+        await own.callers.shutdown(_STOP_S)
+
+
+async def _open(address: str, server: web.Server) -> asyncio.Server:
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        server, host, int(port), backlog=_BACKLOG, reuse_address=True
+    )
+
+
+def _caller(state: IngressState):
+    async def handle(http: web.BaseRequest) -> web.StreamResponse:
+        now = asyncio.get_running_loop().time()
+        ex = exchange.Exchange(state, http, now)
+        await chains.run(chain.REQUESTS, ex)
+        if ex.response is None:
+            # The caller has left; nothing can be sent to it.
+            ex.response = web.Response(status=_UNAVAILABLE)
+        if state.draining and not ex.response.prepared:
+            # Tells the caller to connect elsewhere, so that closing this
+            # connection later cuts no request.
+            ex.response.force_close()
+        return ex.response
+
+    return handle
+
+
+def _readiness(state: IngressState):
+    async def handle(http: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if is_ready(state) else _UNAVAILABLE)
+
+    return handle
+
+
+def _metrics(state: IngressState):
+    async def handle(http: web.BaseRequest) -> web.Response:
+        state.metrics.log_lines_dropped.set(logs.dropped())
+        of = state.metrics.versions
+        of.labels("routes").set(state.table.version)
+        of.labels("targets").set(state.targets.version)
+        return web.Response(
+            body=prometheus_client.generate_latest(state.metrics.registry),
+            content_type="text/plain",
+        )
+
+    return handle
--- /dev/null
+++ b/copperloom/ingress/state.py
@@ -0,0 +1,107 @@
+"""What an instance holds in memory, shared by its filters and controllers."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import secrets
+
+from copperloom import routing
+from copperloom.decisions import board, budget, health, registry
+from copperloom.ingress import metrics, sender
+from copperloom.peers import client
+from copperloom.platform import settings, store
+
+__all__ = ["IngressState", "Member", "live_members"]
+
+_BOOT_BYTES = 6
+# Peers tell something twice a second; see decisions.board.
+MEMBER_SILENT_S = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """Another instance.
+
+    Attributes:
+        instance: Its name.
+        datagrams: IP:port for datagrams.
+        calls: IP:port for calls, "" if it takes none.
+        first_at: Monotonic time at which it became known.
+        heard_at: Monotonic time of its last message; -inf if none came.
+        routes_version: Version of the routes that it has.
+        targets_version: Version of the targets that it has.
+        leaving: Whether it is stopping.
+    """
+
+    instance: str
+    datagrams: str
+    calls: str
+    first_at: float
+    heard_at: float = float("-inf")
+    routes_version: int = 0
+    targets_version: int = 0
+    leaving: bool = False
+
+
+class IngressState:
+    """The state of one instance; nothing of it outlives the process.
+
+    Attributes:
+        settings: What the platform told this process.
+        boot: Random name of this run of the process.
+        store: The platform's table service.
+        table: The routes in force here.
+        routes_raw: The operators' document that `table` was made of.
+        targets: The registered targets.
+        targets_raw: Their registrations as the platform keeps them, by name.
+        board: Work in progress at the targets.
+        budget: The budget of repeats.
+        health: Failures of targets of late, by name.
+        members: Other instances, by name.
+        channels: Connections to them.
+        sender: The client for targets.
+        metrics: Counters and histograms.
+        rng: Source of draws and jitter.
+        draining: Whether this instance is stopping.
+        active: Requests in progress.
+        changed: Set when placements may have become possible.
+        stop: Set when the process is to end.
+    """
+
+    def __init__(self, own: settings.PlatformSettings):
+        self.settings = own
+        self.boot = secrets.token_hex(_BOOT_BYTES)
+        self.store = store.Store(own.store)
+        self.table = routing.RoutingTable()
+        self.routes_raw = b""
+        self.targets = registry.Registry()
+        self.targets_raw: dict[str, bytes] = {}
+        self.board = board.Board()
+        self.budget = budget.Budget(
+            budget.Terms(own.retry_ratio, own.retry_window_s, own.retry_slack)
+        )
+        self.health: dict[str, health.Health] = {}
+        self.members: dict[str, Member] = {}
+        self.channels = client.Channels()
+        self.sender = sender.Sender()
+        self.metrics = metrics.IngressMetrics()
+        self.rng = random.Random(f"{own.instance}.{self.boot}")
+        self.draining = False
+        self.active = 0
+        self.changed = asyncio.Event()
+        self.stop = asyncio.Event()
+        self._sequence = itertools.count(1)
+
+    def next_name(self) -> str:
+        """Returns a name never used before, also not by an earlier boot."""
+        return f"{self.settings.instance}.{self.boot}.{next(self._sequence)}"
+
+
+def live_members(state: IngressState, now: float) -> list[Member]:
+    """Lists the other instances that were heard of late."""
+    return [
+        m
+        for m in state.members.values()
+        if now - m.heard_at < MEMBER_SILENT_S and not m.leaving
+    ]
--- a/copperloom/peers/client.py
+++ b/copperloom/peers/client.py
@@ -29,9 +29,15 @@
 
 
 async def call(
-    channels: Channels, address: str, method: str, message, *, timeout_s: float
+    channels: Channels,
+    address: str,
+    method: str,
+    message,
+    *,
+    timeout_s: float,
+    stub=peers_grpc.PeersStub,
 ):
-    """Calls a method of the Peers service.
+    """Calls a method of a peer.
 
     Args:
         channels: The connections.
@@ -39,6 +45,7 @@
         method: Name of the method.
         message: Its request.
         timeout_s: Time limit.
+        stub: Class of the service that has the method.
 
     Returns:
         The reply.
@@ -47,13 +54,13 @@
         copperloom.exception.PeerUnavailableError: No answer in time; the call
             may have had its effect.
     """
-    stub = peers_grpc.PeersStub(_channel(channels, address))
+    service = stub(_channel(channels, address))
     channels.bytes_out += message.ByteSize()
     try:
         # A bound of its own: the library's deadline does not cover the time
         # that a connection to a silent address takes.
         async with asyncio.timeout(timeout_s):
-            reply = await getattr(stub, method)(message, timeout=timeout_s)
+            reply = await getattr(service, method)(message, timeout=timeout_s)
     except (
         grpclib.GRPCError,
         exceptions.ProtocolError,
--- a/copperloom/peers/peers_grpc.py
+++ b/copperloom/peers/peers_grpc.py
@@ -86,3 +86,31 @@
             copperloom.peers.peers_pb2.FetchRequest,
             copperloom.peers.peers_pb2.FetchReply,
         )
+
+
+class CatalogBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Read(self, stream: 'grpclib.server.Stream[copperloom.peers.peers_pb2.CatalogRequest, copperloom.peers.peers_pb2.CatalogReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/copperloom.peers.Catalog/Read': grpclib.const.Handler(
+                self.Read,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                copperloom.peers.peers_pb2.CatalogRequest,
+                copperloom.peers.peers_pb2.CatalogReply,
+            ),
+        }
+
+
+class CatalogStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Read = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/copperloom.peers.Catalog/Read',
+            copperloom.peers.peers_pb2.CatalogRequest,
+            copperloom.peers.peers_pb2.CatalogReply,
+        )
--- /dev/null
+++ b/copperloom/platform/store.py
@@ -0,0 +1,232 @@
+"""The client of the platform's table service.
+
+Rows lie in tables, under a part (empty here) and a key, and bear a version
+from one counter over all tables. The errors tell whether a write can have
+taken effect: only a connection that was never made, a 429, a 503 or a failed
+condition proves that it did not.
+"""
+
+import base64
+import binascii
+import dataclasses
+import urllib.parse
+
+import aiohttp
+import msgspec
+import yarl
+
+from copperloom import exception
+
+__all__ = [
+    "Feed",
+    "HistoryGoneError",
+    "Store",
+    "StoredRow",
+    "close",
+    "feed",
+    "put_row",
+    "read_all",
+    "remove_row",
+]
+
+_OK = 200
+_GONE = 410
+_FAILED_CONDITION = 412
+_REFUSED = (429, 503)
+# Connecting crosses a data centre or two, a few ms; a store that is cut off
+# answers nothing at all.
+_CONNECT_S = 0.5
+_CALL_S = 1.5
+# Answers to a feed come at the end of its wait; this is for the way.
+_FEED_SLACK_S = 0.7
+
+
+class HistoryGoneError(exception.PlatformDownError):
+    """The changes asked for are no longer kept: everything is read again."""
+
+    code = 5007
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRow:
+    """A row.
+
+    Attributes:
+        key: Its key.
+        value: Its bytes; None if the row was removed or can't be read.
+        version: The transaction that wrote it.
+        removed: Whether the row is gone.
+    """
+
+    key: str
+    value: bytes | None
+    version: int
+    removed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Feed:
+    """Rows of a table as of one version.
+
+    Attributes:
+        rows: The rows (or changed rows), in order.
+        version: Version that they are as of.
+    """
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
+class _WireRow(msgspec.Struct):
+    key: str
+    value: str | None = None
+    ver: int = 0
+    removed: bool = False
+
+
+class _WireRows(msgspec.Struct):
+    rows: list[_WireRow] = []
+    ver: int = 0
+    has_more: bool = False
+
+
+_ROWS = msgspec.json.Decoder(_WireRows)
+
+
+class Store:
+    """The connection to the platform's table service.
+
+    Attributes:
+        address: IP:port; may be set anew at any time.
+        calls: Calls made so far, by name.
+    """
+
+    def __init__(self, address: str):
+        self.address = address
+        self.calls: dict[str, int] = {}
+        self.session: aiohttp.ClientSession | None = None
+
+    def open(self) -> aiohttp.ClientSession:
+        """Returns the session, made on first use inside the loop."""
+        if self.session is None:
+            self.session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+        return self.session
+
+
+async def close(store: Store) -> None:
+    """Closes the connections."""
+    if store.session is not None:
+        await store.session.close()
+
+
+async def read_all(store: Store, table: str) -> Feed:
+    """Reads a whole table, in as many calls as it takes."""
+    rows: list[StoredRow] = []
+    start = ""
+    version = 0
+    while True:
+        query = {"table": table, "part": ""}
+        if start:
+            query["from"] = start
+        page = await _get(store, "rows-get", query, _CALL_S)
+        version = version or page.ver
+        rows.extend(_row(r) for r in page.rows)
+        if not page.has_more or not page.rows:
+            return Feed(tuple(rows), version)
+        # The least key after the last one.
+        start = page.rows[-1].key + "\0"
+
+
+async def feed(store: Store, table: str, after: int, wait_s: float) -> Feed:
+    """Waits for changes of a table after a version.
+
+    Raises:
+        HistoryGoneError: The history does not reach back so far.
+        copperloom.exception.PlatformDownError: No answer.
+    """
+    query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
+    page = await _get(store, "rows-feed", query, wait_s + _FEED_SLACK_S)
+    return Feed(tuple(_row(r) for r in page.rows), page.ver)
+
+
+async def put_row(store: Store, table: str, key: str, value: bytes) -> None:
+    """Writes a row, whatever was there.
+
+    Raises:
+        copperloom.exception.PlatformDownError: It was not written.
+        copperloom.exception.PlatformUnknownError: It may have been written.
+    """
+    text = base64.b64encode(value).decode()
+    row = {"table": table, "part": "", "key": key, "value": text}
+    await _write(store, {"expect": [], "writes": [row], "remove": []})
+
+
+async def remove_row(store: Store, table: str, key: str) -> None:
+    """Removes a row; errors as for `put_row`."""
+    row = {"table": table, "part": "", "key": key}
+    await _write(store, {"expect": [], "writes": [], "remove": [row]})
+
+
+async def _write(store: Store, body: dict) -> None:
+    raw = msgspec.json.encode(body)
+    url = f"http://{store.address}/copperloom/rows-tx"
+    status, _ = await _call(
+        store, "POST", url, raw, _CALL_S, exception.PlatformUnknownError
+    )
+    if status in _REFUSED or status == _FAILED_CONDITION:
+        raise exception.PlatformDownError(f"rows-tx: {status}")
+    if status != _OK:
+        raise exception.PlatformUnknownError(f"rows-tx: {status}")
+
+
+async def _get(store: Store, call: str, query: dict, limit_s: float):
+    text = urllib.parse.urlencode(query)
+    url = f"http://{store.address}/copperloom/{call}?{text}"
+    status, raw = await _call(
+        store, "GET", url, None, limit_s, exception.PlatformDownError
+    )
+    if status == _GONE:
+        raise HistoryGoneError(call)
+    if status != _OK:
+        raise exception.PlatformDownError(f"{call}: {status}")
+    try:
+        return _ROWS.decode(raw)
+    except msgspec.MsgspecError as error:
+        raise exception.PlatformDownError(f"{call}: {error}") from error
+
+
+async def _call(store, method, url, body, limit_s, lost):
+    """Calls once; `lost` is raised where the outcome is not known."""
+    name = url.partition("?")[0].rpartition("/")[2]
+    store.calls[name] = store.calls.get(name, 0) + 1
+    limit = aiohttp.ClientTimeout(total=limit_s, sock_connect=_CONNECT_S)
+    headers = {"Content-Type": "application/json"} if body else None
+    try:
+        async with store.open().request(
+            method,
+            yarl.URL(url, encoded=True),
+            data=body,
+            headers=headers,
+            timeout=limit,
+        ) as reply:
+            return reply.status, await reply.read()
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        raise exception.PlatformDownError(f"{name}: {error}") from error
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        raise lost(f"{name}: {type(error).__name__}") from error
+
+
+def _row(raw: _WireRow) -> StoredRow:
+    value = None
+    if not raw.removed and raw.value is not None:
+        try:
+            value = base64.b64decode(raw.value, validate=True)
+        except (binascii.Error, ValueError):
+            value = None
+    return StoredRow(raw.key, value, raw.ver, raw.removed)
