Spread: harm weighs what each caller has at stake; reservations for the largest

Cause: every writer counted the same, and prompts that wait to be read counted next to nothing, so that parts were put before them; prompts over one engine's memory were refused.

--- a/copperloom/daemons/front.py
+++ b/copperloom/daemons/front.py
@@ -38,6 +38,8 @@
 LINGER_S = 0.3
 # Kept from the grace: ending takes some time too.
 RESERVE_S = 0.9
+# Memory that a last request reserved is given back within a round trip.
+RELEASE_S = 0.3
 _POLL_S = 0.02
 _RESTART_S = 0.5
 
@@ -110,6 +112,8 @@
     async def on_stop(self) -> None:
         """Drains, then closes everything."""
         await drain(self.entry, self.listeners, self.gossip)
+        if self.entry.background:
+            await asyncio.wait(self.entry.background, timeout=RELEASE_S)
         await roster.leave(self.entry)
         await server.close(self.listeners)
         if self.calls is not None:
--- a/copperloom/decisions/board.py
+++ b/copperloom/decisions/board.py
@@ -13,8 +13,10 @@
 __all__ = [
     "Board",
     "PeerWork",
+    "Reader",
     "TargetLoad",
     "Work",
+    "Writer",
     "begin",
     "end",
     "forget_target",
@@ -47,6 +49,10 @@
         pause_aim_s: Longest pause that the caller accepts.
         begun: Monotonic time at which it was sent.
         writing: Whether its first token has come, so that reading is over.
+        worth: What its caller has at stake, in units of a short prompt.
+        due_s: Time from `begun` until its first token should come.
+        in_parts: Whether several targets read the prompt; they read such
+            parts before whole prompts.
     """
 
     target: str
@@ -56,6 +62,37 @@
     pause_aim_s: float
     begun: float
     writing: bool = False
+    worth: float = 1.0
+    due_s: float = 1.0
+    in_parts: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Writer:
+    """An answer that is being written.
+
+    Attributes:
+        pause_aim_s: Longest pause that its caller accepts.
+        worth: What its caller has at stake.
+    """
+
+    pause_aim_s: float
+    worth: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reader:
+    """A prompt or part that is being read.
+
+    Attributes:
+        done_s: Predicted time until it is read.
+        due_s: Time until its first token should come.
+        worth: What its caller has at stake.
+    """
+
+    done_s: float
+    due_s: float
+    worth: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,8 +120,9 @@
         requests: Requests that write or will write there, or are called.
         parts: Requests that it only reads a part for.
         reading_s: Predicted reading still to do.
-        reading: Requests and parts that are being read.
-        writers: Accepted pause of each answer being written.
+        parts_s: The share of it that parts of prompts take.
+        readers: Prompts and parts that are being read.
+        writers: Answers that are being written.
         context: Tokens of context of the answers being written.
         tokens: Memory held.
     """
@@ -92,8 +130,9 @@
     requests: int = 0
     parts: int = 0
     reading_s: float = 0.0
-    reading: int = 0
-    writers: tuple[float, ...] = ()
+    parts_s: float = 0.0
+    readers: tuple[Reader, ...] = ()
+    writers: tuple[Writer, ...] = ()
     context: int = 0
     tokens: int = 0
 
@@ -186,25 +225,36 @@
 
 def _sum(works: list[Work], now: float) -> TargetLoad:
     writing = [w for w in works if w.writing and w.writes]
-    reading = [w for w in works if not w.writing and w.reads_s > 0]
+    reading = [
+        w
+        for w in works
+        if not w.writing
+        and w.reads_s > 0
+        and now - w.begun < w.reads_s + _OVERDUE_S
+    ]
+    parts = [w for w in reading if w.in_parts]
+    readers = _readers(reading, now)
     return TargetLoad(
         requests=sum(w.writes for w in works),
         parts=sum(not w.writes and not w.writing for w in works),
-        reading_s=_reading_left(reading, now),
-        reading=len(reading),
-        writers=tuple(w.pause_aim_s for w in writing),
+        reading_s=max((r.done_s for r in readers), default=0.0),
+        parts_s=max((r.done_s for r in _readers(parts, now)), default=0.0),
+        readers=readers,
+        writers=tuple(Writer(w.pause_aim_s, w.worth) for w in writing),
         context=sum(w.tokens for w in writing),
         tokens=sum(w.tokens for w in works),
     )
 
 
-def _reading_left(reading: list[Work], now: float) -> float:
-    """Plays the readings one after the other and says what is left of them."""
+def _readers(reading: list[Work], now: float) -> tuple[Reader, ...]:
+    """Plays the readings one after the other, parts before whole prompts."""
     done_at = 0.0
     least = 0.0
-    for work in sorted(reading, key=lambda w: w.begun):
-        if now - work.begun > work.reads_s + _OVERDUE_S:
-            continue
+    readers = []
+    for work in sorted(reading, key=lambda w: (not w.in_parts, w.begun)):
         done_at = max(done_at, work.begun) + work.reads_s
         least += work.reads_s * _LEAST_LEFT
-    return max(done_at - now, least)
+        left = max(done_at - now, least)
+        due = work.begun + work.due_s - now
+        readers.append(Reader(left, due, work.worth))
+    return tuple(readers)
--- a/copperloom/decisions/spread.py
+++ b/copperloom/decisions/spread.py
@@ -18,7 +18,15 @@
 from copperloom import routing
 from copperloom.decisions import board, passes
 
-__all__ = ["Candidate", "Plan", "Prompt", "plan_prompt", "plan_service"]
+__all__ = [
+    "Candidate",
+    "Hold",
+    "Plan",
+    "Prompt",
+    "plan_prompt",
+    "plan_service",
+    "worth",
+]
 
 # An engine takes at most this many helpers for one prompt.
 MOST_HELPERS = 16
@@ -46,6 +54,9 @@
 PENALTY_COST = 0.5
 # Callers leave a stream that shows no token for four times its objective.
 LEAVES_AFTER = 3.5
+# Share of its free memory that the engine which writes a prompt larger than one
+# engine's memory gives to it without a reservation.
+LEAD_SHARE = 0.8
 # Memory kept free for what peers place at the same moment.
 MEMORY_SLACK_TOKENS = 4000
 
@@ -88,6 +99,19 @@
     near: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """Memory to reserve.
+
+    Attributes:
+        target: Where.
+        tokens: How much.
+    """
+
+    target: str
+    tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
     """Where a request goes.
@@ -98,6 +122,8 @@
         part_s: Predicted reading at each of them.
         first_token_s: Predicted time to the first token.
         cost: What was weighed, in units of worth.
+        holds: Memory to reserve at helpers, for a prompt that is larger than
+            the memory of one engine.
     """
 
     lead: str
@@ -105,6 +131,7 @@
     part_s: float
     first_token_s: float
     cost: float
+    holds: tuple[Hold, ...] = ()
 
 
 def plan_prompt(
@@ -126,18 +153,53 @@
         and memory.
     """
     need = prompt.tokens + prompt.answer_tokens
-    leads = [c for c in candidates if _has_room(engine, c, need)]
+    wide = need > engine.kv_tokens - MEMORY_SLACK_TOKENS
+    leads = [c for c in candidates if _has_room(engine, c, 0 if wide else need)]
     if not leads:
         return None
     total_s = passes.read_s(engine, prompt.tokens)
     best: Plan | None = None
     for parts in _part_counts(total_s, len(candidates)):
         plan = _plan_parts(engine, prompt, leads, candidates, total_s, parts)
+        if plan is not None and wide:
+            plan = _with_holds(engine, plan, candidates, need)
         if plan is not None and (best is None or plan.cost < best.cost):
             best = plan
     return best
 
 
+def worth(tokens: int) -> float:
+    """Returns what a caller has at stake, in units of a short prompt."""
+    return max(0.5, (tokens / UNIT_TOKENS) ** WORTH_POWER)
+
+
+def _with_holds(
+    engine: routing.EngineSpec, plan: Plan, candidates, need: int
+) -> Plan | None:
+    """Divides the memory of a prompt among the engines that read it.
+
+    The engine that writes holds what no reservation takes, so it gets the
+    last share: what others place there meanwhile counts before it.
+    """
+    free = {c.name: _free_tokens(engine, c) for c in candidates}
+    left = need - max(0, int(free[plan.lead] * LEAD_SHARE))
+    holds = []
+    for name in sorted(plan.helpers, key=lambda n: -free[n]):
+        if left <= 0:
+            break
+        tokens = min(left, free[name])
+        if tokens > 0:
+            holds.append(Hold(name, tokens))
+            left -= tokens
+    if left > 0:
+        return None
+    return dataclasses.replace(plan, holds=tuple(holds))
+
+
+def _free_tokens(engine: routing.EngineSpec, tgt: Candidate) -> int:
+    return engine.kv_tokens - tgt.load.tokens - MEMORY_SLACK_TOKENS
+
+
 def plan_service(candidates: list[Candidate]) -> Plan | None:
     """Chooses a target of a plain service: the least loaded for its size.
 
@@ -160,8 +222,7 @@
 def _has_room(engine: routing.EngineSpec, tgt: Candidate, need: int) -> bool:
     if tgt.load.requests >= min(tgt.slots, engine.slots):
         return False
-    free = engine.kv_tokens - tgt.load.tokens - MEMORY_SLACK_TOKENS
-    return need <= free
+    return need <= _free_tokens(engine, tgt)
 
 
 def _part_counts(total_s: float, candidates: int) -> list[int]:
@@ -213,7 +274,8 @@
     for tgt in chosen:
         # The pass that runs when the request comes is half over on average.
         running = _idle_pass(engine, tgt) / 2 if tgt.load.writers else 0.0
-        ready = max(ready, running + tgt.load.reading_s + part_s)
+        before = tgt.load.parts_s if len(chosen) > 1 else tgt.load.reading_s
+        ready = max(ready, running + before + part_s)
     return prompt.waited_s + ready + own
 
 
@@ -222,23 +284,28 @@
 
 
 def _own_loss(prompt: Prompt, first_s: float) -> float:
-    worth = _worth(prompt.tokens)
     aim = prompt.first_token_aim_s
     loss = LATE_LOSS * _late(first_s, aim - WAY_S)
     loss += (1 - LATE_LOSS) * _late(first_s, aim * LEAVES_AFTER)
-    return worth * loss + WAIT_COST * first_s / max(aim, 0.05)
+    return worth(prompt.tokens) * loss + WAIT_COST * first_s / max(aim, 0.05)
 
 
 def _harm(engine: routing.EngineSpec, tgt: Candidate, part_s: float) -> float:
     """Predicts the worth that others lose when a target reads a part."""
-    before = _idle_pass(engine, tgt) + tgt.load.reading_s
+    idle = _idle_pass(engine, tgt)
+    before = idle + tgt.load.reading_s
     harm = 0.0
-    for pause in tgt.load.writers:
-        limit = pause - WAY_S
-        harm += _late(before + part_s, limit) - _late(before, limit)
+    for writer in tgt.load.writers:
+        limit = writer.pause_aim_s - WAY_S
+        more = _late(before + part_s, limit) - _late(before, limit)
+        harm += writer.worth * more
+    for reader in tgt.load.readers:
+        done = reader.done_s + idle
+        limit = reader.due_s - WAY_S
+        more = _late(done + part_s, limit) - _late(done, limit)
+        harm += reader.worth * more
     harm *= LATE_LOSS
-    # Prompts that are being read there wait for the part too.
-    harm += tgt.load.reading * part_s * WAIT_COST
+    harm += len(tgt.load.readers) * part_s * WAIT_COST
     harm += tgt.penalty * PENALTY_COST
     return harm + WAIT_COST * tgt.load.reading_s
 
@@ -250,10 +317,6 @@
     return 0.15 * taken + 0.1 * full - (0.005 if tgt.near else 0.0)
 
 
-def _worth(tokens: int) -> float:
-    return max(0.5, (tokens / UNIT_TOKENS) ** WORTH_POWER)
-
-
 def _late(time_s: float, limit_s: float) -> float:
     """Returns the chance that a predicted time is over a limit."""
     return 1.0 / (1.0 + math.exp(min(50.0, (limit_s - time_s) / BLUR_S)))
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -38,6 +38,7 @@
         avoid: Targets that it is not sent to again.
         run: What may be believed of it.
         response: The response, once begun.
+        reservation: Name of the memory reserved for it.
         first_at: Monotonic time of the first event or the answer.
         last_at: Monotonic time of the last event.
         last_event: Id of the last whole event that went to the caller.
@@ -67,6 +68,7 @@
         self.response: web.StreamResponse | None = None
         self.first_at: float | None = None
         self.last_at = now
+        self.reservation = ""
         self.last_event = self.head.last_event_id
         self.longest_pause_s = 0.0
         self.outcome = ""
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -7,10 +7,11 @@
 """
 
 import asyncio
+import dataclasses
 
 from copperloom import exception, logs, routing
-from copperloom.decisions import board, budget, health
-from copperloom.ingress import exchange, place, relay, sender
+from copperloom.decisions import board, budget, health, spread
+from copperloom.ingress import exchange, place, relay, reserve, sender
 from copperloom.ingress.state import live_members
 from copperloom.platform import headers
 
@@ -25,6 +26,9 @@
 _LONG_PRIORITY = 6
 _LONG_TOKENS = 16_000
 _REFUSED_RETRY_S = 0.15
+# Long answers end, and free their memory, about once a second.
+_MEMORY_WAIT_S = 0.25
+_MEMORY_RETRY_S = 1.0
 # Share of the time left that a plain answer may take before it is asked for
 # at another target: the second one has as long.
 _PLAIN_PATIENCE = 0.45
@@ -41,8 +45,11 @@
         if entry is None:
             continue
         try:
-            await _attempt(ex, entry)
+            async with reserve.held(ex):
+                await _attempt(ex, entry)
             break
+        except exception.CapacityExceededError as error:
+            await _wait_for_memory(ex, error)
         except exception.TargetUnreachableError as error:
             unreachable += 1
             _failed(ex, error, health.UNREACHABLE)
@@ -60,6 +67,20 @@
     await nxt(ex)
 
 
+async def _wait_for_memory(ex, error: exception.CapacityExceededError) -> None:
+    """Waits a little before memory is asked for again.
+
+    Nothing is held meanwhile, so that two requests which want the memory of
+    the same engines can't wait for each other; the draw keeps them apart.
+    """
+    logs.event("memory_refused", request=ex.id, error=str(error))
+    now = asyncio.get_running_loop().time()
+    if now > ex.arrived + (ex.deadline - ex.arrived) * place.WAIT_SHARE:
+        error.retry_after_s = _MEMORY_RETRY_S
+        raise error
+    await asyncio.sleep(ex.state.rng.uniform(0.5, 1.5) * _MEMORY_WAIT_S)
+
+
 def _may_send_again(ex: exchange.Exchange) -> bool:
     if ex.sends >= ex.route.max_attempts:
         return False
@@ -180,26 +201,26 @@
 
 
 def _work(ex: exchange.Exchange, now: float) -> list[board.Work]:
+    """Lists what the plan's targets will do, and hold, for the request."""
     plan = ex.plan
     tokens = 0
     if ex.head.prompt_tokens:
         tokens = ex.head.prompt_tokens + ex.head.max_tokens
+    held = {hold.target: hold.tokens for hold in plan.holds}
     lead = board.Work(
         target=plan.lead,
         reads_s=plan.part_s,
         writes=True,
-        tokens=tokens,
+        tokens=max(0, tokens - sum(held.values())),
         pause_aim_s=ex.route.pause_aim_s,
         begun=now,
+        worth=spread.worth(ex.head.prompt_tokens),
+        due_s=ex.route.target_latency_s - (now - ex.arrived),
+        in_parts=bool(plan.helpers),
     )
     parts = [
-        board.Work(
-            target=name,
-            reads_s=plan.part_s,
-            writes=False,
-            tokens=0,
-            pause_aim_s=ex.route.pause_aim_s,
-            begun=now,
+        dataclasses.replace(
+            lead, target=name, writes=False, tokens=held.get(name, 0)
         )
         for name in plan.helpers
     ]
@@ -212,8 +233,11 @@
         long = ex.head.prompt_tokens > _LONG_TOKENS
         priority = _LONG_PRIORITY if long else _SHORT_PRIORITY
     entries = ex.state.targets.entries
+    tickets = reserve.tickets(ex)
     helpers = tuple(
-        entries[name].address for name in ex.plan.helpers if name in entries
+        entries[name].address + tickets.get(name, "")
+        for name in reserve.in_order(ex.plan)
+        if name in entries
     )
     own = headers.TargetHeaders(
         target=ex.plan.lead,
--- a/copperloom/ingress/gossip.py
+++ b/copperloom/ingress/gossip.py
@@ -41,6 +41,9 @@
     pause_ms: int
     age_ms: int
     writing: bool
+    worth: float
+    due_ms: int
+    in_parts: bool
 
 
 class _Digest(msgspec.Struct, array_like=True):
@@ -165,6 +168,9 @@
         pause_ms=int(work.pause_aim_s * _MS),
         age_ms=int((now - work.begun) * _MS),
         writing=work.writing,
+        worth=round(work.worth, 2),
+        due_ms=int(work.due_s * _MS),
+        in_parts=work.in_parts,
     )
 
 
@@ -177,6 +183,9 @@
         pause_aim_s=raw.pause_ms / _MS,
         begun=now - raw.age_ms / _MS,
         writing=raw.writing,
+        worth=raw.worth,
+        due_s=raw.due_ms / _MS,
+        in_parts=raw.in_parts,
     )
 
 
--- a/copperloom/ingress/place.py
+++ b/copperloom/ingress/place.py
@@ -44,7 +44,7 @@
         if plan is not None:
             _tell(ex, plan, now - begun, len(known))
             return plan
-        if now >= give_up or _never_fits(ex):
+        if now >= give_up:
             raise exception.OverloadedError(
                 f"all {len(known)} targets of {ex.service} are full",
                 retry_after_s=_FULL_RETRY_S,
@@ -58,11 +58,6 @@
     return fresh or known
 
 
-def _never_fits(ex: exchange.Exchange) -> bool:
-    engine = _engine(ex)
-    return engine is not None and ex.head.prompt_tokens > engine.kv_tokens
-
-
 def _engine(ex: exchange.Exchange) -> routing.EngineSpec | None:
     spec = ex.state.table.services.get(ex.service)
     return spec.engine if spec is not None else None
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -23,8 +23,8 @@
 STALL_PAUSES = 3.0
 # Patience for the first event: what was predicted, with room for what came in
 # between. Short streams' callers leave after two seconds.
-FIRST_SLACK_S = 1.1
-FIRST_FACTOR = 1.6
+FIRST_SLACK_S = 1.0
+FIRST_FACTOR = 3.0
 
 
 async def relay(
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -63,6 +63,7 @@
         sender: The client for targets.
         metrics: Counters and histograms.
         rng: Source of draws and jitter.
+        background: Tasks that outlive their request.
         draining: Whether this instance is stopping.
         active: Requests in progress.
         changed: Set when placements may have become possible.
@@ -87,6 +88,7 @@
         self.sender = sender.Sender()
         self.metrics = metrics.IngressMetrics()
         self.rng = random.Random(f"{own.instance}.{self.boot}")
+        self.background: set[asyncio.Task] = set()
         self.draining = False
         self.active = 0
         self.changed = asyncio.Event()
--- a/copperloom/platform/headers.py
+++ b/copperloom/platform/headers.py
@@ -14,6 +14,7 @@
     "RequestHead",
     "TargetHeaders",
     "for_caller",
+    "for_order",
     "for_target",
     "read_head",
     "read_reply",
@@ -182,6 +183,11 @@
     return out
 
 
+def for_order(target: str) -> dict[str, str]:
+    """Makes the headers of an order that is meant for one target."""
+    return {_EXPECT_INSTANCE: target, "Content-Type": "application/json"}
+
+
 def for_caller(
     given: Iterable[tuple[str, str]],
 ) -> multidict.CIMultiDict[str]:
