Spread: passes are played, engine time has a price

Change: decisions/passes plays an engine's next passes; harm counts the next pass only; an engine's second has a price; callers' patience sets when a stream that stands still is taken up elsewhere.

--- a/copperloom/decisions/board.py
+++ b/copperloom/decisions/board.py
@@ -29,12 +29,10 @@
 # A peer tells its work at least twice a second; three seconds are six lost
 # messages in a row, far beyond the loss of a working network.
 PEER_SILENT_S = 3.0
-# Reading that takes longer than predicted still goes on; this share of its
-# predicted time counts until its first token shows that it has ended.
-_LEAST_LEFT = 0.15
 # A reading that is this much overdue counts no longer: the caller's own
 # patience ends it, and its target is most likely not working.
-_OVERDUE_S = 3.0
+_OVERDUE_FACTOR = 3.0
+_OVERDUE_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,14 +83,18 @@
     """A prompt or part that is being read.
 
     Attributes:
-        done_s: Predicted time until it is read.
-        due_s: Time until its first token should come.
+        age_s: Time since it was sent.
+        reads_s: Predicted time of the reading alone.
+        due_s: Time from now until its first token should come.
         worth: What its caller has at stake.
+        in_parts: Whether it is a part of a prompt.
     """
 
-    done_s: float
+    age_s: float
+    reads_s: float
     due_s: float
     worth: float
+    in_parts: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,9 +121,7 @@
     Attributes:
         requests: Requests that write or will write there, or are called.
         parts: Requests that it only reads a part for.
-        reading_s: Predicted reading still to do.
-        parts_s: The share of it that parts of prompts take.
-        readers: Prompts and parts that are being read.
+        readers: Prompts and parts that are being read, the oldest first.
         writers: Answers that are being written.
         context: Tokens of context of the answers being written.
         tokens: Memory held.
@@ -129,8 +129,6 @@
 
     requests: int = 0
     parts: int = 0
-    reading_s: float = 0.0
-    parts_s: float = 0.0
     readers: tuple[Reader, ...] = ()
     writers: tuple[Writer, ...] = ()
     context: int = 0
@@ -230,31 +228,22 @@
         for w in works
         if not w.writing
         and w.reads_s > 0
-        and now - w.begun < w.reads_s + _OVERDUE_S
+        and now - w.begun < _OVERDUE_FACTOR * w.reads_s + _OVERDUE_S
     ]
-    parts = [w for w in reading if w.in_parts]
-    readers = _readers(reading, now)
     return TargetLoad(
         requests=sum(w.writes for w in works),
         parts=sum(not w.writes and not w.writing for w in works),
-        reading_s=max((r.done_s for r in readers), default=0.0),
-        parts_s=max((r.done_s for r in _readers(parts, now)), default=0.0),
-        readers=readers,
+        readers=tuple(
+            Reader(
+                age_s=now - w.begun,
+                reads_s=w.reads_s,
+                due_s=w.begun + w.due_s - now,
+                worth=w.worth,
+                in_parts=w.in_parts,
+            )
+            for w in sorted(reading, key=lambda w: w.begun)
+        ),
         writers=tuple(Writer(w.pause_aim_s, w.worth) for w in writing),
         context=sum(w.tokens for w in writing),
         tokens=sum(w.tokens for w in works),
     )
-
-
-def _readers(reading: list[Work], now: float) -> tuple[Reader, ...]:
-    """Plays the readings one after the other, parts before whole prompts."""
-    done_at = 0.0
-    least = 0.0
-    readers = []
-    for work in sorted(reading, key=lambda w: (not w.in_parts, w.begun)):
-        done_at = max(done_at, work.begun) + work.reads_s
-        least += work.reads_s * _LEAST_LEFT
-        left = max(done_at - now, least)
-        due = work.begun + work.due_s - now
-        readers.append(Reader(left, due, work.worth))
-    return tuple(readers)
--- a/copperloom/decisions/spread.py
+++ b/copperloom/decisions/spread.py
@@ -23,6 +23,7 @@
     "Hold",
     "Plan",
     "Prompt",
+    "is_refused",
     "plan_prompt",
     "plan_service",
     "worth",
@@ -37,6 +38,8 @@
 WAY_S = 0.03
 # What is left of a request's worth when it is late.
 LATE_LOSS = 0.75
+# Prompts above this are read in more than a pass or two.
+LONG_TOKENS = 100_000
 # Reading a prompt of this size is worth one unit.
 UNIT_TOKENS = 5000
 WORTH_POWER = 0.75
@@ -45,15 +48,31 @@
 PART_COST = 0.02
 # Cost of a second of waiting, to tell placements apart that are all in time.
 WAIT_COST = 0.25
-# While nearly all engines read a part that is longer than this, a short
-# prompt that comes would be late wherever it goes.
-LONG_PART_S = 0.13
-# Share of the engines that is then left alone.
-SPARED_SHARE = 0.3
+# A prompt that comes while an engine reads a part no longer than this still
+# gets its first token in time there.
+SHORT_PART_S = 0.12
+# Share of an engine's slots that new prompts can make use of: they come in
+# clumps, and each writer slows the pass a little.
+USABLE_SLOTS = 0.7
+# A short answer is written in about this time, so the requests in progress
+# come anew once in it.
+ANSWER_S = 1.5
+# Worth that others could get out of a second of an engine's reading, when all
+# engines read; with idle engines it falls to the share below.
+ENGINE_SECOND_WORTH = 0.8
+IDLE_SHARE = 0.3
+# A prompt whose placement costs others more than it is worth is refused.
+REFUSE_ABOVE = 1.0
 # A failure of late costs as much as this many units of worth.
 PENALTY_COST = 0.5
 # Callers leave a stream that shows no token for four times its objective.
 LEAVES_AFTER = 3.5
+# Callers leave a stream that stands still for so long, or for so many of the
+# pauses that they accept.
+LEAVES_PAUSE_S = 2.0
+LEAVES_PAUSES = 8.0
+# Kept below it: a caller that has left has nothing of what was done for it.
+LEAVES_SOON = 0.75
 # Share of its free memory that the engine which writes a prompt larger than one
 # engine's memory gives to it without a reservation.
 LEAD_SHARE = 0.8
@@ -158,9 +177,12 @@
     if not leads:
         return None
     total_s = passes.read_s(engine, prompt.tokens)
+    times = {c.name: passes.play(engine, c.load) for c in candidates}
     best: Plan | None = None
     for parts in _part_counts(total_s, len(candidates)):
-        plan = _plan_parts(engine, prompt, leads, candidates, total_s, parts)
+        plan = _plan_parts(
+            engine, prompt, leads, candidates, times, total_s / parts, parts
+        )
         if plan is not None and wide:
             plan = _with_holds(engine, plan, candidates, need)
         if plan is not None and (best is None or plan.cost < best.cost):
@@ -168,6 +190,18 @@
     return best
 
 
+def is_refused(prompt: Prompt, plan: Plan) -> bool:
+    """Tells whether a prompt takes more from others than it is worth.
+
+    Made for the largest prompts at a peak of short ones: reading 700,000
+    tokens takes 14 engines four seconds, in which every other caller waits.
+    Only prompts that would be late anyway are refused for it.
+    """
+    limit = worth(prompt.tokens) * REFUSE_ABOVE
+    late = plan.first_token_s > prompt.first_token_aim_s
+    return late and prompt.tokens > LONG_TOKENS and plan.cost > limit
+
+
 def worth(tokens: int) -> float:
     """Returns what a caller has at stake, in units of a short prompt."""
     return max(0.5, (tokens / UNIT_TOKENS) ** WORTH_POWER)
@@ -234,14 +268,12 @@
 
 
 def _plan_parts(
-    engine, prompt, leads, candidates, total_s, parts
+    engine, prompt, leads, candidates, times, part_s, parts
 ) -> Plan | None:
-    part_s = total_s / parts
-    if parts > 1 and part_s > LONG_PART_S:
-        spared = math.ceil(len(candidates) * SPARED_SHARE)
-        if parts > max(1, len(candidates) - spared):
-            return None
-    costs = {c.name: _harm(engine, c, part_s) for c in candidates}
+    in_parts = parts > 1
+    costs = {
+        c.name: _harm(c, times[c.name], part_s, in_parts) for c in candidates
+    }
     lead = min(leads, key=lambda c: costs[c.name] + _lead_cost(engine, c))
     others = sorted(
         (
@@ -254,33 +286,65 @@
     if len(others) < parts - 1:
         return None
     chosen = [lead, *others]
-    first_s = _first_token(engine, prompt, lead, chosen, part_s)
+    first_s = _first_token(engine, prompt, lead, chosen, times, part_s)
     cost = sum(costs[c.name] for c in chosen)
     cost += _lead_cost(engine, lead)
     cost += _own_loss(prompt, first_s)
+    cost += _arrivals_harm(engine, candidates, chosen, times, part_s)
+    cost += _engine_price(candidates, times) * part_s * parts
     cost += PART_COST * (parts - 1)
     names = tuple(c.name for c in others)
     return Plan(lead.name, names, part_s, first_s, cost)
 
 
-def _first_token(engine, prompt, lead, chosen, part_s) -> float:
+def _engine_price(candidates, times) -> float:
+    """Returns what a second of an engine's reading is worth to others now."""
+    reading = sum(times[c.name].reading_s > SHORT_PART_S for c in candidates)
+    share = reading / len(candidates)
+    return ENGINE_SECOND_WORTH * (IDLE_SHARE + (1 - IDLE_SHARE) * share)
+
+
+def _arrivals_harm(engine, candidates, chosen, times, part_s: float) -> float:
+    """Predicts the worth that requests lose which come while a part is read.
+
+    Engines that read for long are closed to them. As long as the others have
+    slots enough for the requests in progress, nothing is lost; a prompt that
+    closes more than that makes all that come late until it is read.
+    """
+    closed_s = part_s - SHORT_PART_S
+    if closed_s <= 0:
+        return 0.0
+    names = {c.name for c in chosen}
+    free = sum(
+        c.name not in names and times[c.name].reading_s < SHORT_PART_S
+        for c in candidates
+    )
+    busy = sum(c.load.requests for c in candidates)
+    room = free * engine.slots * USABLE_SLOTS
+    if busy <= room:
+        return 0.0
+    return LATE_LOSS * (1.0 - room / busy) * closed_s * busy / ANSWER_S
+
+
+def _first_token(engine, prompt, lead, chosen, times, part_s) -> float:
     """Predicts the time to the first token, waiting until now included."""
+    in_parts = len(chosen) > 1
+    ready = max(_ready(c, times[c.name], part_s, in_parts) for c in chosen)
     own = passes.pass_s(
         engine,
         len(lead.load.writers) + 1,
         lead.load.context + prompt.tokens // len(chosen),
     )
-    ready = 0.0
-    for tgt in chosen:
-        # The pass that runs when the request comes is half over on average.
-        running = _idle_pass(engine, tgt) / 2 if tgt.load.writers else 0.0
-        before = tgt.load.parts_s if len(chosen) > 1 else tgt.load.reading_s
-        ready = max(ready, running + before + part_s)
     return prompt.waited_s + ready + own
 
 
-def _idle_pass(engine: routing.EngineSpec, tgt: Candidate) -> float:
-    return passes.pass_s(engine, len(tgt.load.writers), tgt.load.context)
+def _ready(
+    tgt: Candidate, time: passes.Timeline, part_s: float, in_parts: bool
+) -> float:
+    """Predicts when a target has read a part that is sent now."""
+    if tgt.load.writers:
+        return time.pass_left_s + time.pending_s + part_s
+    return part_s if in_parts else time.reading_s + part_s
 
 
 def _own_loss(prompt: Prompt, first_s: float) -> float:
@@ -290,24 +354,37 @@
     return worth(prompt.tokens) * loss + WAIT_COST * first_s / max(aim, 0.05)
 
 
-def _harm(engine: routing.EngineSpec, tgt: Candidate, part_s: float) -> float:
+def _harm(
+    tgt: Candidate, time: passes.Timeline, part_s: float, in_parts: bool
+) -> float:
     """Predicts the worth that others lose when a target reads a part."""
-    idle = _idle_pass(engine, tgt)
-    before = idle + tgt.load.reading_s
+    before = time.idle_s + time.pending_s
     harm = 0.0
     for writer in tgt.load.writers:
-        limit = writer.pause_aim_s - WAY_S
-        more = _late(before + part_s, limit) - _late(before, limit)
-        harm += writer.worth * more
-    for reader in tgt.load.readers:
-        done = reader.done_s + idle
+        harm += writer.worth * (
+            _pause_loss(writer, before + part_s) - _pause_loss(writer, before)
+        )
+    # An engine that writes takes a part into its next pass; one that only
+    # reads puts parts before all else, and whole prompts after it.
+    shifts = bool(tgt.load.writers) or in_parts
+    for reader, done, pending in zip(
+        tgt.load.readers, time.done_s, time.pending, strict=True
+    ):
+        if not shifts or not pending:
+            continue
+        done += time.idle_s
         limit = reader.due_s - WAY_S
         more = _late(done + part_s, limit) - _late(done, limit)
-        harm += reader.worth * more
-    harm *= LATE_LOSS
-    harm += len(tgt.load.readers) * part_s * WAIT_COST
+        harm += reader.worth * more * LATE_LOSS + part_s * WAIT_COST
     harm += tgt.penalty * PENALTY_COST
-    return harm + WAIT_COST * tgt.load.reading_s
+    return harm + WAIT_COST * time.reading_s
+
+
+def _pause_loss(writer: board.Writer, pause_s: float) -> float:
+    """Returns the share of an answer's worth that a pause takes."""
+    leaves_s = max(LEAVES_PAUSE_S, LEAVES_PAUSES * writer.pause_aim_s)
+    loss = LATE_LOSS * _late(pause_s, writer.pause_aim_s - WAY_S)
+    return loss + (1 - LATE_LOSS) * _late(pause_s, leaves_s * LEAVES_SOON)
 
 
 def _lead_cost(engine: routing.EngineSpec, tgt: Candidate) -> float:
--- a/copperloom/ingress/place.py
+++ b/copperloom/ingress/place.py
@@ -17,6 +17,8 @@
 # When to come back if no target of the service is known.
 _NO_TARGET_RETRY_S = 0.5
 _FULL_RETRY_S = 0.3
+# Peaks of short prompts last for some seconds.
+_TOO_DEAR_RETRY_S = 3.0
 # Requests of a plain service beyond its slots that its targets queue.
 _PLAIN_QUEUE = 2
 # The guess of an answer's length if the caller gives none.
@@ -80,7 +82,13 @@
         pause_aim_s=ex.route.pause_aim_s,
         waited_s=now - ex.arrived,
     )
-    return spread.plan_prompt(engine, prompt, candidates)
+    plan = spread.plan_prompt(engine, prompt, candidates)
+    if plan is not None and not ex.sends and spread.is_refused(prompt, plan):
+        raise exception.OverloadedError(
+            f"costs {plan.cost:.1f}, worth {spread.worth(prompt.tokens):.1f}",
+            retry_after_s=_TOO_DEAR_RETRY_S,
+        )
+    return plan
 
 
 def _candidate(ex, entry: routing.TargetEntry, load, now: float):
@@ -108,7 +116,7 @@
         request=ex.id,
         service=ex.service,
         target=plan.lead,
-        helpers=len(plan.helpers),
+        helpers=",".join(plan.helpers),
         part_s=plan.part_s,
         predicted_s=plan.first_token_s,
         cost=plan.cost,
