--- a/copperloom/decisions/board.py
+++ b/copperloom/decisions/board.py
@@ -88,6 +88,8 @@
         due_s: Time from now until its first token should come.
         worth: What its caller has at stake.
         in_parts: Whether it is a part of a prompt.
+        pause_aim_s: Longest pause that its caller accepts once its answer is
+            written here; None if it is written elsewhere.
     """
 
     age_s: float
@@ -95,6 +97,7 @@
     due_s: float
     worth: float
     in_parts: bool
+    pause_aim_s: float | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,7 +225,9 @@
 
 
 def _sum(works: list[Work], now: float) -> TargetLoad:
-    writing = [w for w in works if w.writing and w.writes]
+    # Each step of an answer needs the engines that hold a share of its memory,
+    # so they count as its writers too.
+    writing = [w for w in works if w.writing and (w.writes or w.tokens)]
     reading = [
         w
         for w in works
@@ -240,6 +245,7 @@
                 due_s=w.begun + w.due_s - now,
                 worth=w.worth,
                 in_parts=w.in_parts,
+                pause_aim_s=w.pause_aim_s if w.writes else None,
             )
             for w in sorted(reading, key=lambda w: w.begun)
         ),
--- a/copperloom/decisions/spread.py
+++ b/copperloom/decisions/spread.py
@@ -34,6 +34,9 @@
 # Times are predicted to about this; lateness is a slope, not a step, so that
 # of two placements near the limit the quicker one is taken.
 BLUR_S = 0.035
+# The longer a time, the more comes in between; as shares of the limit.
+BLUR_SHARE = 0.06
+WAY_SHARE = 0.1
 # Kept free below a limit for the way, for timers and for what is not known.
 WAY_S = 0.03
 # What is left of a request's worth when it is late.
@@ -51,6 +54,8 @@
 # A prompt that comes while an engine reads a part no longer than this still
 # gets its first token in time there.
 SHORT_PART_S = 0.12
+# A prompt that is read within this time writes in the next pass.
+SOON_WRITES_S = 0.08
 # Share of an engine's slots that new prompts can make use of: they come in
 # clumps, and each writer slows the pass a little.
 USABLE_SLOTS = 0.7
@@ -65,6 +70,8 @@
 REFUSE_ABOVE = 1.0
 # A failure of late costs as much as this many units of worth.
 PENALTY_COST = 0.5
+# Share of its worth that a request risks at a target with one such unit.
+RISK_SHARE = 0.3
 # Callers leave a stream that shows no token for four times its objective.
 LEAVES_AFTER = 3.5
 # Callers leave a stream that stands still for so long, or for so many of the
@@ -154,7 +161,11 @@
 
 
 def plan_prompt(
-    engine: routing.EngineSpec, prompt: Prompt, candidates: list[Candidate]
+    engine: routing.EngineSpec,
+    prompt: Prompt,
+    candidates: list[Candidate],
+    *,
+    may_lead: frozenset[str] | None = None,
 ) -> Plan | None:
     """Chooses the engine that writes and those that help it read.
 
@@ -166,6 +177,7 @@
         engine: Figures of the service's engines.
         prompt: What is to be placed.
         candidates: The engines that may be used.
+        may_lead: Names of those that may get the request; None allows all.
 
     Returns:
         The plan with the least cost, or None if no engine has a free slot
@@ -174,6 +186,8 @@
     need = prompt.tokens + prompt.answer_tokens
     wide = need > engine.kv_tokens - MEMORY_SLACK_TOKENS
     leads = [c for c in candidates if _has_room(engine, c, 0 if wide else need)]
+    if may_lead is not None:
+        leads = [c for c in leads if c.name in may_lead]
     if not leads:
         return None
     total_s = passes.read_s(engine, prompt.tokens)
@@ -272,7 +286,9 @@
 ) -> Plan | None:
     in_parts = parts > 1
     costs = {
-        c.name: _harm(c, times[c.name], part_s, in_parts) for c in candidates
+        c.name: _harm(c, times[c.name], part_s, in_parts)
+        + c.penalty * PENALTY_COST
+        for c in candidates
     }
     lead = min(leads, key=lambda c: costs[c.name] + _lead_cost(engine, c))
     others = sorted(
@@ -288,6 +304,8 @@
     chosen = [lead, *others]
     first_s = _first_token(engine, prompt, lead, chosen, times, part_s)
     cost = sum(costs[c.name] for c in chosen)
+    at_risk = PENALTY_COST * worth(prompt.tokens) * RISK_SHARE
+    cost += at_risk * sum(c.penalty for c in chosen)
     cost += _lead_cost(engine, lead)
     cost += _own_loss(prompt, first_s)
     cost += _arrivals_harm(engine, candidates, chosen, times, part_s)
@@ -349,7 +367,7 @@
 
 def _own_loss(prompt: Prompt, first_s: float) -> float:
     aim = prompt.first_token_aim_s
-    loss = LATE_LOSS * _late(first_s, aim - WAY_S)
+    loss = LATE_LOSS * _late(first_s, aim)
     loss += (1 - LATE_LOSS) * _late(first_s, aim * LEAVES_AFTER)
     return worth(prompt.tokens) * loss + WAIT_COST * first_s / max(aim, 0.05)
 
@@ -370,20 +388,21 @@
     for reader, done, pending in zip(
         tgt.load.readers, time.done_s, time.pending, strict=True
     ):
-        if not shifts or not pending:
-            continue
-        done += time.idle_s
-        limit = reader.due_s - WAY_S
-        more = _late(done + part_s, limit) - _late(done, limit)
-        harm += reader.worth * more * LATE_LOSS + part_s * WAIT_COST
-    harm += tgt.penalty * PENALTY_COST
+        if shifts and pending:
+            limit = reader.due_s - time.idle_s
+            more = _late(done + part_s, limit) - _late(done, limit)
+            harm += reader.worth * more * LATE_LOSS + part_s * WAIT_COST
+        if reader.pause_aim_s is not None and done < SOON_WRITES_S:
+            # It is about to write: the part comes after its first token.
+            writer = board.Writer(reader.pause_aim_s, reader.worth)
+            harm += reader.worth * _pause_loss(writer, before + part_s)
     return harm + WAIT_COST * time.reading_s
 
 
 def _pause_loss(writer: board.Writer, pause_s: float) -> float:
     """Returns the share of an answer's worth that a pause takes."""
     leaves_s = max(LEAVES_PAUSE_S, LEAVES_PAUSES * writer.pause_aim_s)
-    loss = LATE_LOSS * _late(pause_s, writer.pause_aim_s - WAY_S)
+    loss = LATE_LOSS * _late(pause_s, writer.pause_aim_s)
     return loss + (1 - LATE_LOSS) * _late(pause_s, leaves_s * LEAVES_SOON)
 
 
@@ -395,5 +414,7 @@
 
 
 def _late(time_s: float, limit_s: float) -> float:
-    """Returns the chance that a predicted time is over a limit."""
-    return 1.0 / (1.0 + math.exp(min(50.0, (limit_s - time_s) / BLUR_S)))
+    """Returns the chance that a predicted time turns out over a limit."""
+    blur_s = max(BLUR_S, BLUR_SHARE * limit_s)
+    limit_s -= max(WAY_S, WAY_SHARE * limit_s)
+    return 1.0 / (1.0 + math.exp(min(50.0, (limit_s - time_s) / blur_s)))
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -34,7 +34,8 @@
         body: The whole body.
         table_version: Version of the routes that it was admitted under.
         plan: Where it goes now.
-        sends: Targets that it was sent to.
+        sends: How often it was sent.
+        sent_to: Targets that it was sent to.
         avoid: Targets that it is not sent to again.
         run: What may be believed of it.
         response: The response, once begun.
@@ -63,6 +64,7 @@
         self.table_version = 0
         self.plan: spread.Plan | None = None
         self.sends = 0
+        self.sent_to: set[str] = set()
         self.avoid: set[str] = set()
         self.run = exception.Run.NOT_RUN
         self.response: web.StreamResponse | None = None
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -20,6 +20,8 @@
 # Connections that could not be made cost no run, but each costs the caller
 # CONNECT_S.
 _MOST_UNREACHABLE = 4
+# Sends of one request in all, those that helpers made fail included.
+_MOST_SENDS = 4
 # Engines admit 0 first. Short prompts go before long ones: the long one's
 # reading is counted in seconds, the short one's in hundredths.
 _SHORT_PRIORITY = 1
@@ -56,8 +58,8 @@
             if unreachable >= _MOST_UNREACHABLE:
                 raise
         except exception.TargetRefusedError as error:
-            _failed(ex, error, health.BROKEN)
-            if not _may_send_again(ex):
+            by_helper = _failed(ex, error, health.BROKEN)
+            if not _may_send_again(ex, by_helper):
                 error.retry_after_s = _REFUSED_RETRY_S
                 raise
         except exception.StreamBrokenError as error:
@@ -81,8 +83,17 @@
     await asyncio.sleep(ex.state.rng.uniform(0.5, 1.5) * _MEMORY_WAIT_S)
 
 
-def _may_send_again(ex: exchange.Exchange) -> bool:
-    if ex.sends >= ex.route.max_attempts:
+def _may_send_again(ex: exchange.Exchange, by_helper: bool = False) -> bool:
+    """Tells whether the route and the budget allow one more send.
+
+    Args:
+        ex: The request.
+        by_helper: Whether a helper made the last one fail, so that the same
+            target may be asked again with others.
+    """
+    if by_helper and ex.sends < _MOST_SENDS:
+        pass
+    elif len(ex.sent_to) >= ex.route.max_attempts:
         return False
     now = asyncio.get_running_loop().time()
     members = len(live_members(ex.state, now)) + 1
@@ -92,10 +103,14 @@
     return allowed
 
 
-def _failed(ex, error: exception.CopperloomError, points: float) -> None:
+def _failed(ex, error: exception.CopperloomError, points: float) -> bool:
+    """Notes a failure; tells whether a helper is to blame."""
     now = asyncio.get_running_loop().time()
     culprit = getattr(error, "target", "") or ex.plan.lead
+    by_helper = culprit != ex.plan.lead
     ex.avoid.add(culprit)
+    if by_helper:
+        points = health.UNREACHABLE
     known = ex.state.health.setdefault(culprit, health.Health())
     health.failed(known, now, points)
     ex.state.metrics.attempts.labels(type(error).__name__).inc()
@@ -109,6 +124,7 @@
         sends=ex.sends,
         last_event=ex.last_event,
     )
+    return by_helper
 
 
 async def _attempt(ex: exchange.Exchange, entry: routing.TargetEntry) -> None:
@@ -120,6 +136,8 @@
     board.begin(state.board, ex.id, _work(ex, now))
     before = ex.run
     ex.sends += 1
+    new = entry.name not in ex.sent_to
+    ex.sent_to.add(entry.name)
     ex.run = exception.Run.MAY_HAVE_RUN
     try:
         async with sender.send(
@@ -135,6 +153,8 @@
         _answered(ex, entry.name)
     except exception.TargetUnreachableError:
         ex.sends -= 1
+        if new:
+            ex.sent_to.discard(entry.name)
         ex.run = before
         raise
     except exception.TargetRefusedError:
@@ -151,7 +171,7 @@
     A request that may run again is tried elsewhere while time is left for
     it; one that may not waits for its answer to the end.
     """
-    if not ex.route.repeatable or ex.sends >= ex.route.max_attempts:
+    if not ex.route.repeatable or len(ex.sent_to) >= ex.route.max_attempts:
         return None
     if ex.route.kind is routing.RouteKind.STREAM:
         return relay.first_event_patience(ex)
@@ -186,7 +206,7 @@
         raise exception.StreamBrokenError("a success without its seal")
     if reply.status < _SERVER_ERROR:
         return facts
-    again = ex.route.repeatable and ex.sends < ex.route.max_attempts
+    again = ex.route.repeatable and len(ex.sent_to) < ex.route.max_attempts
     if again or not facts.sealed:
         raise exception.StreamBrokenError(f"status {reply.status}")
     return facts
--- a/copperloom/ingress/place.py
+++ b/copperloom/ingress/place.py
@@ -82,7 +82,9 @@
         pause_aim_s=ex.route.pause_aim_s,
         waited_s=now - ex.arrived,
     )
-    plan = spread.plan_prompt(engine, prompt, candidates)
+    plan = spread.plan_prompt(
+        engine, prompt, candidates, may_lead=_may_lead(ex)
+    )
     if plan is not None and not ex.sends and spread.is_refused(prompt, plan):
         raise exception.OverloadedError(
             f"costs {plan.cost:.1f}, worth {spread.worth(prompt.tokens):.1f}",
@@ -91,6 +93,17 @@
     return plan
 
 
+def _may_lead(ex: exchange.Exchange) -> frozenset[str] | None:
+    """Returns the targets that it may be sent to; None: any.
+
+    When a helper made it fail, it may go once more to a target that has it
+    already, though its route allows no further one.
+    """
+    if len(ex.sent_to) < ex.route.max_attempts:
+        return None
+    return frozenset(ex.sent_to)
+
+
 def _candidate(ex, entry: routing.TargetEntry, load, now: float):
     return spread.Candidate(
         name=entry.name,
--- a/copperloom/ingress/server.py
+++ b/copperloom/ingress/server.py
@@ -77,10 +77,17 @@
 
 
 async def close_callers(own: Listeners) -> None:
-    """Takes no further connections of callers; those open go on."""
+    """Takes no further requests; those in progress go on.
+
+    Idle connections are closed, and the others after their request. A caller
+    that kept one open could otherwise send a request just before the process
+    is killed: one that crosses the close has not been read and is sent anew.
+    """
     server = own.sockets.pop("callers", None)
     if server is not None:
         server.close()
+    for connection in own.callers.connections:
+        connection.close()
 
 
 async def close(own: Listeners) -> None:
