--- a/copperloom/ingress/server.py
+++ b/copperloom/ingress/server.py
@@ -17,6 +17,8 @@
 # instance stops.
 _BACKLOG = 1024
 _STOP_S = 0.5
+# Reading from a connection and starting its request take a few.
+_TAKE_IN_TURNS = 10
 # Callers close their own idle connections sooner. One that this side closed
 # could meet a request on its way.
 _KEPT_S = 300.0
@@ -28,9 +30,11 @@
     Attributes:
         callers: The library's server for callers.
         sockets: The listening sockets, by what they are for.
+        busy: Callers' connections with a request in progress.
     """
 
     def __init__(self):
+        self.busy: set = set()
         self.callers: web.Server | None = None
         self.sockets: dict[str, asyncio.Server] = {}
 
@@ -53,7 +57,7 @@
     """
     own = Listeners()
     own.callers = web.Server(
-        _caller(state),
+        _caller(state, own.busy),
         access_log=None,
         handler_cancellation=True,
         auto_decompress=False,
@@ -86,8 +90,15 @@
     server = own.sockets.pop("callers", None)
     if server is not None:
         server.close()
+    for _ in range(_TAKE_IN_TURNS):
+        # Takes in the requests that have come over the network by now.
+        await asyncio.sleep(0)
     for connection in own.callers.connections:
-        connection.close()
+        if connection in own.busy:
+            connection.close()
+        elif connection.transport is not None:
+            # The library's own close() would leave it open and unread.
+            connection.transport.close()
 
 
 async def close(own: Listeners) -> None:
@@ -107,23 +118,39 @@
     )
 
 
-def _caller(state: IngressState):
+def _caller(state: IngressState, busy: set):
     async def handle(http: web.BaseRequest) -> web.StreamResponse:
         now = asyncio.get_running_loop().time()
         ex = exchange.Exchange(state, http, now)
-        await chains.run(chain.REQUESTS, ex)
-        if ex.response is None:
-            # The caller has left; nothing can be sent to it.
-            ex.response = web.Response(status=_UNAVAILABLE)
-        if state.draining and not ex.response.prepared:
-            # Tells the caller to connect elsewhere, so that closing this
-            # connection later cuts no request.
-            ex.response.force_close()
+        busy.add(http.protocol)
+        try:
+            await chains.run(chain.REQUESTS, ex)
+            await _answer(ex)
+        finally:
+            busy.discard(http.protocol)
         return ex.response
 
     return handle
 
 
+async def _answer(ex: exchange.Exchange) -> None:
+    """Sends the response, unless it is a stream that was sent already."""
+    if ex.response is None:
+        # The caller has left; nothing can be sent to it.
+        ex.response = web.Response(status=_UNAVAILABLE)
+    if ex.response.prepared:
+        return
+    if ex.state.draining:
+        # Tells the caller to connect elsewhere, so that closing this
+        # connection later cuts no request.
+        ex.response.force_close()
+    try:
+        await ex.response.prepare(ex.http)
+        await ex.response.write_eof()
+    except ConnectionError as error:
+        logs.event("caller_gone", request=ex.id, error=str(error))
+
+
 def _readiness(state: IngressState):
     async def handle(http: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if is_ready(state) else _UNAVAILABLE)
