--- a/copperloom/decisions/registry.py
+++ b/copperloom/decisions/registry.py
@@ -11,7 +11,7 @@
 
 from copperloom import routing
 
-__all__ = ["Registry", "note_trouble", "replace", "update", "usable"]
+__all__ = ["Registry", "find", "note_trouble", "replace", "update", "usable"]
 
 # Registrations that lapsed during an outage are back within about this time
 # of the platform's return; one still missing then is gone.
@@ -96,6 +96,14 @@
         reg.missing[name] = (old, until)
 
 
+def find(reg: Registry, name: str) -> routing.TargetEntry | None:
+    """Returns a target's entry, also if it vanished around an outage."""
+    entry = reg.entries.get(name)
+    if entry is None and name in reg.missing:
+        entry = reg.missing[name][0]
+    return entry
+
+
 def usable(
     reg: Registry, service: str, now: float
 ) -> list[routing.TargetEntry]:
--- /dev/null
+++ b/copperloom/decisions/tests/test_board.py
@@ -0,0 +1,173 @@
+"""Work in progress of all instances, budget, health and registry."""
+
+import unittest
+
+from copperloom import routing
+from copperloom.decisions import board, budget, health, registry
+
+
+def _work(target: str = "e0", begun: float = 0.0, **changes) -> board.Work:
+    given = {
+        "reads_s": 0.5,
+        "writes": True,
+        "tokens": 1000,
+        "pause_aim_s": 0.25,
+    }
+    return board.Work(target=target, begun=begun, **given | changes)
+
+
+def _told(sequence: int = 1, boot: str = "a", at: float = 0.0, *work):
+    return board.PeerWork(boot, sequence, at, work)
+
+
+class BoardTest(unittest.TestCase):
+    def test_own_and_peers_work_add_up(self):
+        b = board.Board()
+        board.begin(b, "q1", [_work(), _work("e1", writes=False, tokens=0)])
+        board.hear(b, "peer", _told(1, "a", 0.0, _work()))
+        loads = board.loads(b, 0.1)
+        self.assertEqual(loads["e0"].requests, 2)
+        self.assertEqual(loads["e0"].tokens, 2000)
+        self.assertEqual(loads["e1"].parts, 1)
+
+    def test_first_token_ends_the_parts(self):
+        b = board.Board()
+        board.begin(b, "q1", [_work(), _work("e1", writes=False, tokens=0)])
+        board.note_writing(b, "q1")
+        loads = board.loads(b, 0.1)
+        self.assertNotIn("e1", loads)
+        self.assertEqual(len(loads["e0"].writers), 1)
+        self.assertEqual(loads["e0"].readers, ())
+
+    def test_silent_peer_fades(self):
+        """A peer dies; its work must not keep targets unused for ever."""
+        b = board.Board()
+        board.hear(b, "peer", _told(1, "a", 0.0, _work()))
+        self.assertIn("e0", board.loads(b, 1.0))
+        self.assertNotIn("e0", board.loads(b, board.PEER_SILENT_S + 0.1))
+
+    def test_late_message_changes_nothing(self):
+        b = board.Board()
+        board.hear(b, "peer", _told(5, "a", 0.0))
+        self.assertFalse(board.hear(b, "peer", _told(4, "a", 0.1, _work())))
+        self.assertEqual(board.loads(b, 0.1), {})
+
+    def test_new_boot_replaces_the_old_ones_work(self):
+        b = board.Board()
+        board.hear(b, "peer", _told(900, "a", 0.0, _work()))
+        self.assertTrue(board.hear(b, "peer", _told(1, "b", 0.1)))
+        self.assertEqual(board.loads(b, 0.1), {})
+
+    def test_target_that_started_again_has_nothing(self):
+        b = board.Board()
+        board.hear(b, "peer", _told(1, "a", 0.0, _work(), _work("e1")))
+        board.forget_target(b, "e0")
+        self.assertEqual(set(board.loads(b, 0.1)), {"e1"})
+
+    def test_holders_of_memory_write_too(self):
+        b = board.Board()
+        board.begin(b, "q1", [_work(), _work("e1", writes=False)])
+        board.note_writing(b, "q1")
+        self.assertEqual(len(board.loads(b, 0.1)["e1"].writers), 1)
+
+
+class BudgetTest(unittest.TestCase):
+    def test_nine_instances_stay_within_the_bound(self):
+        """Every request of every instance fails and wants a repeat."""
+        terms = budget.Terms(ratio=0.2, window_s=10.0, slack=106)
+        own = [budget.Budget(terms) for _ in range(9)]
+        requests = repeats = 0
+        for step in range(100):
+            now = step * 0.1
+            for b in own:
+                budget.note_request(b, "s", now)
+                requests += 1
+                repeats += budget.spend(b, "s", now, len(own))
+        self.assertLessEqual(repeats, 0.2 * requests + 106)
+        self.assertGreater(repeats, 0.2 * requests)
+
+    def test_window_slides(self):
+        b = budget.Budget(budget.Terms(0.0, 10.0, 10))
+        spent = [budget.spend(b, "s", 0.0, 1) for _ in range(10)]
+        self.assertEqual(sum(spent), 7)
+        self.assertFalse(budget.spend(b, "s", 9.9, 1))
+        self.assertTrue(budget.spend(b, "s", 10.1, 1))
+
+    def test_services_have_budgets_of_their_own(self):
+        b = budget.Budget(budget.Terms(0.0, 10.0, 2))
+        self.assertTrue(budget.spend(b, "s", 0.0, 1))
+        self.assertFalse(budget.spend(b, "s", 0.0, 1))
+        self.assertTrue(budget.spend(b, "t", 0.0, 1))
+
+
+class HealthTest(unittest.TestCase):
+    def test_failures_fade_and_answers_forgive(self):
+        known = health.Health()
+        health.failed(known, 0.0, health.UNREACHABLE)
+        self.assertAlmostEqual(health.penalty(known, 0.0), 3.0)
+        self.assertAlmostEqual(health.penalty(known, health.HALF_LIFE_S), 1.5)
+        health.succeeded(known, 0.0)
+        self.assertLess(health.penalty(known, 0.0), 1.5)
+
+    def test_nothing_known(self):
+        self.assertEqual(health.penalty(None, 5.0), 0.0)
+
+
+def _entry(name: str = "t", **changes) -> routing.TargetEntry:
+    given = {
+        "service": "s",
+        "address": "127.0.0.1:1",
+        "data_centre": "a",
+        "slots": 1,
+    }
+    return routing.TargetEntry(name=name, **given | changes)
+
+
+class RegistryTest(unittest.TestCase):
+    def test_removal_in_calm_is_at_once(self):
+        reg = registry.Registry()
+        registry.update(reg, [("t", _entry())], 1, 0.0)
+        registry.update(reg, [("t", None)], 2, 1.0)
+        self.assertEqual(registry.usable(reg, "s", 1.0), [])
+        self.assertIsNone(registry.find(reg, "t"))
+
+    def test_lapse_after_an_outage_is_bridged(self):
+        """The table was away; all entries lapsed and come back within 2 s."""
+        reg = registry.Registry()
+        registry.update(reg, [("t", _entry())], 1, 0.0)
+        registry.note_trouble(reg, 10.0)
+        registry.replace(reg, [], 2, 10.1)
+        self.assertEqual(registry.usable(reg, "s", 11.0), [_entry()])
+        self.assertEqual(registry.usable(reg, "s", 12.1), [])
+        registry.update(reg, [("t", _entry())], 3, 12.2)
+        self.assertEqual(registry.usable(reg, "s", 12.2), [_entry()])
+
+    def test_present_targets_go_before_missing_ones(self):
+        reg = registry.Registry()
+        pair = [("t", _entry()), ("u", _entry("u"))]
+        registry.update(reg, pair, 1, 0.0)
+        registry.note_trouble(reg, 10.0)
+        registry.update(reg, [("t", None)], 2, 10.1)
+        self.assertEqual(registry.usable(reg, "s", 10.2), [_entry("u")])
+
+    def test_draining_target_that_vanishes_is_gone(self):
+        reg = registry.Registry()
+        registry.update(reg, [("t", _entry(draining=True))], 1, 0.0)
+        registry.note_trouble(reg, 10.0)
+        registry.update(reg, [("t", None)], 2, 10.1)
+        self.assertEqual(registry.usable(reg, "s", 10.2), [])
+
+    def test_older_table_changes_nothing(self):
+        reg = registry.Registry()
+        registry.replace(reg, [_entry()], 9, 0.0)
+        registry.replace(reg, [], 8, 0.1)
+        self.assertEqual(registry.usable(reg, "s", 0.2), [_entry()])
+
+    def test_later_start_is_told(self):
+        reg = registry.Registry()
+        registry.update(reg, [("t", _entry(born_ms=1))], 1, 0.0)
+        again = _entry(born_ms=2)
+        self.assertEqual(registry.update(reg, [("t", again)], 2, 0.1), [again])
+        late = [("t", _entry(born_ms=1))]
+        self.assertEqual(registry.update(reg, late, 3, 0.2), [])
+        self.assertEqual(reg.entries["t"], again)
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -10,7 +10,7 @@
 import dataclasses
 
 from copperloom import exception, logs, routing
-from copperloom.decisions import board, budget, health, spread
+from copperloom.decisions import board, budget, health, registry, spread
 from copperloom.ingress import exchange, place, relay, reserve, sender
 from copperloom.ingress.state import live_members
 from copperloom.platform import headers
@@ -43,12 +43,11 @@
     unreachable = 0
     while True:
         ex.plan = await place.place(ex)
-        entry = ex.state.targets.entries.get(ex.plan.lead)
-        if entry is None:
-            continue
         try:
             async with reserve.held(ex):
-                await _attempt(ex, entry)
+                if _is_stale(ex):
+                    continue
+                await _attempt(ex)
             break
         except exception.CapacityExceededError as error:
             await _wait_for_memory(ex, error)
@@ -127,9 +126,23 @@
     return by_helper
 
 
-async def _attempt(ex: exchange.Exchange, entry: routing.TargetEntry) -> None:
+def _is_stale(ex: exchange.Exchange) -> bool:
+    """Tells whether a target of the plan has gone or leaves.
+
+    Memory is reserved after the plan is made; a target that leaves meanwhile
+    must get no new work.
+    """
+    entries = [
+        registry.find(ex.state.targets, name)
+        for name in (ex.plan.lead, *ex.plan.helpers)
+    ]
+    return any(e is None or e.draining for e in entries)
+
+
+async def _attempt(ex: exchange.Exchange) -> None:
     """Sends once; counts the work while it lasts."""
     state = ex.state
+    entry = registry.find(state.targets, ex.plan.lead)
     now = asyncio.get_running_loop().time()
     if now >= ex.deadline:
         raise exception.TimeLimitPassedError(run=ex.run)
@@ -252,12 +265,10 @@
     if ex.head.prompt_tokens:
         long = ex.head.prompt_tokens > _LONG_TOKENS
         priority = _LONG_PRIORITY if long else _SHORT_PRIORITY
-    entries = ex.state.targets.entries
     tickets = reserve.tickets(ex)
     helpers = tuple(
-        entries[name].address + tickets.get(name, "")
+        registry.find(ex.state.targets, name).address + tickets.get(name, "")
         for name in reserve.in_order(ex.plan)
-        if name in entries
     )
     own = headers.TargetHeaders(
         target=ex.plan.lead,
--- a/copperloom/ingress/reserve.py
+++ b/copperloom/ingress/reserve.py
@@ -11,7 +11,7 @@
 from collections.abc import AsyncIterator
 
 from copperloom import exception, logs
-from copperloom.decisions import spread
+from copperloom.decisions import registry, spread
 from copperloom.ingress import exchange, sender
 from copperloom.platform import orders
 
@@ -110,7 +110,7 @@
     ex: exchange.Exchange, target: str, call: orders.OrderCall
 ) -> bool:
     """Gives one order; False if it was refused or its outcome is not known."""
-    entry = ex.state.targets.entries.get(target)
+    entry = registry.find(ex.state.targets, target)
     if entry is None:
         return False
     try:
--- /dev/null
+++ b/copperloom/ingress/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the instance that serves by host and path."""
--- /dev/null
+++ b/copperloom/ingress/tests/fixtures.py
@@ -0,0 +1,267 @@
+"""A small system for tests: a table service, targets and instances.
+
+All run on the test's own loop; instances have loopback addresses of their own,
+so that several use the same ports, as on the platform. What is started is
+stopped when the test ends.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+import socket
+import unittest
+
+import aiohttp
+import yarl
+
+from copperloom.daemons import front
+from copperloom.ingress import server, state
+from copperloom.platform import settings
+from copperloom.platform.standins import store as store_standin
+from copperloom.platform.standins import target as target_standin
+
+__all__ = [
+    "HOST",
+    "System",
+    "call",
+    "engine_route",
+    "ready",
+    "routes",
+    "start_system",
+    "until",
+]
+
+HOST = "desk.example"
+KEY = "key-1"
+_hosts = itertools.count(2)
+_ids = itertools.count(1)
+_LIMIT_S = 5.0
+_POLL_S = 0.01
+
+ENGINE = {
+    "slots": 8,
+    "kv_tokens": 315_000,
+    "stride": 51,
+    "step_ms": 0.85,
+    "per_seq_ms": 0.0085,
+    "context_per_k": 0.00285,
+    "read_per_s": 177_000.0,
+    "pairs_per_m": 0.184,
+    "chunk": 2048,
+    "hop_ms": 0.05,
+}
+
+
+def engine_route(path: str = "/chat/", **changes) -> dict:
+    """Returns a route to the model engines, as operators write it."""
+    row = {
+        "name": f"r{path}",
+        "host": HOST,
+        "path_prefix": path,
+        "kind": "streaming",
+        "timeout_ms": 5000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": "engines",
+        "max_attempts": 2,
+        "public": False,
+        "sticky": True,
+        "resumable": True,
+        "gap_aim_ms": 250,
+    }
+    return row | changes
+
+
+def routes(version: int = 1, extra: list[dict] | None = None, **changes):
+    """Returns the operators' document."""
+    plain = {"service": "plain", "gap_aim_ms": None, "timeout_ms": 1500}
+    rows = [
+        engine_route(),
+        engine_route("/once/", resumable=False, max_attempts=1),
+        engine_route("/read/", kind="idempotent", resumable=False, **plain),
+        engine_route(
+            "/write/",
+            kind="non_idempotent",
+            resumable=False,
+            **plain | {"max_attempts": 1},
+        ),
+        *(extra or []),
+    ]
+    document = {
+        "version": version,
+        "routes": rows,
+        "services": [
+            {"name": "engines", "health_path": "/h", "engine": ENGINE},
+            {"name": "plain", "health_path": "/h"},
+        ],
+        "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
+        "tenants": [{"name": "lounge", "api_keys": [KEY], "priority": 1}],
+    }
+    return document | changes
+
+
+@dataclasses.dataclass
+class System:
+    """What a test started.
+
+    Attributes:
+        case: The test.
+        store: The table service.
+        targets: The targets by name.
+        fronts: The instances.
+        session: A caller's client.
+    """
+
+    case: unittest.IsolatedAsyncioTestCase
+    store: store_standin.StoreStandin
+    session: aiohttp.ClientSession
+    targets: dict[str, target_standin.TargetStandin]
+    fronts: list[front.FrontService]
+
+    async def add_target(self, name: str, service: str, **changes):
+        """Starts a target and registers it."""
+        target = await target_standin.serve(name)
+        self.case.addAsyncCleanup(target.close)
+        self.targets[name] = target
+        row = target.registration(service, **changes)
+        self.store.put("servers", name, row)
+        return target
+
+    async def add_front(self, **changes) -> front.FrontService:
+        """Starts an instance; returns it once it listens."""
+        ip = f"127.0.1.{next(_hosts)}"
+        own = settings.PlatformSettings(
+            instance=f"front-{ip}",
+            ip=ip,
+            data_centre="a",
+            callers_listen=f"{ip}:{_port()}",
+            readiness_listen=f"{ip}:{_port()}",
+            peers_listen=f"{ip}:{_port()}",
+            internal_ports=(_FIRST_PORT, _FIRST_PORT + 10),
+            seeds=(),
+            store=self.store.address,
+            grace_s=2.0,
+            drain_s=2.0,
+            retry_ratio=0.2,
+            retry_window_s=10.0,
+            retry_slack=20.0,
+            free_s=4.0,
+            reservation_max_s=20.0,
+        )
+        own = dataclasses.replace(own, **changes)
+        service = front.FrontService(state.IngressState(own), "")
+        await service.start()
+        self.fronts.append(service)
+        self.case.addAsyncCleanup(service.stop)
+        return service
+
+
+_FIRST_PORT = 17_340
+
+
+def _port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def start_system(
+    case: unittest.IsolatedAsyncioTestCase,
+    *,
+    engines: int = 2,
+    plain: int = 2,
+    fronts: int = 1,
+) -> System:
+    """Starts a table service, targets and instances that are ready."""
+    store = await store_standin.serve()
+    case.addAsyncCleanup(store.close)
+    session = aiohttp.ClientSession(auto_decompress=False)
+    case.addAsyncCleanup(session.close)
+    system = System(case, store, session, {}, [])
+    store.put("op", "config", routes())
+    for number in range(engines):
+        await system.add_target(f"engine-{number}", "engines")
+    for number in range(plain):
+        await system.add_target(f"plain-{number}", "plain")
+    for _ in range(fronts):
+        await system.add_front()
+    wanted = engines + plain
+    await until(
+        lambda: all(
+            server.is_ready(f.entry)
+            and len(f.entry.targets.entries) == wanted
+            and len(f.entry.members) == fronts - 1
+            for f in system.fronts
+        )
+    )
+    return system
+
+
+async def ready(system: System, number: int = 0) -> int:
+    """Asks an instance whether it is ready; returns the status."""
+    own = system.fronts[number].entry.settings
+    async with system.session.get(f"http://{own.readiness_listen}/r") as resp:
+        return resp.status
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a caller got.
+
+    Attributes:
+        status: The status.
+        body: The body as far as it came.
+        headers: The headers.
+        whole: Whether the answer came to its end.
+        id: Id of the request.
+    """
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+    whole: bool
+    id: str
+
+
+async def call(
+    system: System,
+    path: str,
+    *,
+    method: str = "POST",
+    number: int = 0,
+    prompt: int = 0,
+    body: bytes = b"question",
+    wait_ms: int = 4000,
+    headers: dict[str, str] | None = None,
+) -> Answer:
+    """Calls an instance as a caller would, without any retry."""
+    own = system.fronts[number].entry.settings
+    request_id = f"q{next(_ids)}"
+    sent = {
+        "Host": HOST,
+        "Copperloom-Request-Id": request_id,
+        "Copperloom-Request-Deadline": str(wait_ms),
+        "Copperloom-Key": KEY,
+    }
+    if prompt:
+        sent["Copperloom-Token-Counts"] = f"{prompt},200"
+    sent |= headers or {}
+    url = yarl.URL(f"http://{own.callers_listen}{path}", encoded=True)
+    got = b""
+    async with system.session.request(
+        method, url, headers=sent, data=body if method != "GET" else None
+    ) as resp:
+        whole = True
+        try:
+            async for part in resp.content.iter_any():
+                got += part
+        except aiohttp.ClientError:
+            whole = False
+        return Answer(resp.status, got, dict(resp.headers), whole, request_id)
+
+
+async def until(condition, limit_s: float = _LIMIT_S) -> None:
+    """Waits until a condition holds."""
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(_POLL_S)
--- /dev/null
+++ b/copperloom/ingress/tests/test_relay.py
@@ -0,0 +1,128 @@
+"""What callers send and get goes through unchanged."""
+
+import unittest
+
+from copperloom.ingress.tests import fixtures
+from copperloom.platform.standins.target import Fault
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    async def test_path_query_and_body_are_unchanged(self):
+        system = await fixtures.start_system(self, plain=1)
+        path = "/write/a%2Fb/..%20/x?q=%41&r=a+b"
+        body = bytes(range(256)) * 20
+        answer = await fixtures.call(system, path, body=body)
+        seen = system.targets["plain-0"].seen[0]
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(seen.raw_path, path)
+        self.assertEqual(seen.body, body)
+        self.assertEqual(seen.id, answer.id)
+
+    async def test_body_in_chunks(self):
+        system = await fixtures.start_system(self, plain=1)
+
+        async def parts():
+            yield b"one"
+            yield b"two"
+
+        answer = await fixtures.call(system, "/write/x", body=parts())
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(system.targets["plain-0"].seen[0].body, b"onetwo")
+
+    async def test_key_and_reserved_headers_are_not_passed_on(self):
+        system = await fixtures.start_system(self, plain=1)
+        given = {
+            "Copperloom-Tenant": "other",
+            "Copperloom-Expect-Instance": "other",
+            "Copperloom-Helpers": "127.0.0.1:1",
+            "X-Own": "kept",
+            "Connection": "X-Hop",
+            "X-Hop": "dropped",
+        }
+        await fixtures.call(system, "/write/x", headers=given)
+        headers = system.targets["plain-0"].seen[0].headers
+        self.assertEqual(headers["Copperloom-Tenant"], "lounge")
+        self.assertEqual(headers["Copperloom-Expect-Instance"], "plain-0")
+        self.assertEqual(headers["X-Own"], "kept")
+        for name in ("Copperloom-Key", "Copperloom-Helpers", "X-Hop"):
+            self.assertNotIn(name, headers)
+
+    async def test_time_left_shrinks(self):
+        system = await fixtures.start_system(self, plain=1)
+        await fixtures.call(system, "/write/x", wait_ms=900)
+        headers = system.targets["plain-0"].seen[0].headers
+        left = int(headers["Copperloom-Request-Deadline"])
+        self.assertLessEqual(left, 900)
+        self.assertGreater(left, 700)
+
+    async def test_failure_of_a_target_keeps_its_seal(self):
+        system = await fixtures.start_system(self, plain=1)
+        system.targets["plain-0"].always = Fault.FAIL
+        answer = await fixtures.call(system, "/write/x")
+        self.assertEqual(answer.status, 500)
+        self.assertIn("Copperloom-Response-Seal", answer.headers)
+        self.assertEqual(answer.body, b"failed")
+
+    async def test_answer_without_a_length(self):
+        system = await fixtures.start_system(self, plain=1)
+        system.targets["plain-0"].always = Fault.UNFRAMED
+        answer = await fixtures.call(system, "/write/x")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body, f"plain-0 did {answer.id}".encode())
+
+    async def test_stream_is_whole_and_in_order(self):
+        system = await fixtures.start_system(self)
+        answer = await fixtures.call(system, "/chat/x", prompt=5000)
+        events = answer.body.decode().split("\n\n")[:-1]
+        wanted = [f"id: {n}\ndata: piece {n}" for n in range(1, 6)]
+        self.assertEqual(events, wanted)
+        self.assertTrue(answer.whole)
+
+    async def test_caller_resumes_its_stream(self):
+        system = await fixtures.start_system(self)
+        answer = await fixtures.call(
+            system, "/chat/x", prompt=5000, headers={"Last-Event-Id": "3"}
+        )
+        self.assertTrue(answer.body.startswith(b"id: 4\n"))
+
+
+class AdmissionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_unknown_route_key_and_long_body(self):
+        system = await fixtures.start_system(self, plain=1)
+        nowhere = await fixtures.call(system, "/nowhere/x")
+        self.assertEqual(nowhere.status, 404)
+        stranger = await fixtures.call(
+            system, "/write/x", headers={"Copperloom-Key": "none"}
+        )
+        self.assertEqual(stranger.status, 401)
+        long = await fixtures.call(system, "/write/x", body=b"x" * 100_001)
+        self.assertEqual(long.status, 413)
+        self.assertEqual(system.targets["plain-0"].seen, [])
+
+    async def test_public_route_needs_no_key(self):
+        system = await fixtures.start_system(self, plain=1)
+        public = fixtures.engine_route(
+            "/open/", kind="idempotent", service="plain", public=True
+        )
+        system.store.put("op", "config", fixtures.routes(2, [public]))
+        entry = system.fronts[0].entry
+        await fixtures.until(lambda: entry.table.version == 2)
+        answer = await fixtures.call(
+            system, "/open/x", headers={"Copperloom-Key": "none"}
+        )
+        self.assertEqual(answer.status, 200)
+        headers = system.targets["plain-0"].seen[0].headers
+        self.assertNotIn("Copperloom-Tenant", headers)
+
+    async def test_longest_prefix_wins(self):
+        system = await fixtures.start_system(self)
+        inner = fixtures.engine_route("/read/chat/")
+        system.store.put("op", "config", fixtures.routes(2, [inner]))
+        entry = system.fronts[0].entry
+        await fixtures.until(lambda: entry.table.version == 2)
+        await fixtures.call(system, "/read/chat/x", prompt=100)
+        await fixtures.call(system, "/read/chatter", method="GET")
+        engines = [t for n, t in system.targets.items() if "engine" in n]
+        plain = [t for n, t in system.targets.items() if "plain" in n]
+        self.assertEqual(sum(len(t.seen) for t in engines), 1)
+        self.assertEqual(sum(len(t.seen) for t in plain), 1)
--- /dev/null
+++ b/copperloom/ingress/tests/test_reserve.py
@@ -0,0 +1,56 @@
+"""Prompts larger than one engine's memory."""
+
+import unittest
+
+from copperloom.ingress import reserve
+from copperloom.ingress.tests import fixtures
+
+
+class ReserveTest(unittest.IsolatedAsyncioTestCase):
+    async def test_large_prompt_gets_memory_and_gives_it_back(self):
+        system = await fixtures.start_system(self, engines=4)
+        answer = await fixtures.call(system, "/long/x", prompt=5000)
+        self.assertEqual(answer.status, 404)
+        long = fixtures.engine_route(
+            "/long/", target_latency_ms=60_000, timeout_ms=9000
+        )
+        system.store.put("op", "config", fixtures.routes(2, [long]))
+        entry = system.fronts[0].entry
+        await fixtures.until(lambda: entry.table.version == 2)
+        answer = await fixtures.call(
+            system, "/long/x", prompt=500_000, wait_ms=8000
+        )
+        self.assertEqual(answer.status, 200)
+        ran = next(t for t in system.targets.values() if t.runs)
+        helpers = ran.seen[-1].headers["Copperloom-Helpers"]
+        self.assertIn("/", helpers)
+        await fixtures.until(
+            lambda: not any(t.memory for t in system.targets.values())
+        )
+
+    async def test_all_or_none(self):
+        """One of the engines has no memory left.
+
+        What the others granted is given back at once, and nothing stays set
+        aside while the request waits.
+        """
+        system = await fixtures.start_system(self, engines=2)
+        long = fixtures.engine_route(
+            "/long/", target_latency_ms=60_000, timeout_ms=3000
+        )
+        system.store.put("op", "config", fixtures.routes(2, [long]))
+        entry = system.fronts[0].entry
+        await fixtures.until(lambda: entry.table.version == 2)
+        for target in system.targets.values():
+            if target.name.startswith("engine"):
+                target.kv_tokens = 10
+        answer = await fixtures.call(
+            system, "/long/x", prompt=500_000, wait_ms=1500
+        )
+        self.assertEqual(answer.status, 503)
+        await fixtures.until(
+            lambda: not any(t.memory for t in system.targets.values())
+        )
+
+    def test_lease_outlives_two_lost_orders(self):
+        self.assertGreater(reserve.LEASE_S, 3 * reserve.RENEW_S)
--- /dev/null
+++ b/copperloom/platform/standins/store.py
@@ -0,0 +1,185 @@
+"""Plays the platform's table service in memory."""
+
+import asyncio
+import base64
+import dataclasses
+
+import msgspec
+from aiohttp import web
+
+__all__ = ["StoreStandin", "serve"]
+
+_MOST_ROWS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Row:
+    value: str | None
+    version: int
+
+
+class StoreStandin:
+    """The rows, and the faults that a test asks for.
+
+    Attributes:
+        rows: Rows by table and key; value None marks a removed one.
+        version: The last transaction.
+        history_from: Changes before this version are forgotten.
+        down: Status that every call gets, None to serve.
+        turned_away: Addresses of callers that get 503.
+        mute: Whether calls get no answer at all.
+        lose_writes: Writes that are done and not answered.
+        calls: Calls so far by path.
+    """
+
+    def __init__(self):
+        self.rows: dict[str, dict[str, _Row]] = {}
+        self.version = 0
+        self.history_from = 0
+        self.down: int | None = None
+        self.turned_away: set[str] = set()
+        self.mute = False
+        self.lose_writes = 0
+        self.calls: dict[str, int] = {}
+        self.changed = asyncio.Event()
+        self.address = ""
+        self.runner: web.AppRunner | None = None
+
+    def put(self, table: str, key: str, value: bytes | dict) -> int:
+        """Writes a row; returns its version."""
+        if isinstance(value, dict):
+            value = msgspec.json.encode(value)
+        self._set(table, key, base64.b64encode(value).decode())
+        return self.version
+
+    def remove(self, table: str, key: str) -> int:
+        """Removes a row; returns the version of that."""
+        self._set(table, key, None)
+        return self.version
+
+    def forget_history(self) -> None:
+        """Drops all changes: feeds must read everything again."""
+        self.history_from = self.version
+        self._wake()
+
+    async def close(self) -> None:
+        """Stops serving."""
+        await self.runner.cleanup()
+
+    def _set(self, table: str, key: str, value: str | None) -> None:
+        self.version += 1
+        rows = self.rows.setdefault(table, {})
+        rows[key] = _Row(value, self.version)
+        self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+async def serve(host: str = "127.0.0.1", port: int = 0) -> StoreStandin:
+    """Starts a table service."""
+    store = StoreStandin()
+    app = web.Application(middlewares=[_faults(store)])
+    app.add_routes(
+        [
+            web.get("/copperloom/rows-get", _bind(store, _get)),
+            web.get("/copperloom/rows-feed", _bind(store, _feed)),
+            web.post("/copperloom/rows-tx", _bind(store, _tx)),
+        ]
+    )
+    store.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await store.runner.setup()
+    site = web.TCPSite(store.runner, host, port)
+    await site.start()
+    store.address = "{}:{}".format(*store.runner.addresses[0][:2])
+    return store
+
+
+def _faults(store: StoreStandin):
+    @web.middleware
+    async def middleware(request, handler):
+        name = request.path.rpartition("/")[2]
+        store.calls[name] = store.calls.get(name, 0) + 1
+        if store.mute:
+            await asyncio.sleep(3600)
+        if store.down is not None:
+            return web.Response(status=store.down)
+        if request.remote in store.turned_away:
+            return web.Response(status=503)
+        return await handler(request)
+
+    return middleware
+
+
+def _bind(store, function):
+    async def handler(request: web.Request) -> web.Response:
+        return await function(store, request)
+
+    return handler
+
+
+async def _get(store: StoreStandin, request: web.Request) -> web.Response:
+    table = store.rows.get(request.query["table"], {})
+    start = request.query.get("from", "")
+    live = sorted(
+        (key, row)
+        for key, row in table.items()
+        if row.value is not None and key >= start
+    )
+    page = [_encode(k, r) for k, r in live[:_MOST_ROWS]]
+    return _json(store, page, more=len(live) > _MOST_ROWS)
+
+
+async def _feed(store: StoreStandin, request: web.Request) -> web.Response:
+    table = request.query["table"]
+    after = int(request.query["after"])
+    end = asyncio.get_running_loop().time()
+    end += int(request.query["wait_ms"]) / 1000
+    while True:
+        if after < store.history_from:
+            return web.Response(status=410)
+        if request.remote in store.turned_away or store.down is not None:
+            return web.Response(status=503)
+        rows = store.rows.get(table, {})
+        found = sorted(
+            ((k, r) for k, r in rows.items() if r.version > after),
+            key=lambda item: item[1].version,
+        )
+        left = end - asyncio.get_running_loop().time()
+        if found or left <= 0:
+            return _json(store, [_encode(k, r) for k, r in found])
+        try:
+            async with asyncio.timeout(left):
+                await store.changed.wait()
+        except TimeoutError:
+            continue
+
+
+async def _tx(store: StoreStandin, request: web.Request) -> web.Response:
+    body = msgspec.json.decode(await request.read())
+    for expected in body.get("expect", []):
+        row = store.rows.get(expected["table"], {}).get(expected["key"])
+        version = row.version if row and row.value is not None else 0
+        if version != expected["ver"]:
+            return web.json_response({"rows": []}, status=412)
+    for row in body.get("writes", []):
+        store._set(row["table"], row["key"], row["value"])
+    for row in body.get("remove", []):
+        store._set(row["table"], row["key"], None)
+    if store.lose_writes:
+        store.lose_writes -= 1
+        request.transport.abort()
+    return _json(store, [])
+
+
+def _encode(key: str, row: _Row) -> dict:
+    if row.value is None:
+        return {"key": key, "ver": row.version, "removed": True}
+    return {"key": key, "ver": row.version, "value": row.value}
+
+
+def _json(store: StoreStandin, rows, more: bool = False) -> web.Response:
+    return web.json_response(
+        {"rows": rows, "has_more": more, "ver": store.version, "now_ms": 0}
+    )
--- /dev/null
+++ b/copperloom/platform/standins/target.py
@@ -0,0 +1,262 @@
+"""Plays a target: a model engine's stream or a plain service's answer."""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+import socket
+import struct
+
+import msgspec
+from aiohttp import web
+
+__all__ = ["Fault", "Seen", "TargetStandin", "serve"]
+
+_SEAL = "Copperloom-Response-Seal"
+_NOT_EXECUTED = "Copperloom-Not-Executed"
+_PIECE = 16
+
+
+class Fault(enum.Enum):
+    """What a target does with one request instead of answering it well."""
+
+    REFUSE = "refuse"
+    MISDIRECTED = "misdirected"
+    FAIL = "fail"
+    UNSEALED = "unsealed"
+    OTHERS_ANSWER = "others_answer"
+    ENCODED = "encoded"
+    TRUNCATE = "truncate"
+    RESET_UNFRAMED = "reset_unframed"
+    UNFRAMED = "unframed"
+    NOT_HTTP = "not_http"
+    MUTE = "mute"
+    RESET = "reset"
+    BREAK = "break"
+    HALF_EVENT = "half_event"
+
+
+@dataclasses.dataclass(frozen=True)
+class Seen:
+    """A request that came.
+
+    Attributes:
+        id: Its id.
+        method: Its method.
+        raw_path: Path and query, as sent.
+        headers: Its headers.
+        body: Its body.
+        ran: Whether it was run.
+    """
+
+    id: str
+    method: str
+    raw_path: str
+    headers: dict[str, str]
+    body: bytes
+    ran: bool
+
+
+class TargetStandin:
+    """A target, and the faults that a test asks for.
+
+    Attributes:
+        name: Its name.
+        address: IP:port.
+        faults: Faults of the next requests, in order.
+        always: Fault of every request, None for none.
+        events: Events of a stream.
+        pause_s: Time before each event and before a plain answer.
+        break_after: Events before BREAK and HALF_EVENT act.
+        seen: All requests.
+        running: Requests at work now.
+        left: Requests whose caller closed the connection.
+        memory: Tokens reserved, by reservation.
+        kv_tokens: Memory in all.
+    """
+
+    def __init__(self, name: str):
+        self.name = name
+        self.address = ""
+        self.faults: collections.deque[Fault] = collections.deque()
+        self.always: Fault | None = None
+        self.events = 5
+        self.pause_s = 0.01
+        self.break_after = 2
+        self.seen: list[Seen] = []
+        self.running = 0
+        self.left = 0
+        self.memory: dict[str, int] = {}
+        self.kv_tokens = 315_000
+        self.runner: web.ServerRunner | None = None
+
+    @property
+    def runs(self) -> list[str]:
+        """Ids of the requests that ran."""
+        return [s.id for s in self.seen if s.ran]
+
+    def registration(self, service: str, **changes) -> dict:
+        """Returns the row with which it registers."""
+        row = {
+            "service": service,
+            "address": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "seq": 0,
+            "born": 1,
+        }
+        return row | changes
+
+    async def close(self) -> None:
+        """Stops serving."""
+        await self.runner.cleanup()
+
+
+async def serve(
+    name: str, host: str = "127.0.0.1", port: int = 0
+) -> TargetStandin:
+    """Starts a target."""
+    target = TargetStandin(name)
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        return await _handle(target, request)
+
+    server = web.Server(
+        handle,
+        access_log=None,
+        handler_cancellation=True,
+        auto_decompress=False,
+    )
+    target.runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await target.runner.setup()
+    site = web.TCPSite(target.runner, host, port)
+    await site.start()
+    target.address = "{}:{}".format(*target.runner.addresses[0][:2])
+    return target
+
+
+async def _handle(target, request) -> web.StreamResponse:
+    body = await request.read()
+    if request.path == "/copperloom/order":
+        return _order(target, msgspec.json.decode(body))
+    expected = request.headers.get("Copperloom-Expect-Instance", target.name)
+    fault = target.faults.popleft() if target.faults else target.always
+    if expected != target.name:
+        fault = Fault.MISDIRECTED
+    refused = fault in (Fault.REFUSE, Fault.MISDIRECTED)
+    request_id = request.headers.get("Copperloom-Request-Id", "")
+    target.seen.append(
+        Seen(
+            id=request_id,
+            method=request.method,
+            raw_path=request.raw_path,
+            headers=dict(request.headers),
+            body=body,
+            ran=not refused,
+        )
+    )
+    if refused:
+        status = 421 if fault is Fault.MISDIRECTED else 503
+        return web.Response(status=status, headers={_NOT_EXECUTED: "1"})
+    target.running += 1
+    try:
+        return await _run(target, request, request_id, fault)
+    except (asyncio.CancelledError, ConnectionError):
+        target.left += 1
+        raise
+    finally:
+        target.running -= 1
+
+
+async def _run(target, request, request_id, fault) -> web.StreamResponse:
+    if fault is Fault.MUTE:
+        await asyncio.sleep(3600)
+    if fault is Fault.RESET:
+        _reset(request)
+        await asyncio.sleep(0)
+    headers = {"Copperloom-Request-Id": request_id, _SEAL: f"s.{request_id}"}
+    if fault is Fault.OTHERS_ANSWER:
+        headers["Copperloom-Request-Id"] = "another"
+    if fault is Fault.UNSEALED:
+        del headers[_SEAL]
+    if fault is Fault.ENCODED:
+        headers["Content-Encoding"] = "gzip"
+    if "Copperloom-Token-Counts" in request.headers:
+        return await _stream(target, request, headers, fault)
+    await asyncio.sleep(target.pause_s)
+    if fault is Fault.FAIL:
+        return web.Response(status=500, headers=headers, body=b"failed")
+    body = f"{target.name} did {request_id}".encode()
+    if fault in _RAW:
+        await _raw(request, headers, body, fault)
+    return web.Response(headers=headers, body=body)
+
+
+_RAW = (
+    Fault.TRUNCATE,
+    Fault.RESET_UNFRAMED,
+    Fault.UNFRAMED,
+    Fault.NOT_HTTP,
+)
+
+
+async def _raw(request, headers, body: bytes, fault: Fault) -> None:
+    """Writes an answer past the library, and ends the connection."""
+    lines = [f"{k}: {v}" for k, v in headers.items()]
+    if fault is Fault.TRUNCATE:
+        lines.append(f"Content-Length: {len(body) + 10}")
+    head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
+    transport = request.transport
+    if fault is Fault.NOT_HTTP:
+        transport.write(b"\x00\x01garbage\r\n\r\n")
+    else:
+        transport.write(head + body)
+    await asyncio.sleep(0.05)
+    if fault is Fault.RESET_UNFRAMED:
+        _reset(request)
+    else:
+        transport.close()
+
+
+def _reset(request) -> None:
+    """Ends the connection with a reset in place of an orderly close."""
+    sock = request.transport.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    request.transport.abort()
+
+
+async def _stream(target, request, headers, fault) -> web.StreamResponse:
+    if fault is Fault.FAIL:
+        return web.Response(status=500, headers=headers, body=b"failed")
+    response = web.StreamResponse(headers=headers)
+    response.content_type = "text/event-stream"
+    await response.prepare(request)
+    first = int(request.headers.get("Last-Event-Id") or 0) + 1
+    for number in range(first, target.events + 1):
+        await asyncio.sleep(target.pause_s)
+        event = f"id: {number}\ndata: piece {number}\n\n".encode()
+        if number - first == target.break_after:
+            if fault is Fault.HALF_EVENT:
+                await response.write(event[:_PIECE])
+            if fault in (Fault.BREAK, Fault.HALF_EVENT):
+                _reset(request)
+                return response
+        await response.write(event)
+    await response.write_eof()
+    return response
+
+
+def _order(target: TargetStandin, order: dict) -> web.Response:
+    name = order.get("id", "")
+    if order["op"] == "release":
+        target.memory.pop(name, None)
+        return web.json_response({"free": 0})
+    others = sum(v for k, v in target.memory.items() if k != name)
+    if others + order["tokens"] > target.kv_tokens:
+        return web.json_response({"free": 0}, status=409)
+    target.memory[name] = order["tokens"]
+    return web.json_response({"free": target.kv_tokens - others})
--- /dev/null
+++ b/copperloom/platform/tests/test_decoding.py
@@ -0,0 +1,128 @@
+"""Spoiled input never raises and never names a target."""
+
+import json
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from copperloom import routing
+from copperloom.ingress import events
+from copperloom.ingress.tests import fixtures
+from copperloom.platform import decoding, headers
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.integers() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+_GOOD = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "seq": 3,
+    "born": 7,
+}
+
+
+class TargetTest(unittest.TestCase):
+    def test_good_row(self):
+        entry = decoding.decode_target("t", json.dumps(_GOOD).encode())
+        self.assertEqual(entry.address, "10.0.0.1:80")
+        self.assertEqual(entry.born_ms, 7)
+
+    @hypothesis.given(st.binary())
+    def test_any_bytes(self, raw):
+        self.assertIsNone(decoding.decode_target("t", raw))
+
+    @hypothesis.given(st.sampled_from(sorted(_GOOD)), _JSON)
+    def test_one_field_of_any_value(self, field, value):
+        row = json.dumps(_GOOD | {field: value}).encode()
+        entry = decoding.decode_target("t", row)
+        if entry is not None:
+            host, _, port = entry.address.rpartition(":")
+            self.assertRegex(host, r"^\d+\.\d+\.\d+\.\d+$")
+            self.assertTrue(0 < int(port) < 65_536)
+            self.assertGreaterEqual(entry.slots, 1)
+
+
+class TableTest(unittest.TestCase):
+    def test_good_document(self):
+        raw = json.dumps(fixtures.routes(5)).encode()
+        table = decoding.decode_table(raw)
+        self.assertEqual(table.version, 5)
+        route = routing.match(table, "DESK.example:80", "/chat/a/b")
+        self.assertIs(route.kind, routing.RouteKind.STREAM)
+        self.assertEqual(route.target_latency_s, 0.3)
+        self.assertIsNone(routing.match(table, fixtures.HOST, "/chat"))
+        self.assertEqual(table.organisations["key-1"].name, "lounge")
+
+    @hypothesis.given(st.binary())
+    def test_any_bytes(self, raw):
+        self.assertIsNone(decoding.decode_table(raw))
+
+    @hypothesis.given(st.sampled_from(sorted(fixtures.routes())), _JSON)
+    def test_one_field_of_any_value(self, field, value):
+        document = fixtures.routes() | {field: value}
+        decoding.decode_table(json.dumps(document).encode())
+
+    def test_unknown_kind_leaves_the_other_routes(self):
+        odd = fixtures.engine_route("/odd/", kind="sideways")
+        raw = json.dumps(fixtures.routes(2, [odd])).encode()
+        table = decoding.decode_table(raw)
+        self.assertIsNone(routing.match(table, fixtures.HOST, "/odd/"))
+        self.assertIsNotNone(routing.match(table, fixtures.HOST, "/chat/"))
+
+
+class HeadersTest(unittest.TestCase):
+    @hypothesis.given(
+        st.dictionaries(
+            st.sampled_from(
+                [
+                    "Copperloom-Token-Counts",
+                    "Copperloom-Request-Deadline",
+                    "Copperloom-Length-Hint",
+                    "Copperloom-Instance-Load",
+                    "Retry-After",
+                ]
+            ),
+            st.text(),
+        )
+    )
+    def test_any_values(self, given):
+        head = headers.read_head(given)
+        self.assertGreaterEqual(head.prompt_tokens, 0)
+        facts = headers.read_reply(given)
+        self.assertFalse(facts.not_run)
+
+
+class EventsTest(unittest.TestCase):
+    @hypothesis.given(
+        st.lists(
+            st.sampled_from(
+                [b"id: 1\ndata: a\n\n", b"data: b\r\n\r\n", b": c\n\n"]
+            )
+        ),
+        st.lists(st.integers(min_value=1, max_value=9)),
+    )
+    def test_bytes_are_unchanged_however_they_come(self, parts, sizes):
+        data = b"".join(parts)
+        splitter = events.Splitter()
+        got = b""
+        at = 0
+        for size in [*sizes, len(data)]:
+            found = events.feed(splitter, data[at : at + size])
+            got += found.data if found else b""
+            at += size
+        self.assertEqual(got + splitter.rest, data)
+        self.assertEqual(splitter.rest, b"")
+
+    def test_half_event_is_kept_back(self):
+        splitter = events.Splitter()
+        found = events.feed(splitter, b"id: 1\ndata: a\n\nid: 2\nda")
+        self.assertEqual(found.last_id, "1")
+        self.assertEqual(splitter.rest, b"id: 2\nda")
