--- a/copperloom/decisions/spread.py
+++ b/copperloom/decisions/spread.py
@@ -9,7 +9,7 @@
 writers at the engines lose, for each number of parts.
 
 The worth of a request grows with its prompt (a caller who sends 150,000 tokens
-has more at stake, and has paid for more), less than linearly.
+has more at stake, and has paid for more).
 """
 
 import dataclasses
@@ -43,9 +43,12 @@
 LATE_LOSS = 0.75
 # Prompts above this are read in more than a pass or two.
 LONG_TOKENS = 100_000
-# Reading a prompt of this size is worth one unit.
-UNIT_TOKENS = 5000
-WORTH_POWER = 0.75
+# What any prompt is worth, and what each token adds, in units of a prompt of
+# 5,000 tokens: who sends 150,000 has some sixteen times as much at stake.
+LEAST_WORTH = 0.5
+TOKEN_WORTH = 0.0001
+# Requests below this worth are short: they come often and end soon.
+SHORT_WORTH = 3.0
 # Cost of each part more: an exchange between engines, and one more engine
 # whose loss breaks the request.
 PART_COST = 0.02
@@ -218,7 +221,7 @@
 
 def worth(tokens: int) -> float:
     """Returns what a caller has at stake, in units of a short prompt."""
-    return max(0.5, (tokens / UNIT_TOKENS) ** WORTH_POWER)
+    return LEAST_WORTH + TOKEN_WORTH * tokens
 
 
 def _with_holds(
@@ -333,15 +336,20 @@
     if closed_s <= 0:
         return 0.0
     names = {c.name for c in chosen}
-    free = sum(
-        c.name not in names and times[c.name].reading_s < SHORT_PART_S
-        for c in candidates
+    open_now = {
+        c.name for c in candidates if times[c.name].reading_s < SHORT_PART_S
+    }
+    short = sum(
+        w.worth < SHORT_WORTH for c in candidates for w in c.load.writers
     )
-    busy = sum(c.load.requests for c in candidates)
-    room = free * engine.slots * USABLE_SLOTS
-    if busy <= room:
-        return 0.0
-    return LATE_LOSS * (1.0 - room / busy) * closed_s * busy / ANSWER_S
+    before = _turned_late(engine, len(open_now), short)
+    after = _turned_late(engine, len(open_now - names), short)
+    return LATE_LOSS * (after - before) * closed_s / ANSWER_S
+
+
+def _turned_late(engine, open_engines: int, short: int) -> float:
+    """Returns how many of the short requests find no place in time."""
+    return max(0.0, short - open_engines * engine.slots * USABLE_SLOTS)
 
 
 def _first_token(engine, prompt, lead, chosen, times, part_s) -> float:
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -45,6 +45,7 @@
         last_event: Id of the last whole event that went to the caller.
         longest_pause_s: Longest pause between events.
         outcome: Word for the log.
+        reason: Why it was refused or failed, for the log.
     """
 
     def __init__(self, state: IngressState, http: web.BaseRequest, now: float):
@@ -74,6 +75,7 @@
         self.last_event = self.head.last_event_id
         self.longest_pause_s = 0.0
         self.outcome = ""
+        self.reason = ""
 
 
 Next = Callable[[Exchange], Awaitable[None]]
--- a/copperloom/ingress/outcome.py
+++ b/copperloom/ingress/outcome.py
@@ -62,6 +62,7 @@
 def _refuse(ex: exchange.Exchange, error: exception.CopperloomError) -> None:
     """Answers with an error, or breaks off a stream that has begun."""
     ex.outcome = type(error).__name__.removesuffix("Error")
+    ex.reason = str(error)
     if ex.response is not None:
         # Without its last chunk no HTTP client takes the stream for whole.
         if ex.http.transport is not None:
@@ -110,6 +111,8 @@
         "service": ex.service,
         "routes_version": ex.table_version,
     }
+    if ex.reason:
+        pairs["reason"] = ex.reason
     if ex.plan is not None:
         pairs["target"] = ex.plan.lead
         pairs["helpers"] = len(ex.plan.helpers)
