Ingress: silence alone ends no stream; five instances follow the tables

At 77 instances the largest price were 4,214 calls to the table: each followed it. Change: a silent target is given up only once its repeat is granted; five instances, by hash, follow the tables, the rest hear of changes from them; those the table turns away say so and others step in.

--- a/copperloom/cli/programs.py
+++ b/copperloom/cli/programs.py
@@ -9,6 +9,7 @@
 # Loaded only when asked for: the command itself starts quickly.
 PROGRAMS = {
     "entry": ("copperloom.daemons.options", "EntrySettings"),
+    "front": ("copperloom.daemons.front", "FrontSettings"),
     "standin-engine": ("copperloom.standins.settings", "EngineSettings"),
     "standin-service": ("copperloom.standins.settings", "ServiceSettings"),
     "standin-proxy": ("copperloom.standins.settings", "ProxySettings"),
--- /dev/null
+++ b/copperloom/decisions/tests/emulator.py
@@ -0,0 +1,224 @@
+"""A small emulator of model engines, to play a load against placement.
+
+It works as `copperloom.decisions.passes` says engines do, pass by pass, with a
+clock of its own, and tells what callers get: when the first token came, and the
+longest pause.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from copperloom import routing
+from copperloom.decisions import board, passes, spread
+
+__all__ = ["Arrival", "Served", "least_requests", "play", "spread_by_harm"]
+
+_EVENTS = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request of the load.
+
+    Attributes:
+        at: When it comes, in seconds.
+        prompt: What is asked.
+    """
+
+    at: float
+    prompt: spread.Prompt
+
+
+@dataclasses.dataclass
+class Served:
+    """What its caller got.
+
+    Attributes:
+        arrival: The request.
+        first_s: Time to the first token; None if it was refused.
+        pause_s: Longest pause between events.
+        left: Parts that are not read yet.
+        events: Events written.
+        last_at: Time of the last event.
+    """
+
+    arrival: Arrival
+    first_s: float | None = None
+    pause_s: float = 0.0
+    left: int = 0
+    events: int = 0
+    last_at: float = 0.0
+
+    def in_time(self) -> bool:
+        """Whether the caller got all it asked for in time."""
+        prompt = self.arrival.prompt
+        if self.first_s is None or self.first_s > prompt.first_token_aim_s:
+            return False
+        return self.pause_s <= prompt.pause_aim_s
+
+
+class _Engine:
+    def __init__(self):
+        self.reading: list[tuple[Served, float]] = []
+        self.writing: list[Served] = []
+        self.busy = False
+
+
+Placement = Callable[[spread.Prompt, list[spread.Candidate]], spread.Plan]
+
+
+def spread_by_harm(spec: routing.EngineSpec) -> Placement:
+    """Places as the product does."""
+
+    def place(prompt, candidates):
+        return spread.plan_prompt(spec, prompt, candidates)
+
+    return place
+
+
+def least_requests(spec: routing.EngineSpec) -> Placement:
+    """Places at the engine with the least requests; the baseline."""
+
+    def place(prompt, candidates):
+        best = min(candidates, key=lambda c: c.load.requests)
+        read_s = passes.read_s(spec, prompt.tokens)
+        return spread.Plan(best.name, (), read_s, 0.0, 0.0)
+
+    return place
+
+
+def play(
+    spec: routing.EngineSpec,
+    engines: int,
+    arrivals: list[Arrival],
+    place: Placement,
+) -> list[Served]:
+    """Plays a load; returns what each caller got, in order of arrival."""
+    names = [f"e{n}" for n in range(engines)]
+    world = _World(spec, {name: _Engine() for name in names})
+    for arrival in arrivals:
+        world.schedule(arrival.at, ("arrive", arrival))
+    while world.queue:
+        now, _, (what, subject) = heapq.heappop(world.queue)
+        if what == "arrive":
+            world.arrive(now, subject, place)
+        else:
+            world.end_pass(now, subject)
+    return world.served
+
+
+class _World:
+    def __init__(self, spec, engines: dict[str, _Engine]):
+        self.spec = spec
+        self.engines = engines
+        self.board = board.Board()
+        self.queue: list = []
+        self.order = itertools.count()
+        self.served: list[Served] = []
+
+    def schedule(self, at: float, item) -> None:
+        heapq.heappush(self.queue, (at, next(self.order), item))
+
+    def arrive(self, now: float, arrival: Arrival, place: Placement) -> None:
+        served = Served(arrival)
+        self.served.append(served)
+        loads = board.loads(self.board, now)
+        candidates = [
+            spread.Candidate(
+                n, loads.get(n, board.TargetLoad()), 0.0, self.spec.slots
+            )
+            for n in self.engines
+        ]
+        plan = place(arrival.prompt, candidates)
+        if plan is None or spread.is_refused(arrival.prompt, plan):
+            return
+        names = (plan.lead, *plan.helpers)
+        served.left = len(names)
+        served.lead = plan.lead
+        self._note(now, served, plan, names)
+        for name in names:
+            self.engines[name].reading.append((served, plan.part_s))
+            self.start_pass(now, name)
+
+    def _note(self, now, served, plan, names) -> None:
+        prompt = served.arrival.prompt
+        board.begin(
+            self.board,
+            str(id(served)),
+            [
+                board.Work(
+                    target=name,
+                    reads_s=plan.part_s,
+                    writes=name == plan.lead,
+                    tokens=prompt.tokens if name == plan.lead else 0,
+                    pause_aim_s=prompt.pause_aim_s,
+                    begun=now,
+                    worth=spread.worth(prompt.tokens),
+                    due_s=prompt.first_token_aim_s,
+                    in_parts=len(names) > 1,
+                )
+                for name in names
+            ],
+        )
+
+    def start_pass(self, now: float, name: str) -> None:
+        engine = self.engines[name]
+        if engine.busy or not (engine.reading or engine.writing):
+            return
+        engine.busy = True
+        context = sum(s.arrival.prompt.tokens for s in engine.writing)
+        length = passes.pass_s(self.spec, len(engine.writing), context)
+        if not engine.writing:
+            # Without writers it reads the newest part alone.
+            engine.taken = [engine.reading.pop()]
+            length = 0.0
+        else:
+            engine.taken = engine.reading
+            engine.reading = []
+        length += sum(read_s for _, read_s in engine.taken)
+        self.schedule(now + length, ("pass", name))
+
+    def end_pass(self, now: float, name: str) -> None:
+        engine = self.engines[name]
+        engine.busy = False
+        for served in list(engine.writing):
+            served.events += 1
+            served.pause_s = max(served.pause_s, now - served.last_at)
+            served.last_at = now
+            if served.events >= _EVENTS:
+                engine.writing.remove(served)
+                board.end(self.board, str(id(served)))
+        for served, _ in engine.taken:
+            served.left -= 1
+            if not served.left:
+                self._first(now, served)
+        self.start_pass(now, name)
+
+    def _first(self, now: float, served: Served) -> None:
+        served.first_s = now - served.arrival.at
+        served.last_at = now
+        board.note_writing(self.board, str(id(served)))
+        self.engines[served.lead].writing.append(served)
+        self.start_pass(now, served.lead)
+
+
+def mixed_load(
+    rng: random.Random, seconds: float, rates: dict[spread.Prompt, float]
+) -> list[Arrival]:
+    """Draws arrivals of several kinds of prompts.
+
+    Args:
+        rng: Source of the draw.
+        seconds: How long.
+        rates: Requests a second by prompt.
+    """
+    found = []
+    for prompt, rate in rates.items():
+        at = rng.expovariate(rate)
+        while at < seconds:
+            found.append(Arrival(at, prompt))
+            at += rng.expovariate(rate)
+    return sorted(found, key=lambda a: a.at)
--- a/copperloom/exception.py
+++ b/copperloom/exception.py
@@ -16,6 +16,7 @@
     "CopperloomError",
     "DrainingError",
     "HeaderOutOfRangeError",
+    "HistoryGoneError",
     "KeyConflictError",
     "KeyInUseError",
     "LimitExceededError",
@@ -286,6 +287,12 @@
     retry_after_s = 1.0
 
 
+class HistoryGoneError(PlatformDownError):
+    """The changes asked for are no longer kept; everything is read again."""
+
+    code = 5007
+
+
 class PeerUnavailableError(CopperloomError):
     """A peer gave no answer."""
 
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -36,6 +36,7 @@
         plan: Where it goes now.
         sends: How often it was sent.
         sent_to: Targets that it was sent to.
+        repeat_granted: Whether one more send is paid for already.
         avoid: Targets that it is not sent to again.
         run: What may be believed of it.
         response: The response, once begun.
@@ -66,6 +67,7 @@
         self.plan: spread.Plan | None = None
         self.sends = 0
         self.sent_to: set[str] = set()
+        self.repeat_granted = False
         self.avoid: set[str] = set()
         self.run = exception.Run.NOT_RUN
         self.response: web.StreamResponse | None = None
--- a/copperloom/ingress/follow.py
+++ b/copperloom/ingress/follow.py
@@ -7,6 +7,8 @@
 
 import asyncio
 
+import xxhash
+
 from copperloom import exception, logs
 from copperloom.decisions import board, registry
 from copperloom.ingress.state import IngressState, live_members
@@ -14,12 +16,18 @@
 
 __all__ = ["adopt_routes", "follow_routes", "follow_targets"]
 
-# One of the instances asks anew about every second, so that even if all open
-# connections fall silent at once a change is heard in time by one, who tells
-# the others.
-WAIT_PER_MEMBER_S = 1.0
-LEAST_WAIT_S = 3.0
-MOST_WAIT_S = 20.0
+# So many instances follow the tables; the others hear of changes from them. At
+# 77 instances 4,200 calls in a minute became some 500; five, because a table
+# that turns a third of the instances away leaves one of five in 199 of 200.
+READERS = 5
+# Readers' feeds end and begin anew at different times, so that even if all open
+# connections fall silent at once one of them asks anew within a second.
+FEED_WAIT_S = 3.0
+# An instance that does not follow looks itself so often, in case all that was
+# told was lost.
+LOOK_AGAIN_S = 25.0
+# Who follows is decided anew so often.
+_ROLE_POLL_S = 0.1
 _JITTER = 0.25
 _FIRST_RETRY_S = 0.15
 _MOST_RETRY_S = 1.2
@@ -44,14 +52,15 @@
                 feed = await store.read_all(state.store, table)
                 take(state, feed, whole=True)
             else:
-                wait_s = _wait_s(state)
+                wait_s = await _turn(state)
                 feed = await store.feed(state.store, table, version, wait_s)
                 take(state, feed, whole=False)
             version = max(version or 0, feed.version)
             if failures:
                 logs.event("store_regained", table=table, version=version)
             failures = 0
-        except store.HistoryGoneError:
+            state.lost_tables.discard(table)
+        except exception.HistoryGoneError:
             logs.event("store_history_gone", table=table, version=version)
             version = None
         except exception.CopperloomError as error:
@@ -60,11 +69,39 @@
             await asyncio.sleep(_backoff(state, failures))
 
 
-def _wait_s(state: IngressState) -> float:
-    now = asyncio.get_running_loop().time()
-    members = len(live_members(state, now)) + 1
-    wait_s = min(MOST_WAIT_S, max(LEAST_WAIT_S, members * WAIT_PER_MEMBER_S))
-    return wait_s * (1.0 + state.rng.uniform(-_JITTER, _JITTER))
+async def _turn(state: IngressState) -> float:
+    """Waits until this instance should ask; returns how long a feed may wait.
+
+    Followers ask at once, and the feed waits for changes. The others wait for
+    a turn, and look at what there is without waiting.
+    """
+    jitter = 1.0 + state.rng.uniform(-_JITTER, _JITTER)
+    loop = asyncio.get_running_loop()
+    look_at = loop.time() + LOOK_AGAIN_S * jitter
+    while loop.time() < look_at:
+        if _is_reader(state, loop.time()):
+            return FEED_WAIT_S * jitter
+        await asyncio.sleep(_ROLE_POLL_S)
+    return 0.0
+
+
+def _is_reader(state: IngressState, now: float) -> bool:
+    """Tells whether this instance is among those that follow the tables.
+
+    The order is the same at all instances: a hash of the names. Whoever says
+    that the platform does not answer it is passed over, and whoever hears
+    nobody is the first.
+    """
+    own = _rank(state.settings.instance)
+    before = sum(
+        _rank(m.instance) < own and not m.store_lost
+        for m in live_members(state, now)
+    )
+    return before < READERS
+
+
+def _rank(instance: str) -> int:
+    return xxhash.xxh64_intdigest(instance.encode())
 
 
 def _backoff(state: IngressState, failures: int) -> float:
@@ -75,6 +112,7 @@
 def _lost(state, table: str, error, failures: int) -> None:
     registry.note_trouble(state.targets, asyncio.get_running_loop().time())
     state.metrics.store_failures.labels(table).inc()
+    state.lost_tables.add(table)
     if failures == 1:
         logs.event("store_lost", table=table, code=error.code, error=str(error))
 
@@ -106,6 +144,8 @@
     )
     state.table = table
     state.routes_raw = raw
+    # Peers hear of it with the next datagram, which goes out at once.
+    state.board.changes += 1
     state.changed.set()
     return True
 
@@ -139,6 +179,7 @@
     for entry in started:
         board.forget_target(state.board, entry.name)
         state.health.pop(entry.name, None)
+    state.board.changes += 1
     state.changed.set()
 
 
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -10,9 +10,15 @@
 import dataclasses
 
 from copperloom import exception, logs, routing
-from copperloom.decisions import board, budget, health, registry, spread
-from copperloom.ingress import exchange, place, relay, reserve, sender
-from copperloom.ingress.state import live_members
+from copperloom.decisions import board, health, registry, spread
+from copperloom.ingress import (
+    exchange,
+    place,
+    relay,
+    repeat,
+    reserve,
+    sender,
+)
 from copperloom.platform import headers
 
 __all__ = ["forward"]
@@ -20,8 +26,6 @@
 # Connections that could not be made cost no run, but each costs the caller
 # CONNECT_S.
 _MOST_UNREACHABLE = 4
-# Sends of one request in all, those that helpers made fail included.
-_MOST_SENDS = 4
 # Engines admit 0 first. Short prompts go before long ones: the long one's
 # reading is counted in seconds, the short one's in hundredths.
 _SHORT_PRIORITY = 1
@@ -58,12 +62,12 @@
                 raise
         except exception.TargetRefusedError as error:
             by_helper = _failed(ex, error, health.BROKEN)
-            if not _may_send_again(ex, by_helper):
+            if not repeat.take(ex, by_helper):
                 error.retry_after_s = _REFUSED_RETRY_S
                 raise
         except exception.StreamBrokenError as error:
             _failed(ex, error, health.BROKEN)
-            if not ex.route.repeatable or not _may_send_again(ex):
+            if not ex.route.repeatable or not repeat.take(ex):
                 raise
     await nxt(ex)
 
@@ -82,26 +86,6 @@
     await asyncio.sleep(ex.state.rng.uniform(0.5, 1.5) * _MEMORY_WAIT_S)
 
 
-def _may_send_again(ex: exchange.Exchange, by_helper: bool = False) -> bool:
-    """Tells whether the route and the budget allow one more send.
-
-    Args:
-        ex: The request.
-        by_helper: Whether a helper made the last one fail, so that the same
-            target may be asked again with others.
-    """
-    if by_helper and ex.sends < _MOST_SENDS:
-        pass
-    elif len(ex.sent_to) >= ex.route.max_attempts:
-        return False
-    now = asyncio.get_running_loop().time()
-    members = len(live_members(ex.state, now)) + 1
-    allowed = budget.spend(ex.state.budget, ex.service, now, members)
-    if not allowed:
-        logs.event("repeat_denied", request=ex.id, members=members)
-    return allowed
-
-
 def _failed(ex, error: exception.CopperloomError, points: float) -> bool:
     """Notes a failure; tells whether a helper is to blame."""
     now = asyncio.get_running_loop().time()
@@ -161,6 +145,7 @@
             _headers(ex, now),
             ex.body,
             patience_s=_patience(ex, now),
+            may_give_up=lambda: repeat.may_give_up(ex),
         ) as reply:
             await relay.relay(ex, reply, _judge(ex, reply))
         _answered(ex, entry.name)
--- a/copperloom/ingress/gossip.py
+++ b/copperloom/ingress/gossip.py
@@ -55,6 +55,7 @@
     routes_version: int
     targets_version: int
     leaving: bool
+    store_lost: bool
     work: list[_Work]
 
 
@@ -155,6 +156,7 @@
         routes_version=state.table.version,
         targets_version=state.targets.version,
         leaving=state.draining,
+        store_lost=bool(state.lost_tables),
         work=[_encode(w, now) for w in board.own_work(state.board)],
     )
 
@@ -205,6 +207,7 @@
     member.calls = told.calls
     member.heard_at = now
     member.leaving = told.leaving
+    member.store_lost = told.store_lost
     member.routes_version = told.routes_version
     member.targets_version = told.targets_version
     if work or state.board.own:
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -6,7 +6,7 @@
 
 from copperloom import exception
 from copperloom.decisions import board
-from copperloom.ingress import events, exchange, sender
+from copperloom.ingress import events, exchange, repeat, sender
 from copperloom.platform import headers
 
 __all__ = ["first_event_patience", "relay"]
@@ -69,7 +69,7 @@
     content = reply.response.content
     begun = False
     while True:
-        chunk = await _read(content, _patience(ex, begun))
+        chunk = await _read(ex, content, _patience(ex, begun))
         if not chunk:
             break
         whole = events.feed(splitter, chunk)
@@ -119,12 +119,17 @@
     return FIRST_SLACK_S + FIRST_FACTOR * ex.plan.first_token_s
 
 
-async def _read(content, patience_s: float | None) -> bytes:
+async def _read(
+    ex: exchange.Exchange, content, patience_s: float | None
+) -> bytes:
+    """Reads what has come; gives a silent stream up only for another one."""
     try:
         async with asyncio.timeout(patience_s):
             return await content.readany()
     except TimeoutError as error:
-        raise exception.StreamBrokenError("stands still") from error
+        if repeat.may_give_up(ex):
+            raise exception.StreamBrokenError("stands still") from error
+    return await content.readany()
 
 
 async def _pass_on(ex, reply, whole: events.Events) -> None:
--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -14,7 +14,7 @@
 import dataclasses
 import functools
 import socket
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import aiohttp
 import yarl
@@ -152,6 +152,7 @@
     body: bytes,
     *,
     patience_s: float | None = None,
+    may_give_up: Callable[[], bool] = lambda: True,
 ) -> AsyncIterator[Reply]:
     """Sends a request and gives its reply once the head has come.
 
@@ -166,6 +167,7 @@
         body: The whole body.
         patience_s: Longest wait for the head of the answer; None sets no
             limit.
+        may_give_up: Asked after that; if it says no, the wait goes on.
 
     Raises:
         copperloom.exception.TargetUnreachableError: Nothing was sent.
@@ -183,19 +185,28 @@
         middlewares=(_classify,),
     )
     try:
-        async with await _head(asked, patience_s) as resp:
+        async with await _head(asked, patience_s, may_give_up) as resp:
             # A short answer is whole by now, and its public `connection` gone.
             yield Reply(resp.status, resp.headers, resp, resp._protocol)
     except (aiohttp.ClientError, OSError) as error:
         raise exception.StreamBrokenError(_reason(error)) from error
 
 
-async def _head(asked, patience_s: float | None) -> aiohttp.ClientResponse:
+async def _head(asked, patience_s, may_give_up) -> aiohttp.ClientResponse:
+    """Waits for the head of an answer."""
+
+    async def wait():
+        return await asked
+
+    task = asyncio.ensure_future(wait())
     try:
-        async with asyncio.timeout(patience_s):
-            return await asked
-    except TimeoutError as error:
-        raise exception.StreamBrokenError("no answer in time") from error
+        done, _ = await asyncio.wait({task}, timeout=patience_s)
+        if not done and may_give_up():
+            raise exception.StreamBrokenError("no answer in time")
+        return await task
+    finally:
+        # Ends the wait when the caller has left, too.
+        task.cancel()
 
 
 async def _classify(
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -32,6 +32,7 @@
         routes_version: Version of the routes that it has.
         targets_version: Version of the targets that it has.
         leaving: Whether it is stopping.
+        store_lost: Whether the platform's table does not answer it.
     """
 
     instance: str
@@ -42,6 +43,7 @@
     routes_version: int = 0
     targets_version: int = 0
     leaving: bool = False
+    store_lost: bool = False
 
 
 class IngressState:
@@ -55,6 +57,7 @@
         routes_raw: The operators' document that `table` was made of.
         targets: The registered targets.
         targets_raw: Their registrations as the platform keeps them, by name.
+        lost_tables: Tables that the platform does not give at present.
         board: Work in progress at the targets.
         budget: The budget of repeats.
         health: Failures of targets of late, by name.
@@ -78,6 +81,7 @@
         self.routes_raw = b""
         self.targets = registry.Registry()
         self.targets_raw: dict[str, bytes] = {}
+        self.lost_tables: set[str] = set()
         self.board = board.Board()
         self.budget = budget.Budget(
             budget.Terms(own.retry_ratio, own.retry_window_s, own.retry_slack)
--- a/copperloom/ingress/tests/test_catalog.py
+++ b/copperloom/ingress/tests/test_catalog.py
@@ -203,4 +203,30 @@
         system = await fixtures.start_system(self, fronts=9)
         calls = sum(system.store.calls.values())
         self.assertLessEqual(calls, 9 * 8)
-        self.assertGreater(follow.LEAST_WAIT_S, 1.0)
+        await asyncio.sleep(1.0)
+        waiting = sum(
+            follow._is_reader(f.entry, asyncio.get_running_loop().time())
+            for f in system.fronts
+        )
+        self.assertEqual(waiting, follow.READERS)
+
+    async def test_others_take_over_from_readers_that_are_turned_away(self):
+        """The table turns all instances away that follow it.
+
+        They say so; others follow in their place, and all hear of a change
+        from them within the time allowed.
+        """
+        system = await fixtures.start_system(self, fronts=7, plain=1)
+        await asyncio.sleep(0.7)
+        now = asyncio.get_running_loop().time()
+        entries = [f.entry for f in system.fronts]
+        readers = [e for e in entries if follow._is_reader(e, now)]
+        self.assertEqual(len(readers), follow.READERS)
+        for entry in readers:
+            entry.store.address = "127.0.0.1:9"
+        system.store.forget_history()
+        await asyncio.sleep(0.2)
+        system.store.put("op", "config", fixtures.routes(6))
+        await fixtures.until(
+            lambda: all(e.table.version == 6 for e in entries), limit_s=1.9
+        )
--- a/copperloom/ingress/tests/test_failures.py
+++ b/copperloom/ingress/tests/test_failures.py
@@ -192,6 +192,28 @@
         self.assertTrue(answer.whole)
         self.assertEqual(answer.body.count(b"id: "), 5)
 
+    async def test_silence_alone_ends_no_stream(self):
+        """Both engines stand still, one after the other.
+
+        The route allows two targets; the second one is waited for until it
+        goes on, since nobody else may be asked.
+        """
+        system = await fixtures.start_system(self)
+        engines = [t for n, t in system.targets.items() if "engine" in n]
+        for target in engines:
+            target.pause_s = 0.02
+        task = asyncio.ensure_future(
+            fixtures.call(system, "/chat/x", prompt=5000, wait_ms=9000)
+        )
+        await fixtures.until(lambda: any(t.running for t in engines))
+        for target in engines:
+            target.pause_s = 2.0
+        await fixtures.until(lambda: all(t.seen for t in engines))
+        answer = await task
+        self.assertTrue(answer.whole or answer.status == 200)
+        self.assertEqual(len(engines[0].seen) + len(engines[1].seen), 2)
+        self.assertGreaterEqual(answer.body.count(b"id: "), 2)
+
     def test_patience_ends_before_callers_leave(self):
         self.assertLess(relay.STALL_SHARE * relay.LEAVES_S, relay.LEAVES_S)
 
--- a/copperloom/platform/store.py
+++ b/copperloom/platform/store.py
@@ -19,7 +19,6 @@
 
 __all__ = [
     "Feed",
-    "HistoryGoneError",
     "Store",
     "StoredRow",
     "close",
@@ -41,12 +40,6 @@
 _FEED_SLACK_S = 0.7
 
 
-class HistoryGoneError(exception.PlatformDownError):
-    """The changes asked for are no longer kept: everything is read again."""
-
-    code = 5007
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredRow:
     """A row.
@@ -144,7 +137,7 @@
     """Waits for changes of a table after a version.
 
     Raises:
-        HistoryGoneError: The history does not reach back so far.
+        copperloom.exception.HistoryGoneError: They are no longer kept.
         copperloom.exception.PlatformDownError: No answer.
     """
     query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
@@ -189,7 +182,7 @@
         store, "GET", url, None, limit_s, exception.PlatformDownError
     )
     if status == _GONE:
-        raise HistoryGoneError(call)
+        raise exception.HistoryGoneError(call)
     if status != _OK:
         raise exception.PlatformDownError(f"{call}: {status}")
     try:
