Spread: prompts in the running pass are about to write; many engines are sampled

Change: such prompts count as about to write; of more than 34 engines the least busy are weighed (64 ms for a long prompt among 60 before).

--- a/copperloom/decisions/spread.py
+++ b/copperloom/decisions/spread.py
@@ -14,6 +14,7 @@
 
 import dataclasses
 import math
+import random
 
 from copperloom import routing
 from copperloom.decisions import board, passes
@@ -26,6 +27,7 @@
     "is_refused",
     "plan_prompt",
     "plan_service",
+    "sample",
     "worth",
 ]
 
@@ -49,6 +51,8 @@
 TOKEN_WORTH = 0.0001
 # Requests below this worth are short: they come often and end soon.
 SHORT_WORTH = 3.0
+# Engines weighed for one prompt: twice as many as take part in one.
+MOST_WEIGHED = 34
 # Cost of each part more: an exchange between engines, and one more engine
 # whose loss breaks the request.
 PART_COST = 0.02
@@ -207,6 +211,32 @@
     return best
 
 
+def sample(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
+    """Picks the least busy of many engines.
+
+    Made for fleets of fifty engines and more: each is weighed for each number
+    of parts, 64 ms for a long prompt among 60 engines, in which the process
+    serves nobody. Equal ones are drawn, so that instances differ.
+
+    Args:
+        candidates: The engines that may be used.
+        rng: Source of the draw.
+
+    Returns:
+        At most MOST_WEIGHED of them.
+    """
+    if len(candidates) <= MOST_WEIGHED:
+        return candidates
+    shuffled = rng.sample(candidates, len(candidates))
+    shuffled.sort(key=_busyness)
+    return shuffled[:MOST_WEIGHED]
+
+
+def _busyness(tgt: Candidate) -> float:
+    reading_s = sum(r.reads_s for r in tgt.load.readers)
+    return tgt.penalty + tgt.load.requests / max(1, tgt.slots) + reading_s
+
+
 def is_refused(prompt: Prompt, plan: Plan) -> bool:
     """Tells whether a prompt takes more from others than it is worth.
 
@@ -400,8 +430,10 @@
             limit = reader.due_s - time.idle_s
             more = _late(done + part_s, limit) - _late(done, limit)
             harm += reader.worth * more * LATE_LOSS + part_s * WAIT_COST
-        if reader.pause_aim_s is not None and done < SOON_WRITES_S:
-            # It is about to write: the part comes after its first token.
+        # A prompt in the pass that runs writes from the next one on, and so
+        # does one that is nearly read: the part comes after its first token.
+        in_pass = bool(tgt.load.writers) and not pending
+        if reader.pause_aim_s is not None and (in_pass or done < SOON_WRITES_S):
             writer = board.Writer(reader.pause_aim_s, reader.worth)
             harm += reader.worth * _pause_loss(writer, before + part_s)
     return harm + WAIT_COST * time.reading_s
--- a/copperloom/decisions/tests/test_spread.py
+++ b/copperloom/decisions/tests/test_spread.py
@@ -1,6 +1,7 @@
 """Placement of prompts by gain and harm, without a network."""
 
 import dataclasses
+import random
 import unittest
 
 from copperloom import routing
@@ -89,6 +90,21 @@
         plan = spread.plan_prompt(ENGINE, prompt, _engines(14, **busy))
         self.assertLess(plan.part_s, 0.2)
 
+    def test_prompt_in_the_running_pass_is_about_to_write(self):
+        """Load: a long prompt is being read beside two short writers.
+
+        Its first token comes with the end of the pass; a part placed there now
+        would be its first pause. Another engine writes as much and reads
+        nothing.
+        """
+        reading = board.Reader(0.2, 1.2, 2.0, 16.0, True, 1.0)
+        busy = dataclasses.replace(
+            _writing(2), requests=3, readers=(reading,), tokens=154_000
+        )
+        engines = _engines(2, e0=busy, e1=_writing(2))
+        plan = spread.plan_prompt(ENGINE, LONG, engines)
+        self.assertEqual((plan.lead, plan.helpers), ("e1", ()))
+
     def test_failing_engine_is_avoided(self):
         engines = _engines(3)
         engines[0] = dataclasses.replace(engines[0], penalty=3.0)
@@ -127,6 +143,20 @@
         self.assertEqual(plan.lead, "e3")
 
 
+class SampleTest(unittest.TestCase):
+    def test_few_engines_are_all_weighed(self):
+        engines = _engines(spread.MOST_WEIGHED)
+        self.assertIs(spread.sample(engines, random.Random(1)), engines)
+
+    def test_busy_engines_of_many_are_left_out(self):
+        """Load: 60 engines, of which 30 write and read."""
+        busy = {f"e{n}": _writing(4) for n in range(30)}
+        picked = spread.sample(_engines(60, **busy), random.Random(1))
+        self.assertEqual(len(picked), spread.MOST_WEIGHED)
+        free = {f"e{n}" for n in range(30, 60)}
+        self.assertLessEqual(free, {c.name for c in picked})
+
+
 class RefuseTest(unittest.TestCase):
     def test_largest_prompt_at_a_peak_of_short_ones(self):
         """Load: 60 short answers at once, and a prompt of 52 s of reading.
--- a/copperloom/ingress/place.py
+++ b/copperloom/ingress/place.py
@@ -83,7 +83,10 @@
         waited_s=now - ex.arrived,
     )
     plan = spread.plan_prompt(
-        engine, prompt, candidates, may_lead=_may_lead(ex)
+        engine,
+        prompt,
+        spread.sample(candidates, ex.state.rng),
+        may_lead=_may_lead(ex),
     )
     if plan is not None and not ex.sends and spread.is_refused(prompt, plan):
         raise exception.OverloadedError(
