Decisions: types, harm and search of placements in modules of their own

Change: plans (types, worth), harm (what others lose), spread (the search); daemons/running waits for signals. No behaviour changes.

--- a/copperloom/daemons/entry.py
+++ b/copperloom/daemons/entry.py
@@ -13,8 +13,6 @@
 """
 
 import asyncio
-import contextlib
-import signal
 from collections.abc import Awaitable, Callable
 
 import docopt
@@ -33,7 +31,7 @@
     reclaim,
     sweep,
 )
-from copperloom.daemons import http, options
+from copperloom.daemons import http, options, running
 from copperloom.daemons.state import EntryState
 from copperloom.peers import server
 from copperloom.platform import http as platform_http
@@ -209,22 +207,10 @@
 
 
 async def _run(own: options.EntrySettings) -> None:
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        # A second signal changes nothing: it must not cut what the first one
-        # promised to finish.
-        loop.add_signal_handler(number, stopping.set)
+    stopping = running.stop_signal()
     service = await start(own)
     print(f"ready listen={service.listen} peers={service.peers}", flush=True)
-    crashed = asyncio.ensure_future(service._crashed.wait())
-    stop = asyncio.ensure_future(stopping.wait())
-    await asyncio.wait([crashed, stop], return_when=asyncio.FIRST_COMPLETED)
-    for task in (crashed, stop):
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
-    await service.stop()
+    await running.until_stopped(service, stopping)
 
 
 def main(argv: list[str] | None = None) -> None:
--- a/copperloom/daemons/front.py
+++ b/copperloom/daemons/front.py
@@ -14,7 +14,6 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
 import os
 import signal
@@ -23,6 +22,7 @@
 import mode
 
 from copperloom import exception, logs, settings
+from copperloom.daemons import running
 from copperloom.ingress import follow, gossip, roster, sender, server
 from copperloom.ingress.state import IngressState
 from copperloom.peers import catalog, client
@@ -191,26 +191,15 @@
 
 
 async def _run(own: FrontSettings, path: str) -> None:
-    stopping = asyncio.Event()
+    stopping = running.stop_signal()
     loop = asyncio.get_running_loop()
     state = IngressState(platform_settings.load(path))
     logs.setup_bounded(own.log.level, instance=state.settings.instance)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        # A second signal changes nothing: it must not cut what the first one
-        # promised to finish.
-        loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, state, path)
     port = own.metrics.port
     service = FrontService(state, f"{state.settings.ip}:{port}" if port else "")
     await service.start()
-    crashed = asyncio.ensure_future(service._crashed.wait())
-    stop = asyncio.ensure_future(stopping.wait())
-    await asyncio.wait([crashed, stop], return_when=asyncio.FIRST_COMPLETED)
-    for task in (crashed, stop):
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
-    await service.stop()
+    await running.until_stopped(service, stopping)
 
 
 def main(argv: list[str] | None = None) -> None:
--- /dev/null
+++ b/copperloom/decisions/harm.py
@@ -0,0 +1,137 @@
+"""The worth that a placement takes from others, and its own lateness.
+
+Times are predicted by `copperloom.decisions.passes`; how likely a time turns
+out too late is a slope, not a step, because more comes in between.
+"""
+
+import math
+
+from copperloom.decisions import board, passes, plans
+
+__all__ = ["arrivals_harm", "engine_price", "own_loss", "reading_harm"]
+
+# Times are predicted to about this; lateness is a slope, not a step, so that
+# of two placements near the limit the quicker one is taken.
+BLUR_S = 0.035
+# The longer a time, the more comes in between; as shares of the limit.
+BLUR_SHARE = 0.06
+# An aim below it would make any wait dear.
+_LEAST_AIM_S = 0.05
+# Kept free below a limit for the way, for timers and for what is not known.
+WAY_S = 0.03
+WAY_SHARE = 0.1
+# Share of its worth that a late request loses.
+LATE_LOSS = 0.75
+# Requests below this worth are short: they come often and end soon.
+SHORT_WORTH = 3.0
+# Cost of a second of waiting, to tell placements apart that are all in time.
+WAIT_COST = 0.25
+# A prompt that comes while an engine reads a part no longer than this still
+# gets its first token in time there.
+SHORT_PART_S = 0.12
+# A prompt that is read within this time writes in the next pass.
+SOON_WRITES_S = 0.08
+# Share of an engine's slots that new prompts can make use of: they come in
+# clumps, and each writer slows the pass a little.
+USABLE_SLOTS = 0.7
+# A short answer is written in about this time, so the requests in progress
+# come anew once in it.
+ANSWER_S = 1.5
+# Worth that others could get out of a second of an engine's reading, when all
+# engines read; with idle engines it falls to the share below.
+ENGINE_SECOND_WORTH = 0.8
+IDLE_SHARE = 0.3
+# Callers leave a stream that shows no token for four times its objective.
+LEAVES_AFTER = 3.5
+# Callers leave a stream that stands still for so long, or for so many of the
+# pauses that they accept.
+LEAVES_PAUSE_S = 2.0
+LEAVES_PAUSES = 8.0
+# Kept below it: a caller that has left has nothing of what was done for it.
+LEAVES_SOON = 0.75
+
+
+def reading_harm(
+    tgt: plans.Candidate, time: passes.Timeline, part_s: float, in_parts: bool
+) -> float:
+    """Predicts the worth that others lose when a target reads a part."""
+    before = time.idle_s + time.pending_s
+    lost = 0.0
+    for writer in tgt.load.writers:
+        lost += writer.worth * (
+            _pause_loss(writer, before + part_s) - _pause_loss(writer, before)
+        )
+    # An engine that writes takes a part into its next pass; one that only
+    # reads puts parts before all else, and whole prompts after it.
+    shifts = bool(tgt.load.writers) or in_parts
+    for reader, done, pending in zip(
+        tgt.load.readers, time.done_s, time.pending, strict=True
+    ):
+        if shifts and pending:
+            limit = reader.due_s - time.idle_s
+            more = _late(done + part_s, limit) - _late(done, limit)
+            lost += reader.worth * more * LATE_LOSS + part_s * WAIT_COST
+        # A prompt in the pass that runs writes from the next one on, and so
+        # does one that is nearly read: the part comes after its first token.
+        in_pass = bool(tgt.load.writers) and not pending
+        if reader.pause_aim_s is not None and (in_pass or done < SOON_WRITES_S):
+            writer = board.Writer(reader.pause_aim_s, reader.worth)
+            lost += reader.worth * _pause_loss(writer, before + part_s)
+    return lost + WAIT_COST * time.reading_s
+
+
+def _pause_loss(writer: board.Writer, pause_s: float) -> float:
+    """Returns the share of an answer's worth that a pause takes."""
+    leaves_s = max(LEAVES_PAUSE_S, LEAVES_PAUSES * writer.pause_aim_s)
+    loss = LATE_LOSS * _late(pause_s, writer.pause_aim_s)
+    return loss + (1 - LATE_LOSS) * _late(pause_s, leaves_s * LEAVES_SOON)
+
+
+def own_loss(prompt: plans.Prompt, first_s: float) -> float:
+    """Predicts the worth that a request itself loses by waiting."""
+    aim = prompt.first_token_aim_s
+    loss = LATE_LOSS * _late(first_s, aim)
+    loss += (1 - LATE_LOSS) * _late(first_s, aim * LEAVES_AFTER)
+    waiting = WAIT_COST * first_s / max(aim, _LEAST_AIM_S)
+    return plans.worth(prompt.tokens) * loss + waiting
+
+
+def engine_price(candidates, times) -> float:
+    """Returns what a second of an engine's reading is worth to others now."""
+    reading = sum(times[c.name].reading_s > SHORT_PART_S for c in candidates)
+    share = reading / len(candidates)
+    return ENGINE_SECOND_WORTH * (IDLE_SHARE + (1 - IDLE_SHARE) * share)
+
+
+def arrivals_harm(engine, candidates, chosen, times, part_s: float) -> float:
+    """Predicts the worth that requests lose which come while a part is read.
+
+    Engines that read for long are closed to them. As long as the others have
+    slots enough for the requests in progress, nothing is lost; a prompt that
+    closes more than that makes all that come late until it is read.
+    """
+    closed_s = part_s - SHORT_PART_S
+    if closed_s <= 0:
+        return 0.0
+    names = {c.name for c in chosen}
+    open_now = {
+        c.name for c in candidates if times[c.name].reading_s < SHORT_PART_S
+    }
+    short = sum(
+        w.worth < SHORT_WORTH for c in candidates for w in c.load.writers
+    )
+    before = _turned_late(engine, len(open_now), short)
+    after = _turned_late(engine, len(open_now - names), short)
+    return LATE_LOSS * (after - before) * closed_s / ANSWER_S
+
+
+def _turned_late(engine, open_engines: int, short: int) -> float:
+    """Returns how many of the short requests find no place in time."""
+    return max(0.0, short - open_engines * engine.slots * USABLE_SLOTS)
+
+
+def _late(time_s: float, limit_s: float) -> float:
+    """Returns the chance that a predicted time turns out over a limit."""
+    blur_s = max(BLUR_S, BLUR_SHARE * limit_s)
+    limit_s -= max(WAY_S, WAY_SHARE * limit_s)
+    return 1.0 / (1.0 + math.exp(min(50.0, (limit_s - time_s) / blur_s)))
--- a/copperloom/decisions/tests/emulator.py
+++ b/copperloom/decisions/tests/emulator.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from copperloom import routing
-from copperloom.decisions import board, passes, spread
+from copperloom.decisions import board, passes, plans, spread
 
 __all__ = ["Arrival", "Served", "least_requests", "play", "spread_by_harm"]
 
@@ -29,7 +29,7 @@
     """
 
     at: float
-    prompt: spread.Prompt
+    prompt: plans.Prompt
 
 
 @dataclasses.dataclass
@@ -67,7 +67,7 @@
         self.busy = False
 
 
-Placement = Callable[[spread.Prompt, list[spread.Candidate]], spread.Plan]
+Placement = Callable[[plans.Prompt, list[plans.Candidate]], plans.Plan]
 
 
 def spread_by_harm(spec: routing.EngineSpec) -> Placement:
@@ -85,7 +85,7 @@
     def place(prompt, candidates):
         best = min(candidates, key=lambda c: c.load.requests)
         read_s = passes.read_s(spec, prompt.tokens)
-        return spread.Plan(best.name, (), read_s, 0.0, 0.0)
+        return plans.Plan(best.name, (), read_s, 0.0, 0.0)
 
     return place
 
@@ -127,7 +127,7 @@
         self.served.append(served)
         loads = board.loads(self.board, now)
         candidates = [
-            spread.Candidate(
+            plans.Candidate(
                 n, loads.get(n, board.TargetLoad()), 0.0, self.spec.slots
             )
             for n in self.engines
@@ -156,7 +156,7 @@
                     tokens=prompt.tokens if name == plan.lead else 0,
                     pause_aim_s=prompt.pause_aim_s,
                     begun=now,
-                    worth=spread.worth(prompt.tokens),
+                    worth=plans.worth(prompt.tokens),
                     due_s=prompt.first_token_aim_s,
                     in_parts=len(names) > 1,
                 )
@@ -206,7 +206,7 @@
 
 
 def mixed_load(
-    rng: random.Random, seconds: float, rates: dict[spread.Prompt, float]
+    rng: random.Random, seconds: float, rates: dict[plans.Prompt, float]
 ) -> list[Arrival]:
     """Draws arrivals of several kinds of prompts.
 
--- a/copperloom/decisions/tests/test_peak.py
+++ b/copperloom/decisions/tests/test_peak.py
@@ -4,11 +4,11 @@
 import random
 import unittest
 
-from copperloom.decisions import spread
+from copperloom.decisions import board, plans, spread
 from copperloom.decisions.tests import emulator
 from copperloom.decisions.tests.test_spread import ENGINE, LONG, SHORT
 
-MIDDLE = spread.Prompt(
+MIDDLE = plans.Prompt(
     tokens=45_000,
     answer_tokens=1000,
     first_token_aim_s=1.5,
@@ -81,7 +81,7 @@
     def test_one_slow_engine_gets_less(self):
         """Load: one of the engines failed of late and may fail again."""
         engines = [
-            spread.Candidate(f"e{n}", spread.board.TargetLoad(), 0.0, 8)
+            plans.Candidate(f"e{n}", board.TargetLoad(), 0.0, 8)
             for n in range(4)
         ]
         engines[0] = dataclasses.replace(engines[0], penalty=1.0)
--- a/copperloom/decisions/tests/test_spread.py
+++ b/copperloom/decisions/tests/test_spread.py
@@ -5,7 +5,7 @@
 import unittest
 
 from copperloom import routing
-from copperloom.decisions import board, passes, spread
+from copperloom.decisions import board, passes, plans, spread
 
 ENGINE = routing.EngineSpec(
     slots=8,
@@ -19,13 +19,13 @@
     chunk_tokens=2048,
     hop_s=0.00005,
 )
-SHORT = spread.Prompt(
+SHORT = plans.Prompt(
     tokens=5000,
     answer_tokens=1600,
     first_token_aim_s=0.3,
     pause_aim_s=0.25,
 )
-LONG = spread.Prompt(
+LONG = plans.Prompt(
     tokens=154_000,
     answer_tokens=800,
     first_token_aim_s=3.0,
@@ -37,9 +37,9 @@
     return dataclasses.replace(board.TargetLoad(), **changes)
 
 
-def _engines(count: int, **loads) -> list[spread.Candidate]:
+def _engines(count: int, **loads) -> list[plans.Candidate]:
     return [
-        spread.Candidate(
+        plans.Candidate(
             name=f"e{n}",
             load=loads.get(f"e{n}", board.TargetLoad()),
             penalty=0.0,
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from copperloom import exception, routing
-from copperloom.decisions import spread
+from copperloom.decisions import plans
 from copperloom.filters import deadline
 from copperloom.ingress.state import IngressState
 from copperloom.platform import headers
@@ -64,7 +64,7 @@
         self.priority = 0
         self.body = b""
         self.table_version = 0
-        self.plan: spread.Plan | None = None
+        self.plan: plans.Plan | None = None
         self.sends = 0
         self.sent_to: set[str] = set()
         self.repeat_granted = False
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -10,7 +10,7 @@
 import dataclasses
 
 from copperloom import exception, logs, routing
-from copperloom.decisions import board, health, registry, spread
+from copperloom.decisions import board, health, plans, registry
 from copperloom.ingress import (
     exchange,
     place,
@@ -232,7 +232,7 @@
         tokens=max(0, tokens - sum(held.values())),
         pause_aim_s=ex.route.pause_aim_s,
         begun=now,
-        worth=spread.worth(ex.head.prompt_tokens),
+        worth=plans.worth(ex.head.prompt_tokens),
         due_s=ex.route.target_latency_s - (now - ex.arrived),
         in_parts=bool(plan.helpers),
     )
--- a/copperloom/ingress/place.py
+++ b/copperloom/ingress/place.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from copperloom import exception, logs, routing
-from copperloom.decisions import board, health, registry, spread
+from copperloom.decisions import board, health, plans, registry, spread
 from copperloom.ingress import exchange
 
 __all__ = ["place"]
@@ -25,7 +25,7 @@
 _DEFAULT_ANSWER_TOKENS = 800
 
 
-async def place(ex: exchange.Exchange) -> spread.Plan:
+async def place(ex: exchange.Exchange) -> plans.Plan:
     """Returns where to send a request now.
 
     Raises:
@@ -67,7 +67,7 @@
 
 def _plan(
     ex: exchange.Exchange, known: list[routing.TargetEntry], now: float
-) -> spread.Plan | None:
+) -> plans.Plan | None:
     load = board.loads(ex.state.board, now)
     candidates = [_candidate(ex, e, load, now) for e in known]
     engine = _engine(ex)
@@ -75,7 +75,7 @@
         return spread.plan_service(
             [c for c in candidates if c.load.requests < c.slots * _PLAIN_QUEUE]
         )
-    prompt = spread.Prompt(
+    prompt = plans.Prompt(
         tokens=ex.head.prompt_tokens,
         answer_tokens=ex.head.max_tokens or _DEFAULT_ANSWER_TOKENS,
         first_token_aim_s=ex.route.target_latency_s,
@@ -90,7 +90,7 @@
     )
     if plan is not None and not ex.sends and spread.is_refused(prompt, plan):
         raise exception.OverloadedError(
-            f"costs {plan.cost:.1f}, worth {spread.worth(prompt.tokens):.1f}",
+            f"costs {plan.cost:.1f}, worth {plans.worth(prompt.tokens):.1f}",
             retry_after_s=_TOO_DEAR_RETRY_S,
         )
     return plan
@@ -108,7 +108,7 @@
 
 
 def _candidate(ex, entry: routing.TargetEntry, load, now: float):
-    return spread.Candidate(
+    return plans.Candidate(
         name=entry.name,
         load=load.get(entry.name, board.TargetLoad()),
         penalty=health.penalty(ex.state.health.get(entry.name), now),
@@ -126,7 +126,7 @@
         return
 
 
-def _tell(ex, plan: spread.Plan, waited_s: float, known: int) -> None:
+def _tell(ex, plan: plans.Plan, waited_s: float, known: int) -> None:
     logs.event(
         "placed",
         request=ex.id,
--- a/copperloom/ingress/reserve.py
+++ b/copperloom/ingress/reserve.py
@@ -11,7 +11,7 @@
 from collections.abc import AsyncIterator
 
 from copperloom import exception, logs
-from copperloom.decisions import registry, spread
+from copperloom.decisions import plans, registry
 from copperloom.ingress import exchange, sender
 from copperloom.platform import orders
 
@@ -54,7 +54,7 @@
     return {h.target: f"/{ex.reservation}" for h in ex.plan.holds}
 
 
-def in_order(plan: spread.Plan) -> list[str]:
+def in_order(plan: plans.Plan) -> list[str]:
     """Lists the helpers, those that hold memory first."""
     holders = [h.target for h in plan.holds]
     return holders + [name for name in plan.helpers if name not in holders]
@@ -78,7 +78,7 @@
     )
 
 
-async def _reserve(ex: exchange.Exchange, hold: spread.Hold) -> bool:
+async def _reserve(ex: exchange.Exchange, hold: plans.Hold) -> bool:
     call = orders.reserve(hold.target, ex.reservation, hold.tokens, LEASE_S)
     return await _order(ex, hold.target, call)
 
--- a/copperloom/platform/headers.py
+++ b/copperloom/platform/headers.py
@@ -118,7 +118,7 @@
 
     Attributes:
         request: The request that the answer belongs to, "" if not said.
-        sealed: Whether the answer bears the target's receipt.
+        sealed: Whether the answer bears the target's signature.
         not_run: Whether the target says that it did not run the request.
         running: Requests it works on; None if it does not tell its load.
         waiting: Requests that wait there.
