--- /dev/null
+++ b/copperloom/tests/test_frontsoak.py
@@ -0,0 +1,25 @@
+"""A short soak of copperloom-front with fixed seeds; failed seeds join them."""
+
+import asyncio
+import tempfile
+import unittest
+
+from bench import frontsoak
+
+# Each seed that ever failed stays here, with a line on its cause.
+_SEEDS = (1, 2)
+_SECONDS = 4.0
+
+
+class FrontSoakTest(unittest.TestCase):
+    def test_seeds(self):
+        """Processes are killed, paused and stopped while callers call.
+
+        The table service fails, targets misbehave and leave, routes change.
+        Nothing runs twice that may run once, no refusal is untrue, each
+        answer is whole and its own, and every caller hears in time.
+        """
+        for seed in _SEEDS:
+            with self.subTest(seed), tempfile.TemporaryDirectory() as folder:
+                found = asyncio.run(frontsoak.play(seed, _SECONDS, folder))
+                self.assertEqual(found, [])
