Tests: instances' loopback addresses are the test process's own

Ruled out: load; the failures name the bind of the datagram socket. Change: the network of the loopback addresses follows from the process id.

--- a/bench/frontsoak.py
+++ b/bench/frontsoak.py
@@ -81,8 +81,9 @@
 
     def __init__(self, number: int, seed: int, folder: str, store: str):
         self.number = number
-        # Addresses of its own let soaks of other seeds run beside it.
-        self.ip = f"127.3.{seed % 250}.{number + 2}"
+        # Addresses of its own let other soaks and tests run beside it.
+        network = 16 + os.getpid() % 200
+        self.ip = f"127.{network}.{seed % 250}.{number + 2}"
         self.ports = [_free_port() for _ in range(3)]
         self.path = pathlib.Path(folder) / f"front-{number}.json"
         self.path.write_text(json.dumps(self._settings(store)))
@@ -104,7 +105,7 @@
                 "readiness": f"{self.ip}:{ready}",
                 "control": f"{self.ip}:{control}",
             },
-            "internal_ports": [17_500, 17_510],
+            "internal_ports": [17_600, 17_610],
             "seeds": [],
             "bounds": {"grace_s": _GRACE_S},
             "platform": {"address": store},
--- a/copperloom/ingress/tests/fixtures.py
+++ b/copperloom/ingress/tests/fixtures.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import itertools
+import os
 import socket
 import unittest
 
@@ -34,6 +35,9 @@
 HOST = "desk.example"
 KEY = "key-1"
 _hosts = itertools.count(2)
+# Loopback addresses of this process's own: the instances' datagram port is the
+# same at all of them, and another run of the tests may go on beside this one.
+_NETWORK = f"127.{16 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
 _ids = itertools.count(1)
 _LIMIT_S = 5.0
 _POLL_S = 0.01
@@ -129,7 +133,7 @@
 
     async def add_front(self, **changes) -> front.FrontService:
         """Starts an instance; returns it once it listens."""
-        ip = f"127.0.1.{next(_hosts)}"
+        ip = f"{_NETWORK}.{next(_hosts) % 250 + 2}"
         own = settings.PlatformSettings(
             instance=f"front-{ip}",
             ip=ip,
