Placement gathers answers on few engines

Short answers were spread over all engines (0.15 a slot taken), so that each long part stood in two or three of them. Ruled out: prediction (p50 of its error 0.027 s), view of peers' work (the manifest's plan knew both writers), time-outs. Change: writing at an empty engine costs 0.2, falling to none at 0.8 of its slots.

--- a/copperloom/decisions/spread.py
+++ b/copperloom/decisions/spread.py
@@ -39,6 +39,15 @@
 # Share of its free memory that the engine which writes a prompt larger than one
 # engine's memory gives to it without a reservation.
 LEAD_SHARE = 0.8
+# Cost of writing at an engine that has nothing in progress; with more it falls
+# to none at this share of its slots. The rest is for what peers place at the
+# same moment.
+PACK_COST = 0.2
+PACKED_SHARE = 0.8
+# Cost of writing at an engine whose memory is full.
+FULL_COST = 0.1
+# Engines in the same data centre are a millisecond nearer.
+NEAR_GAIN = 0.005
 # Memory kept free for what peers place at the same moment.
 MEMORY_SLACK_TOKENS = 4000
 
@@ -245,7 +254,14 @@
 
 
 def _lead_cost(engine: routing.EngineSpec, tgt: plans.Candidate) -> float:
-    """Spreads answers over engines: each writer slows those beside it."""
-    taken = tgt.load.requests / max(1, engine.slots)
+    """Gathers answers on few engines, so that others are free to read.
+
+    Made for short answers that are written nearly everywhere: each long part
+    then stood in somebody's answer. A writer more slows a pass by a hundredth
+    only. On the emulator 0.92 of the worth became 0.94, that of short prompts
+    beside twice the usual load 0.93 became 0.98 (45 engines).
+    """
+    taken = tgt.load.requests / (max(1, engine.slots) * PACKED_SHARE)
     full = tgt.load.tokens / engine.kv_tokens
-    return 0.15 * taken + 0.1 * full - (0.005 if tgt.near else 0.0)
+    cost = PACK_COST * (1.0 - min(1.0, taken)) + FULL_COST * full
+    return cost - (NEAR_GAIN if tgt.near else 0.0)
--- a/copperloom/decisions/tests/test_peak.py
+++ b/copperloom/decisions/tests/test_peak.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 import unittest
+from unittest import mock
 
 from copperloom.decisions import board, plans, spread
 from copperloom.decisions.tests import emulator
@@ -39,8 +40,8 @@
 
     | load | least requests | by harm |
     | --- | --- | --- |
-    | short at the peak, few long | short 0.96, long 0.00 | 0.99, 1.00 |
-    | long at the peak, few short | short 0.80, long 0.00 | 0.90, 0.81 |
+    | short at the peak, few long | short 0.96, long 0.00 | 1.00, 1.00 |
+    | long at the peak, few short | short 0.80, long 0.00 | 0.99, 0.89 |
     """
 
     def test_short_prompts_at_the_peak(self):
@@ -61,6 +62,20 @@
         self.assertGreater(after["middle"], before["middle"])
         self.assertGreater(after["short"], before["short"])
 
+    def test_answers_are_gathered(self):
+        """Load: 20 short prompts a second, one middle and 0.8 long ones.
+
+        Answers that stand at every engine are in the way of every long part.
+        Short prompts in time without and with gathering: 0.90 and 1.00.
+        """
+        rates = {SHORT: 20.0, MIDDLE: 1.0, LONG: 0.8}
+        with mock.patch.object(spread, "PACK_COST", 0.0):
+            before = _shares(_play(rates, emulator.spread_by_harm, 2))
+        after = _shares(_play(rates, emulator.spread_by_harm, 2))
+        self.assertLess(before["short"], 0.93)
+        self.assertGreater(after["short"], 0.98)
+        self.assertGreater(after["long"], 0.9)
+
     def test_short_prompts_are_hardly_slowed_by_long_ones(self):
         """Load: the same short prompts with and without long ones beside."""
         alone = _play({SHORT: 14.0}, emulator.spread_by_harm)
