Soak: links behind a proxy, faults in series and overlapping, checks of stops

Cause: the soak had no links that are delayed, reset, cut one way or silent, played one fault after another, and did not check that stopped and reloaded processes answer what their targets had run. Change: a package of processes, world, callers, faults and checks in place of one file of 390 lines; a proxy before each target and between each instance and the table; up to four faults at once; LOST is checked; drawn seeds by default.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 .PHONY: docs soak capacity policies relay
 
 soak: install
-	$(BIN)/python -m bench.frontsoak --schedules 50 --seed 1
+	$(BIN)/python -m bench.frontsoak.main --schedules 50
 	$(BIN)/python -m bench.soak --schedules 25 --seed 1
 
 capacity: install
--- /dev/null
+++ b/bench/frontsoak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomised soak of copperloom-front: processes, faults from outside."""
--- a/copperloom/standins/proxy.py
+++ b/copperloom/standins/proxy.py
@@ -14,7 +14,7 @@
 
 from copperloom.standins import server, settings
 
-__all__ = ["Pair", "PairFaults", "serve"]
+__all__ = ["Pair", "PairFaults", "open_pair", "reset", "serve"]
 
 _READ_BYTES = 65_536
 _LOOK_S = 0.02
@@ -81,10 +81,8 @@
     listeners = []
     addresses = {}
     for name, pair in pairs.items():
-        listener = await _listen(pair)
-        listeners.append(listener)
-        host, port = listener.sockets[0].getsockname()[:2]
-        addresses[name] = f"{host}:{port}"
+        listeners.append(await open_pair(pair))
+        addresses[name] = pair.listen
 
     async def close() -> None:
         for listener in listeners:
@@ -134,10 +132,11 @@
         if upstream is not None:
             pair.upstream = upstream
         if reset:
-            _reset(pair)
+            reset(pair)
 
 
-def _reset(pair: Pair) -> None:
+def reset(pair: Pair) -> None:
+    """Resets all open connections of a pair."""
     for writer in list(pair.writers):
         _abort(writer)
 
@@ -149,7 +148,9 @@
     writer.transport.abort()
 
 
-async def _listen(pair: Pair) -> asyncio.Server:
+async def open_pair(pair: Pair) -> asyncio.Server:
+    """Listens; the pair then tells the address that it got."""
+
     async def accept(reader, writer) -> None:
         pair.accepted += 1
         task = asyncio.current_task()
@@ -163,7 +164,10 @@
             pair.tasks.discard(task)
 
     host, _, port = pair.listen.rpartition(":")
-    return await asyncio.start_server(accept, host, int(port))
+    listener = await asyncio.start_server(accept, host, int(port))
+    host, port = listener.sockets[0].getsockname()[:2]
+    pair.listen = f"{host}:{port}"
+    return listener
 
 
 async def _carry(pair: Pair, reader, writer) -> None:
--- a/copperloom/tests/test_frontsoak.py
+++ b/copperloom/tests/test_frontsoak.py
@@ -4,22 +4,23 @@
 import tempfile
 import unittest
 
-from bench import frontsoak
+from bench.frontsoak import main, world
 
 # Each seed that ever failed stays here, with a line on its cause.
 _SEEDS = (1, 2)
-_SECONDS = 4.0
+_SIZES = world.Sizes(seconds=4.0)
 
 
 class FrontSoakTest(unittest.TestCase):
     def test_seeds(self):
         """Processes are killed, paused and stopped while callers call.
 
-        The table service fails, targets misbehave and leave, routes change.
+        Links are delayed, reset and silenced, the table service fails,
+        targets misbehave and leave, routes change.
         Nothing runs twice that may run once, no refusal is untrue, each
         answer is whole and its own, and every caller hears in time.
         """
         for seed in _SEEDS:
             with self.subTest(seed), tempfile.TemporaryDirectory() as folder:
-                found = asyncio.run(frontsoak.play(seed, _SECONDS, folder))
+                found = asyncio.run(main.play(seed, _SIZES, folder))
                 self.assertEqual(found, [])
