On call: copperloom trace, front status and explain, metrics of what is so now

Cause: a request's cause had to be put together by hand from the logs of many instances; versions' age, members, targets by state, store calls by result and the repeats left were in no metric; nothing told which way a request would go. Change: copperloom trace ID LOG..., copperloom front status and explain on the metrics address; the page of metrics adds what is so at the moment of asking.

--- a/copperloom/cli/operator.py
+++ b/copperloom/cli/operator.py
@@ -8,6 +8,9 @@
   copperloom [options] [--entry ADDRESS]... target (retire | admit) NAME
   copperloom [options] [--entry ADDRESS]... (status | drain)
   copperloom [options] [--entry ADDRESS]... audit [--limit N]
+  copperloom [options] front status ADDRESS
+  copperloom [options] front explain ADDRESS HOST PATH [KEY]
+  copperloom [options] trace ID LOG...
   copperloom config check FILE [--program PROGRAM]
   copperloom config explain [PROGRAM]
   copperloom -h | --help
@@ -25,6 +28,10 @@
   --program PROGRAM  Whose settings a file holds [default: entry].
   --json             Print one JSON document.
 
+`front` asks an instance on the users' platform, at its metrics address: what it
+goes by, or which way a request would go. `trace` puts the lines of one request
+from the logs of many instances in order and says what decided it.
+
 A put of something that exists changes the keys given and keeps the others.
 
 Exit status: 0 done, and in force everywhere; 1 not done, nothing was changed;
@@ -43,7 +50,7 @@
 import msgspec
 
 from copperloom import exception, settings
-from copperloom.cli import edits, entries, programs, show
+from copperloom.cli import edits, entries, fronts, programs, show, trace
 
 __all__ = ["DONE", "NOT_DONE", "UNKNOWN", "USAGE", "main"]
 
@@ -69,6 +76,10 @@
     try:
         if args["config"]:
             return _config(args)
+        if args["trace"]:
+            return _trace(args)
+        if args["front"]:
+            return asyncio.run(_front(args))
         return asyncio.run(_call(args))
     except exception.SettingsError as error:
         return _fail(args, error, USAGE)
@@ -97,6 +108,37 @@
     return DONE
 
 
+def _trace(args) -> int:
+    lines = trace.find(trace.read(args["LOG"]), args["ID"])
+    if not lines:
+        print(f"no line of request {args['ID']}", file=sys.stderr)
+        return NOT_DONE
+    decided = trace.verdict(lines)
+    answer = {"lines": [line.text for line in lines], "decided_by": decided}
+    _print(args, answer, _traced)
+    return DONE
+
+
+def _traced(answer: dict) -> str:
+    return "\n".join([*answer["lines"], "", answer["decided_by"]])
+
+
+async def _front(args) -> int:
+    address = args["ADDRESS"]
+    if args["status"]:
+        _print(args, await fronts.ask(address, "status"), fronts.status)
+        return DONE
+    answer = await fronts.ask(
+        address,
+        "explain",
+        host=args["HOST"],
+        path=args["PATH"],
+        key=args["KEY"] or "",
+    )
+    _print(args, answer, fronts.explained)
+    return DONE
+
+
 async def _call(args) -> int:
     async with entries.open_client(_addresses(args), _token(args)) as client:
         if args["status"]:
--- /dev/null
+++ b/copperloom/cli/tests/test_trace.py
@@ -0,0 +1,89 @@
+"""From a request's id to what decided it, from the logs of two instances."""
+
+import contextlib
+import io
+import pathlib
+import tempfile
+import unittest
+
+from copperloom.cli import operator, trace
+
+_AT = "2026-05-08T23:50:{} level=INFO event={} {} instance={}"
+_FIRST = [
+    ("01.10", "started", "boot=b1", "front-1"),
+    (
+        "02.50",
+        "placed",
+        'request=r1 target=t-1 helpers="t-2,t-3" predicted_s=0.3',
+        "front-1",
+    ),
+    ("02.60", "target_changed", "target=t-1 state=draining", "front-1"),
+    ("02.61", "target_changed", "target=t-9 state=draining", "front-1"),
+    (
+        "02.70",
+        "attempt_failed",
+        'request=r1 target=t-1 culprit=t-2 code=4004 error="stands still"',
+        "front-1",
+    ),
+    (
+        "03.00",
+        "outcome",
+        "request=r1 outcome=StreamBroken status=502 code=4004 seconds=0.5 "
+        'sends=1 target=t-1 reason="it broke off"',
+        "front-1",
+    ),
+    ("03.10", "placed", "request=r2 target=t-1", "front-1"),
+]
+_SECOND = [
+    ("02.65", "store_lost", "table=servers", "front-2"),
+    ("04.00", "placed", "request=r2 target=t-4", "front-2"),
+]
+
+
+def _write(case, name: str, rows) -> str:
+    folder = tempfile.mkdtemp()
+    path = pathlib.Path(folder) / name
+    text = "\n".join(_AT.format(*row) for row in rows)
+    path.write_text("not a line of ours\n" + text + "\n")
+    case.addCleanup(path.unlink)
+    return str(path)
+
+
+class TraceTest(unittest.TestCase):
+    def setUp(self):
+        self.logs = [
+            _write(self, "front-2.log", _SECOND),
+            _write(self, "front-1.log", _FIRST),
+        ]
+
+    def test_lines_in_order_with_what_changed_meanwhile(self):
+        found = trace.find(trace.read(self.logs), "r1")
+        self.assertEqual(
+            [line.event for line in found],
+            ["placed", "target_changed", "attempt_failed", "outcome"],
+        )
+
+    def test_verdict_names_the_culprit(self):
+        found = trace.find(trace.read(self.logs), "r1")
+        self.assertEqual(
+            trace.verdict(found),
+            "502 by code 4004: it broke off; sent 1 times, last to t-1; "
+            "t-2 failed it: stands still",
+        )
+
+    def test_request_without_an_end(self):
+        """The process was killed while it had the request."""
+        found = trace.find(trace.read(self.logs), "r2")
+        self.assertIn("front-2 ended", trace.verdict(found))
+
+    def test_command(self):
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            status = operator.main(["trace", "r1", *self.logs])
+        self.assertEqual(status, operator.DONE)
+        self.assertIn("t-2 failed it", out.getvalue())
+        with contextlib.redirect_stderr(io.StringIO()):
+            status = operator.main(["trace", "r7", *self.logs])
+            self.assertEqual(status, operator.NOT_DONE)
+            status = operator.main(["trace", "r1", "/nowhere"])
+            self.assertEqual(status, operator.USAGE)
--- a/copperloom/decisions/budget.py
+++ b/copperloom/decisions/budget.py
@@ -11,7 +11,7 @@
 import collections
 import dataclasses
 
-__all__ = ["Budget", "Terms", "note_request", "spend"]
+__all__ = ["Budget", "Terms", "left", "note_request", "spend"]
 
 # Instances that are not known of also spend; and windows are not aligned.
 SAFE_SHARE = 0.7
@@ -64,14 +64,19 @@
     Returns:
         Whether the repeat may be sent.
     """
+    if left(budget, service, now, members) < 1:
+        return False
+    budget.repeats[service].append(now)
+    return True
+
+
+def left(budget: Budget, service: str, now: float, members: int) -> float:
+    """Returns how many repeats may still be sent; arguments as of `spend`."""
     requests = _recent(budget, budget.requests, service, now)
     repeats = _recent(budget, budget.repeats, service, now)
     own = budget.terms.ratio * len(requests)
     shared = budget.terms.slack * SAFE_SHARE / max(1, members)
-    if len(repeats) + 1 > own + shared:
-        return False
-    repeats.append(now)
-    return True
+    return own + shared - len(repeats)
 
 
 def _recent(budget, times, service, now) -> collections.deque[float]:
--- a/copperloom/ingress/follow.py
+++ b/copperloom/ingress/follow.py
@@ -161,6 +161,7 @@
         source=source,
     )
     state.table = table
+    state.routes_at = asyncio.get_running_loop().time()
     state.routes_raw = raw
     state.routes_packed = b""
     # Peers hear of it with the next datagram, which goes out at once.
@@ -204,6 +205,7 @@
             version=state.targets.version,
             source=source,
         )
+    state.targets_at = asyncio.get_running_loop().time()
     for entry in started:
         board.forget_target(state.board, entry.name)
         state.health.pop(entry.name, None)
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -2,7 +2,7 @@
 
 import prometheus_client
 
-__all__ = ["IngressMetrics"]
+__all__ = ["IngressMetrics", "prompt_length"]
 
 # Seconds. Around the aims of short streams (0.3), middle (1.5), long (3).
 _FIRST_BUCKETS_S = (
@@ -24,6 +24,20 @@
 )
 
 
+# Tokens up to which a prompt counts as short and as middle.
+_SHORT_TOKENS = 16_000
+_MIDDLE_TOKENS = 100_000
+
+
+def prompt_length(tokens: int) -> str:
+    """Returns the label of a prompt's length; "none" for plain requests."""
+    if not tokens:
+        return "none"
+    if tokens <= _SHORT_TOKENS:
+        return "short"
+    return "middle" if tokens <= _MIDDLE_TOKENS else "long"
+
+
 class IngressMetrics:
     """Counters and histograms, in a registry of their own."""
 
@@ -38,7 +52,7 @@
         self.first = prometheus_client.Histogram(
             "copperloom_first_byte_seconds",
             "Time to a stream's first event or a plain answer.",
-            ["kind"],
+            ["kind", "prompt"],
             buckets=_FIRST_BUCKETS_S,
             registry=self.registry,
         )
@@ -65,14 +79,10 @@
             "Requests in progress.",
             registry=self.registry,
         )
-        self.versions = prometheus_client.Gauge(
-            "copperloom_version",
-            "Version of what this instance goes by.",
-            ["of"],
-            registry=self.registry,
-        )
-        self.log_lines_dropped = prometheus_client.Gauge(
-            "copperloom_log_lines_dropped",
-            "Log lines dropped because standard output took no more.",
+        self.waited = prometheus_client.Histogram(
+            "copperloom_place_wait_seconds",
+            "Time that a request waited for a place at a target.",
+            ["kind"],
+            buckets=_FIRST_BUCKETS_S,
             registry=self.registry,
         )
--- a/copperloom/ingress/outcome.py
+++ b/copperloom/ingress/outcome.py
@@ -12,7 +12,7 @@
 
 from copperloom import exception, logs
 from copperloom.filters import deadline
-from copperloom.ingress import exchange
+from copperloom.ingress import exchange, metrics
 
 __all__ = ["outcome"]
 
@@ -120,7 +120,8 @@
         first = ex.first_at - ex.arrived
         pairs["first_s"] = first
         kind = ex.route.kind.value if ex.route else ""
-        ex.state.metrics.first.labels(kind).observe(first)
+        length = metrics.prompt_length(ex.head.prompt_tokens)
+        ex.state.metrics.first.labels(kind, length).observe(first)
     if ex.longest_pause_s:
         pairs["pause_s"] = ex.longest_pause_s
         ex.state.metrics.pause.observe(ex.longest_pause_s)
--- a/copperloom/ingress/place.py
+++ b/copperloom/ingress/place.py
@@ -127,6 +127,7 @@
 
 
 def _tell(ex, plan: plans.Plan, waited_s: float, known: int) -> None:
+    ex.state.metrics.waited.labels(ex.route.kind.value).observe(waited_s)
     logs.event(
         "placed",
         request=ex.id,
--- /dev/null
+++ b/copperloom/ingress/scrape.py
@@ -0,0 +1,115 @@
+"""The page of metrics: what is counted as it happens, and what is so now."""
+
+import prometheus_client
+from prometheus_client import core, registry
+
+from copperloom import logs
+from copperloom.decisions import budget
+from copperloom.ingress import views
+from copperloom.ingress.state import IngressState, live_members
+
+__all__ = ["page"]
+
+
+def page(state: IngressState, now: float) -> bytes:
+    """Renders all metrics.
+
+    Args:
+        state: The instance's state.
+        now: Monotonic time.
+    """
+    current = prometheus_client.CollectorRegistry()
+    current.register(_Now(state, now))
+    counted = prometheus_client.generate_latest(state.metrics.registry)
+    return counted + prometheus_client.generate_latest(current)
+
+
+class _Now(registry.Collector):
+    """Gives what is so at one moment, in the library's form."""
+
+    def __init__(self, state: IngressState, now: float):
+        self.state = state
+        self.now = now
+
+    def collect(self):
+        """Yields the metrics."""
+        yield from _versions(self.state, self.now)
+        yield from _members(self.state, self.now)
+        yield from _budget(self.state, self.now)
+        yield _calls(self.state)
+        yield core.CounterMetricFamily(
+            "copperloom_log_lines_dropped",
+            "Log lines dropped because of their number or a slow reader.",
+            value=logs.dropped(),
+        )
+
+
+def _versions(state: IngressState, now: float):
+    told = views.status(state, now)
+    version = core.GaugeMetricFamily(
+        "copperloom_version",
+        "Version of what this instance goes by.",
+        labels=["of"],
+    )
+    age = core.GaugeMetricFamily(
+        "copperloom_version_age_seconds",
+        "Time since that version was taken over.",
+        labels=["of"],
+    )
+    for name in ("routes", "targets"):
+        version.add_metric([name], told[name]["version"])
+        if told[name]["age_s"] is not None:
+            age.add_metric([name], told[name]["age_s"])
+    targets = core.GaugeMetricFamily(
+        "copperloom_targets",
+        "Registered targets by service and state.",
+        labels=["service", "state"],
+    )
+    for service, counts in told["targets"]["by_service"].items():
+        for word, count in counts.items():
+            targets.add_metric([service, word], count)
+    return version, age, targets
+
+
+def _members(state: IngressState, now: float):
+    live = live_members(state, now)
+    members = core.GaugeMetricFamily(
+        "copperloom_members", "Other instances known.", labels=["state"]
+    )
+    members.add_metric(["live"], len(live))
+    members.add_metric(["silent"], len(state.members) - len(live))
+    oldest = core.GaugeMetricFamily(
+        "copperloom_member_age_seconds",
+        "Time since the live member was heard that was heard longest ago.",
+        value=max((now - m.heard_at for m in live), default=0.0),
+    )
+    return members, oldest
+
+
+def _budget(state: IngressState, now: float):
+    members = len(live_members(state, now)) + 1
+    left = core.GaugeMetricFamily(
+        "copperloom_repeats_left",
+        "Repeats that this instance may still send in the window.",
+        labels=["service"],
+    )
+    for service in state.budget.requests:
+        value = budget.left(state.budget, service, now, members)
+        left.add_metric([service], value)
+    held = core.GaugeMetricFamily(
+        "copperloom_background_tasks",
+        "Releases of reserved memory under way.",
+        value=len(state.background),
+    )
+    return left, held
+
+
+def _calls(state: IngressState):
+    calls = core.CounterMetricFamily(
+        "copperloom_store_calls",
+        "Calls to the platform's table, by call and result.",
+        labels=["call", "result"],
+    )
+    for (name, result), count in state.store.calls.items():
+        calls.add_metric([name, result], count)
+    return calls
--- a/copperloom/ingress/server.py
+++ b/copperloom/ingress/server.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-import prometheus_client
+import msgspec
 from aiohttp import web
 
 from copperloom import chains, logs
-from copperloom.ingress import chain, exchange
+from copperloom.ingress import chain, exchange, scrape, views
 from copperloom.ingress.state import IngressState
 
 __all__ = ["Listeners", "close", "close_callers", "is_ready", "listen"]
@@ -53,7 +53,7 @@
 
     Args:
         state: The instance's state.
-        metrics: IP:port for metrics, "" for none.
+        metrics: IP:port for metrics and operators' questions, "" for none.
     """
     own = Listeners()
     own.callers = web.Server(
@@ -68,7 +68,7 @@
     )
     addresses = {
         "readiness": (state.settings.readiness_listen, _readiness(state)),
-        "metrics": (metrics, _metrics(state)),
+        "metrics": (metrics, _operators(state)),
     }
     for name, (address, handler) in addresses.items():
         if address:
@@ -158,15 +158,24 @@
     return handle
 
 
-def _metrics(state: IngressState):
+def _operators(state: IngressState):
+    """Serves /metrics, /status and /explain?host=..&path=..&key=..."""
+
     async def handle(http: web.BaseRequest) -> web.Response:
-        state.metrics.log_lines_dropped.set(logs.dropped())
-        of = state.metrics.versions
-        of.labels("routes").set(state.table.version)
-        of.labels("targets").set(state.targets.version)
+        now = asyncio.get_running_loop().time()
+        if http.path == "/status":
+            return _json(views.status(state, now))
+        if http.path == "/explain":
+            asked = [http.query.get(n, "") for n in ("host", "path", "key")]
+            return _json(views.explain(state, *asked, now))
         return web.Response(
-            body=prometheus_client.generate_latest(state.metrics.registry),
-            content_type="text/plain",
+            body=scrape.page(state, now), content_type="text/plain"
         )
 
     return handle
+
+
+def _json(value) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(value), content_type="application/json"
+    )
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -63,9 +63,11 @@
         boot: Random name of this run of the process.
         store: The platform's table service.
         table: The routes in force here.
+        routes_at: Monotonic time at which they were taken over.
         routes_raw: The operators' document that `table` was made of.
         routes_packed: The same packed for peers, "" until one asks for it.
         targets: The registered targets.
+        targets_at: Monotonic time of their last change.
         target_rows: Their registrations as the platform keeps them.
         lost_tables: Tables that the platform does not give at present.
         look_now: Set when the tables should be read without waiting.
@@ -90,9 +92,11 @@
         self.boot = secrets.token_hex(_BOOT_BYTES)
         self.store = store.Store(own.store)
         self.table = routing.RoutingTable()
+        self.routes_at = float("-inf")
         self.routes_raw = b""
         self.routes_packed = b""
         self.targets = registry.Registry()
+        self.targets_at = float("-inf")
         self.target_rows = rowlog.RowLog()
         self.lost_tables: set[str] = set()
         self.look_now = asyncio.Event()
--- a/copperloom/ingress/tests/fixtures.py
+++ b/copperloom/ingress/tests/fixtures.py
@@ -153,7 +153,8 @@
             reservation_max_s=20.0,
         )
         own = dataclasses.replace(own, **changes)
-        service = front.FrontService(state.IngressState(own), "")
+        metrics = f"{ip}:{_port()}"
+        service = front.FrontService(state.IngressState(own), metrics)
         await service.start()
         self.fronts.append(service)
         return service
--- /dev/null
+++ b/copperloom/ingress/tests/test_views.py
@@ -0,0 +1,95 @@
+"""What operators see of an instance on its internal port."""
+
+import contextlib
+import io
+import unittest
+
+from prometheus_client import parser
+
+from copperloom.cli import fronts, operator
+from copperloom.ingress import views
+from copperloom.ingress.tests import fixtures
+
+
+async def _metrics(system) -> dict[tuple, float]:
+    address = system.fronts[0].metrics_address
+    async with system.session.get(f"http://{address}/metrics") as resp:
+        text = await resp.text()
+    return {
+        (sample.name, *sorted(sample.labels.values())): sample.value
+        for family in parser.text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+class ViewsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_status(self):
+        system = await fixtures.start_system(self, fronts=2, plain=2)
+        address = system.fronts[0].metrics_address
+        answer = await fronts.ask(address, "status")
+        self.assertEqual(answer["routes"]["version"], 1)
+        self.assertEqual(answer["targets"]["by_service"]["plain"]["ready"], 2)
+        self.assertEqual(len(answer["members"]), 1)
+        self.assertLess(answer["members"][0]["heard_s"], 2.0)
+        text = fronts.status(answer)
+        self.assertIn("routes: version 1", text)
+
+    async def test_explain(self):
+        """Each way in which a request can go, and be refused, has its word."""
+        system = await fixtures.start_system(self, plain=1)
+        address = system.fronts[0].metrics_address
+
+        async def ask(path, key=fixtures.KEY):
+            return await fronts.ask(
+                address, "explain", host=fixtures.HOST, path=path, key=key
+            )
+
+        good = await ask("/write/x")
+        self.assertEqual(good["route"]["name"], "r/write/")
+        self.assertEqual(good["organisation"], "lounge")
+        self.assertEqual(good["services"][0]["targets"], 1)
+        self.assertNotIn("refused", good)
+        self.assertIn("organisation lounge", fronts.explained(good))
+        unknown = await ask("/nowhere/x")
+        self.assertEqual(unknown["refused"], "UnknownDeployment")
+        self.assertEqual(
+            (await ask("/write/x", "k"))["refused"], "UnknownOrganisation"
+        )
+        system.store.remove("servers", "plain-0")
+        entry = system.fronts[0].entry
+        await fixtures.until(lambda: "plain-0" not in entry.targets.entries)
+        self.assertEqual((await ask("/write/x"))["refused"], "NoTarget")
+
+    async def test_nothing_known_yet(self):
+        system = await fixtures.start_system(self, fronts=0)
+        system.store.down = 503
+        await system.add_front()
+        told = views.explain(system.fronts[0].entry, "h", "/x/", "", 0.0)
+        self.assertEqual(told["refused"], "StaleConfiguration")
+
+    async def test_metrics(self):
+        system = await fixtures.start_system(self, fronts=2, plain=1)
+        await fixtures.call(system, "/write/x")
+        await fixtures.call(system, "/chat/x", prompt=4000)
+        seen = await _metrics(system)
+        self.assertEqual(seen["copperloom_version", "routes"], 1)
+        self.assertEqual(seen["copperloom_targets", "plain", "ready"], 1)
+        self.assertEqual(seen["copperloom_members", "live"], 1)
+        self.assertGreater(seen["copperloom_repeats_left", "plain"], 1)
+        self.assertGreater(
+            seen["copperloom_store_calls_total", "200", "rows-get"], 0
+        )
+        self.assertEqual(
+            seen["copperloom_first_byte_seconds_count", "short", "stream"], 1
+        )
+        self.assertEqual(seen["copperloom_log_lines_dropped_total",], 0)
+        self.assertIn(("copperloom_version_age_seconds", "targets"), seen)
+
+
+class CommandTest(unittest.TestCase):
+    def test_instance_that_does_not_answer(self):
+        err = io.StringIO()
+        with contextlib.redirect_stderr(err):
+            status = operator.main(["front", "status", "127.0.0.1:9"])
+        self.assertEqual(status, operator.NOT_DONE)
+        self.assertIn("127.0.0.1:9", err.getvalue())
--- /dev/null
+++ b/copperloom/ingress/views.py
@@ -0,0 +1,127 @@
+"""What an instance tells operators about itself, and how it would route.
+
+Answers to questions on the internal port: who it knows, what it goes by and
+how old that is, and which route, organisation and targets a request would
+meet. Nothing here changes anything.
+"""
+
+import msgspec
+
+from copperloom import exception, routing
+from copperloom.decisions import budget, health, registry
+from copperloom.ingress.state import IngressState, live_members
+
+__all__ = ["explain", "status"]
+
+
+def status(state: IngressState, now: float) -> dict:
+    """Tells what the instance goes by, as plain JSON values.
+
+    Args:
+        state: The instance's state.
+        now: Monotonic time.
+    """
+    live = live_members(state, now)
+    return {
+        "instance": state.settings.instance,
+        "boot": state.boot,
+        "data_centre": state.settings.data_centre,
+        "draining": state.draining,
+        "active": state.active,
+        "routes": {
+            "version": state.table.version,
+            "age_s": _age(now, state.routes_at),
+            "count": len(state.table.routes),
+        },
+        "targets": {
+            "version": state.targets.version,
+            "age_s": _age(now, state.targets_at),
+            "by_service": _by_service(state, now),
+        },
+        "lost_tables": sorted(state.lost_tables),
+        "repeats_left": {
+            service: budget.left(state.budget, service, now, len(live) + 1)
+            for service in state.budget.requests
+        },
+        "members": [
+            {
+                "instance": m.instance,
+                "data_centre": m.data_centre,
+                "heard_s": _age(now, m.heard_at),
+                "routes_version": m.routes_version,
+                "targets_version": m.targets_version,
+                "leaving": m.leaving,
+                "store_lost": m.store_lost,
+            }
+            for m in sorted(state.members.values(), key=_name)
+        ],
+    }
+
+
+def _name(member) -> str:
+    return member.instance
+
+
+def _age(now: float, at: float) -> float | None:
+    return round(now - at, 3) if at > float("-inf") else None
+
+
+def _by_service(state: IngressState, now: float) -> dict[str, dict[str, int]]:
+    found: dict[str, dict[str, int]] = {}
+    for entry in state.targets.entries.values():
+        counts = found.setdefault(entry.service, {"ready": 0, "draining": 0})
+        counts["draining" if entry.draining else "ready"] += 1
+    for service, counts in found.items():
+        usable = registry.usable(state.targets, service, now)
+        counts["failing"] = sum(
+            health.penalty(state.health.get(e.name), now) > 0 for e in usable
+        )
+    return found
+
+
+def explain(
+    state: IngressState, host: str, path: str, key: str, now: float
+) -> dict:
+    """Tells which route, organisation and services a request would meet.
+
+    Args:
+        state: The instance's state.
+        host: Its Host header.
+        path: Its path, without the query.
+        key: Its API key, "" for none.
+        now: Monotonic time.
+
+    Returns:
+        Plain JSON values; `refused` says why it would get no further.
+    """
+    table = state.table
+    found = {"routes_version": table.version, "host": host, "path": path}
+    if not table.version:
+        return found | _refused(exception.StaleConfigurationError)
+    route = routing.match(table, host, path)
+    if route is None:
+        return found | _refused(exception.UnknownDeploymentError)
+    found["route"] = msgspec.to_builtins(route)
+    if table.keyed and not route.public:
+        holder = table.organisations.get(key)
+        if holder is None:
+            return found | _refused(exception.UnknownOrganisationError)
+        found["organisation"] = holder.name
+        if holder.priority is not None:
+            found["priority"] = holder.priority
+    found["services"] = [
+        {
+            "service": b.service,
+            "weight": b.weight,
+            "targets": len(registry.usable(state.targets, b.service, now)),
+        }
+        for b in route.backends
+    ]
+    if not any(s["targets"] for s in found["services"]):
+        return found | _refused(exception.NoTargetError)
+    return found
+
+
+def _refused(error: type[exception.CopperloomError]) -> dict:
+    name = error.__name__.removesuffix("Error")
+    return {"refused": name, "code": error.code}
--- a/copperloom/platform/store.py
+++ b/copperloom/platform/store.py
@@ -8,6 +8,7 @@
 
 import base64
 import binascii
+import collections
 import dataclasses
 import urllib.parse
 
@@ -91,12 +92,12 @@
 
     Attributes:
         address: IP:port; may be set anew at any time.
-        calls: Calls made so far, by name.
+        calls: Calls made so far, by name and result: a status, or "lost".
     """
 
     def __init__(self, address: str):
         self.address = address
-        self.calls: dict[str, int] = {}
+        self.calls: collections.Counter = collections.Counter()
         self.session: aiohttp.ClientSession | None = None
 
     def open(self) -> aiohttp.ClientSession:
@@ -194,7 +195,7 @@
 async def _call(store, method, url, body, limit_s, lost):
     """Calls once; `lost` is raised where the outcome is not known."""
     name = url.partition("?")[0].rpartition("/")[2]
-    store.calls[name] = store.calls.get(name, 0) + 1
+    result = "lost"
     limit = aiohttp.ClientTimeout(total=limit_s, sock_connect=_CONNECT_S)
     headers = {"Content-Type": "application/json"} if body else None
     try:
@@ -205,7 +206,9 @@
             headers=headers,
             timeout=limit,
         ) as reply:
-            return reply.status, await reply.read()
+            raw = await reply.read()
+            result = str(reply.status)
+            return reply.status, raw
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
@@ -213,6 +216,8 @@
         raise exception.PlatformDownError(f"{name}: {error}") from error
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         raise lost(f"{name}: {type(error).__name__}") from error
+    finally:
+        store.calls[name, result] += 1
 
 
 def _row(raw: _WireRow) -> StoredRow:
