--- a/copperloom/daemons/front.py
+++ b/copperloom/daemons/front.py
@@ -24,12 +24,12 @@
 from copperloom import exception, logs, settings
 from copperloom.daemons import running
 from copperloom.ingress import follow, gossip, roster, sender, server
-from copperloom.ingress.state import IngressState
+from copperloom.ingress.state import IngressState, budget_terms
 from copperloom.peers import catalog, client
 from copperloom.platform import settings as platform_settings
 from copperloom.platform import store
 
-__all__ = ["FrontService", "FrontSettings", "drain", "main"]
+__all__ = ["FrontService", "FrontSettings", "drain", "main", "reload"]
 
 # The balancer asks once a second and takes an instance out after two misses;
 # connections that it opened until then are on their way.
@@ -178,7 +178,7 @@
         logs.event("drain_limit", level="ERROR", cut=state.active)
 
 
-def _reload(state: IngressState, path: str) -> None:
+def reload(state: IngressState, path: str) -> None:
     """Reads the platform's settings again; listeners stay as they are."""
     try:
         fresh = platform_settings.load(path)
@@ -189,6 +189,7 @@
         return
     state.settings = fresh
     state.store.address = fresh.store
+    state.budget.terms = budget_terms(fresh)
     logs.event("reloaded", store=fresh.store, grace_s=fresh.grace_s)
 
 
@@ -197,7 +198,7 @@
     loop = asyncio.get_running_loop()
     state = IngressState(platform_settings.load(path))
     logs.setup_bounded(own.log.level, instance=state.settings.instance)
-    loop.add_signal_handler(signal.SIGHUP, _reload, state, path)
+    loop.add_signal_handler(signal.SIGHUP, reload, state, path)
     port = own.metrics.port
     service = FrontService(state, f"{state.settings.ip}:{port}" if port else "")
     await service.start()
--- /dev/null
+++ b/copperloom/daemons/tests/test_front.py
@@ -0,0 +1,51 @@
+"""A new settings file is taken over; a spoiled one changes nothing."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from copperloom.daemons import front
+from copperloom.ingress import state
+from copperloom.platform import settings
+
+_GOOD = {
+    "node_name": "front-1",
+    "ip": "127.0.0.1",
+    "zone": "a",
+    "listen": {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+    "internal_ports": [17_600, 17_610],
+    "bounds": {"grace_s": 8.0, "retry_budget_ratio": 0.2},
+    "limits": {"link_mbps": 20.0},
+    "platform": {"address": "10.0.0.1:80"},
+}
+
+
+class ReloadTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "settings.json"
+        self.path.write_text(json.dumps(_GOOD))
+        self.entry = state.IngressState(settings.load(str(self.path)))
+
+    def test_changes_are_in_force(self):
+        changed = _GOOD | {
+            "bounds": {"grace_s": 5.0, "retry_budget_ratio": 0.1},
+            "platform": {"address": "10.0.0.2:80"},
+            "unheard-of": {"field": 1},
+        }
+        self.path.write_text(json.dumps(changed))
+        front.reload(self.entry, str(self.path))
+        self.assertEqual(self.entry.settings.grace_s, 5.0)
+        self.assertEqual(self.entry.store.address, "10.0.0.2:80")
+        self.assertEqual(self.entry.budget.terms.ratio, 0.1)
+
+    def test_spoiled_file_changes_nothing(self):
+        for text in ("", "{", '{"node_name": 5}', "\udcff"):
+            self.path.write_bytes(text.encode(errors="surrogateescape"))
+            front.reload(self.entry, str(self.path))
+            self.assertEqual(self.entry.settings.grace_s, 8.0)
+
+    def test_link_rate(self):
+        self.assertEqual(self.entry.settings.link_bytes_s, 2_500_000.0)
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -19,10 +19,10 @@
 from copperloom.peers import client
 from copperloom.platform import settings, store
 
-__all__ = ["IngressState", "Member", "live_members"]
+__all__ = ["IngressState", "Member", "budget_terms", "live_members"]
 
 _BOOT_BYTES = 6
-# Peers tell something twice a second; see decisions.board.
+# Peers tell something once a second at least; see decisions.board.
 MEMBER_SILENT_S = 3.0
 
 
@@ -101,9 +101,7 @@
         self.lost_tables: set[str] = set()
         self.look_now = asyncio.Event()
         self.board = board.Board()
-        self.budget = budget.Budget(
-            budget.Terms(own.retry_ratio, own.retry_window_s, own.retry_slack)
-        )
+        self.budget = budget.Budget(budget_terms(own))
         self.health: dict[str, health.Health] = {}
         self.members: dict[str, Member] = {}
         self.channels = client.Channels()
@@ -123,6 +121,11 @@
         return f"{self.settings.instance}.{self.boot}.{next(self._sequence)}"
 
 
+def budget_terms(own: settings.PlatformSettings) -> budget.Terms:
+    """Returns the bound of repeats that the platform's settings state."""
+    return budget.Terms(own.retry_ratio, own.retry_window_s, own.retry_slack)
+
+
 def live_members(state: IngressState, now: float) -> list[Member]:
     """Lists the other instances that were heard of late."""
     return [
