Slow targets are noticed by their pauses, and penalties are told to peers

Change: three pauses in a row over 1.7 times a full pass hold it against the target; penalties seen here go into the datagrams, heard ones count 0.7.

--- a/copperloom/decisions/health.py
+++ b/copperloom/decisions/health.py
@@ -10,7 +10,7 @@
 
 import dataclasses
 
-__all__ = ["Health", "failed", "penalty", "succeeded"]
+__all__ = ["Health", "failed", "hear", "penalty", "succeeded", "to_tell"]
 
 # Half of a penalty is forgotten in this time: a fault that lasts is found
 # again by one request in about three half-lives.
@@ -19,9 +19,17 @@
 # a failure works for some.
 UNREACHABLE = 3.0
 BROKEN = 1.0
+# One that writes slowly makes all that come late.
+SLOW = 2.0
 # An answer takes away this share: two in a row clear most of a failure.
 FORGIVEN = 0.6
 MOST = 12.0
+# Penalties from here on are told to peers: two failures within some seconds,
+# or one of a kind that hits all callers.
+TELL_FROM = 1.0
+# What a peer saw counts for less than what was seen here: a fault may be that
+# of the peer's network, or hit only callers of its data centre.
+HEARSAY = 0.7
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,3 +62,21 @@
     """Notes an answer."""
     known.points = penalty(known, now) * (1.0 - FORGIVEN)
     known.at = now
+
+
+def to_tell(seen: dict[str, Health], now: float) -> dict[str, float]:
+    """Returns the penalties by target that peers should know of.
+
+    Only what was seen here is told, never what was heard: a rumour would
+    otherwise keep itself alive.
+    """
+    points = {name: penalty(known, now) for name, known in seen.items()}
+    return {name: p for name, p in points.items() if p >= TELL_FROM}
+
+
+def hear(heard: dict[str, Health], told: dict[str, float], now: float) -> None:
+    """Takes over penalties that a peer tells; the worst word counts."""
+    for name, points in told.items():
+        known = heard.setdefault(name, Health())
+        known.points = max(penalty(known, now), min(MOST, points * HEARSAY))
+        known.at = now
--- /dev/null
+++ b/copperloom/decisions/tests/test_health.py
@@ -0,0 +1,37 @@
+"""What one instance sees of a target's failures, the others go by too."""
+
+import unittest
+
+from copperloom.decisions import health
+
+
+class HearsayTest(unittest.TestCase):
+    def test_failure_is_told_and_fades(self):
+        """One instance's caller meets a slow target.
+
+        The others hear of it before theirs do; the word fades as a failure
+        seen by themselves would.
+        """
+        seen = {"t": health.Health()}
+        health.failed(seen["t"], 10.0, health.SLOW)
+        told = health.to_tell(seen, 10.0)
+        heard: dict[str, health.Health] = {}
+        health.hear(heard, told, 10.0)
+        first = health.penalty(heard["t"], 10.0)
+        self.assertAlmostEqual(first, health.SLOW * health.HEARSAY)
+        later = health.penalty(heard["t"], 10.0 + health.HALF_LIFE_S)
+        self.assertAlmostEqual(later, first / 2)
+
+    def test_many_peers_that_tell_the_same_count_once(self):
+        heard: dict[str, health.Health] = {}
+        for _ in range(50):
+            health.hear(heard, {"t": 2.0}, 1.0)
+        self.assertAlmostEqual(
+            health.penalty(heard["t"], 1.0), 2.0 * health.HEARSAY
+        )
+
+    def test_single_failure_is_kept_to_oneself(self):
+        """A target fails a request in a hundred, as sound ones do."""
+        seen = {"t": health.Health()}
+        health.failed(seen["t"], 1.0, health.BROKEN)
+        self.assertEqual(health.to_tell(seen, 1.5), {})
--- /dev/null
+++ b/copperloom/decisions/tests/test_pace.py
@@ -0,0 +1,33 @@
+"""Slow engines are told from busy ones."""
+
+import unittest
+
+from copperloom.decisions import pace, passes
+from copperloom.decisions.tests.test_spread import ENGINE
+
+_IDLE_S = passes.pass_s(ENGINE, 1, 5000)
+_READING_S = 0.14
+
+
+def _seen(pauses) -> list[bool]:
+    stream = pace.Pace()
+    found = []
+    for pause_s in pauses:
+        pace.note_pause(stream, pause_s)
+        found.append(pace.is_slow(stream, ENGINE, 5000))
+    return found
+
+
+class PaceTest(unittest.TestCase):
+    def test_engine_that_works_four_times_as_long(self):
+        """All pauses grow; the third one tells, and it is told on and on."""
+        seen = _seen([4 * _IDLE_S] * 6)
+        self.assertEqual(seen, [False, False, True, False, False, True])
+
+    def test_readings_beside_an_answer(self):
+        busy = [_IDLE_S + _READING_S, _IDLE_S, _IDLE_S + _READING_S]
+        self.assertNotIn(True, _seen(busy * 4))
+
+    def test_full_engine(self):
+        full_s = passes.pass_s(ENGINE, ENGINE.slots, ENGINE.kv_tokens // 4)
+        self.assertNotIn(True, _seen([full_s] * 10))
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -45,6 +45,7 @@
         last_at: Monotonic time of the last event.
         last_event: Id of the last whole event that went to the caller.
         longest_pause_s: Longest pause between events.
+        slow: Whether its target was found to write slowly.
         outcome: Word for the log.
         reason: Why it was refused or failed, for the log.
     """
@@ -76,6 +77,7 @@
         self.reservation = ""
         self.last_event = self.head.last_event_id
         self.longest_pause_s = 0.0
+        self.slow = False
         self.outcome = ""
         self.reason = ""
 
--- a/copperloom/ingress/follow.py
+++ b/copperloom/ingress/follow.py
@@ -210,6 +210,7 @@
     for entry in started:
         board.forget_target(state.board, entry.name)
         state.health.pop(entry.name, None)
+        state.heard_health.pop(entry.name, None)
     state.board.changes += 1
     state.changed.set()
 
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -178,7 +178,7 @@
 
 def _answered(ex: exchange.Exchange, target: str) -> None:
     known = ex.state.health.get(target)
-    if known is not None:
+    if known is not None and not ex.slow:
         health.succeeded(known, asyncio.get_running_loop().time())
     ex.state.metrics.attempts.labels("answered").inc()
 
--- a/copperloom/ingress/gossip.py
+++ b/copperloom/ingress/gossip.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from copperloom import logs
-from copperloom.decisions import board
+from copperloom.decisions import board, health
 from copperloom.ingress import catchup
 from copperloom.ingress.state import IngressState, Member
 
@@ -59,6 +59,7 @@
     leaving: bool
     store_lost: bool
     work: list[_Work]
+    penalties: dict[str, float]
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -162,6 +163,10 @@
         leaving=state.draining,
         store_lost=bool(state.lost_tables),
         work=[_encode(w, now) for w in board.own_work(state.board)],
+        penalties={
+            name: round(points, 1)
+            for name, points in health.to_tell(state.health, now).items()
+        },
     )
 
 
@@ -198,6 +203,7 @@
 def _hear(gossip: Gossip, told: _Digest) -> None:
     state = gossip.state
     now = asyncio.get_running_loop().time()
+    health.hear(state.heard_health, told.penalties, now)
     work = tuple(_decode(w, now) for w in told.work)
     heard = board.PeerWork(told.boot, told.sequence, now, work)
     if not board.hear(state.board, told.instance, heard):
--- a/copperloom/ingress/place.py
+++ b/copperloom/ingress/place.py
@@ -108,10 +108,12 @@
 
 
 def _candidate(ex, entry: routing.TargetEntry, load, now: float):
+    seen = health.penalty(ex.state.health.get(entry.name), now)
+    heard = health.penalty(ex.state.heard_health.get(entry.name), now)
     return plans.Candidate(
         name=entry.name,
         load=load.get(entry.name, board.TargetLoad()),
-        penalty=health.penalty(ex.state.health.get(entry.name), now),
+        penalty=max(seen, heard),
         slots=entry.slots,
         near=entry.data_centre == ex.state.settings.data_centre,
     )
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -4,8 +4,8 @@
 
 from aiohttp import web
 
-from copperloom import exception
-from copperloom.decisions import board
+from copperloom import exception, logs
+from copperloom.decisions import board, health, pace
 from copperloom.ingress import events, exchange, repeat, sender
 from copperloom.platform import headers
 
@@ -68,6 +68,7 @@
     splitter = events.Splitter()
     content = reply.response.content
     begun = False
+    written = pace.Pace()
     while True:
         chunk = await _read(ex, content, _patience(ex, begun))
         if not chunk:
@@ -75,10 +76,14 @@
         whole = events.feed(splitter, chunk)
         if whole is None:
             continue
+        now = loop.time()
         if not begun:
             begun = True
             board.note_writing(ex.state.board, ex.id)
-        _note_event(ex, loop.time())
+        else:
+            pace.note_pause(written, now - ex.last_at)
+            _note_pace(ex, written, now)
+        _note_event(ex, now)
         await _pass_on(ex, reply, whole)
     reply.check_whole()
     if splitter.rest:
@@ -96,6 +101,26 @@
     ex.last_at = now
 
 
+def _note_pace(ex: exchange.Exchange, written: pace.Pace, now: float) -> None:
+    """Holds it against a target if it writes slowly all the while."""
+    spec = ex.state.table.services.get(ex.service)
+    if spec is None or spec.engine is None:
+        return
+    if not pace.is_slow(written, spec.engine, ex.head.prompt_tokens):
+        return
+    ex.slow = True
+    known = ex.state.health.setdefault(ex.plan.lead, health.Health())
+    health.failed(known, now, health.SLOW)
+    # Peers hear of it with the next datagram, which goes out at once.
+    ex.state.board.changes += 1
+    logs.event(
+        "target_slow",
+        request=ex.id,
+        target=ex.plan.lead,
+        penalty=known.points,
+    )
+
+
 def _patience(ex: exchange.Exchange, begun: bool) -> float | None:
     """Returns the longest silence that a stream may keep; None: any.
 
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -73,7 +73,8 @@
         look_now: Set when the tables should be read without waiting.
         board: Work in progress at the targets.
         budget: The budget of repeats.
-        health: Failures of targets of late, by name.
+        health: Failures of targets of late that were seen here, by name.
+        heard_health: Those that peers have told of.
         members: Other instances, by name.
         channels: Connections to them.
         uplink: What is on its way to them.
@@ -103,6 +104,7 @@
         self.board = board.Board()
         self.budget = budget.Budget(budget_terms(own))
         self.health: dict[str, health.Health] = {}
+        self.heard_health: dict[str, health.Health] = {}
         self.members: dict[str, Member] = {}
         self.channels = client.Channels()
         self.uplink = sources.Uplink()
