--- a/copperloom/cli/tests/test_trace.py
+++ b/copperloom/cli/tests/test_trace.py
@@ -37,6 +37,7 @@
 _SECOND = [
     ("02.65", "store_lost", "table=servers", "front-2"),
     ("04.00", "placed", "request=r2 target=t-4", "front-2"),
+    ("05.00", "started", "boot=b9", "front-2"),
 ]
 
 
@@ -67,14 +68,22 @@
         found = trace.find(trace.read(self.logs), "r1")
         self.assertEqual(
             trace.verdict(found),
-            "502 by code 4004: it broke off; sent 1 times, last to t-1; "
+            "502 by code 4004 after 0.5 s: it broke off; sent 1 times, last "
+            "to t-1; "
             "t-2 failed it: stands still",
         )
 
     def test_request_without_an_end(self):
         """The process was killed while it had the request."""
         found = trace.find(trace.read(self.logs), "r2")
-        self.assertIn("front-2 ended", trace.verdict(found))
+        self.assertIn(
+            "front-2 was killed, and started at 2026-05-08T23:50:05.00",
+            trace.verdict(found),
+        )
+
+    def test_log_that_ends_too_soon(self):
+        found = trace.find(trace.read(self.logs[1:]), "r2")
+        self.assertIn("the log of front-1 ends", trace.verdict(found))
 
     def test_command(self):
         out = io.StringIO()
--- a/copperloom/cli/trace.py
+++ b/copperloom/cli/trace.py
@@ -15,12 +15,13 @@
 
 _TIME = re.compile(r"(\d{4}-\d\d-\d\dT[\d:.]+) level=(\w+) event=(\w+)(.*)")
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+_STARTED = "started"
 # Lines about what an instance believed, shown if they came so short before the
 # request ended and after it began; they are no part of the request.
 _AROUND = (
     "draining",
     "drain_limit",
-    "started",
+    _STARTED,
     "reloaded",
     "routes_adopted",
     "store_lost",
@@ -91,9 +92,23 @@
         and line.pairs.get("instance") in instances
         and line.pairs.get("target", "") in targets | {""}
     ]
+    if not any(line.event == "outcome" for line in own):
+        around += _next_starts(lines, instances, last)
     return sorted([*own, *around], key=lambda line: line.time)
 
 
+def _next_starts(lines, instances, after: str) -> list[Line]:
+    """Finds the next start: what ended the process ended the request."""
+    starts = [
+        line
+        for line in lines
+        if line.event == _STARTED
+        and line.pairs.get("instance") in instances
+        and line.time > after
+    ]
+    return sorted(starts, key=lambda line: line.time)[:1]
+
+
 def verdict(lines: list[Line]) -> str:
     """Says in words what decided a request, from its lines in order."""
     end = next((x for x in reversed(lines) if x.event == "outcome"), None)
@@ -107,7 +122,8 @@
         text = f"answered with {said['status']} after {said['seconds']} s"
     else:
         reason = said.get("reason") or said["outcome"]
-        text = f"{said['status']} by code {said['code']}: {reason}"
+        text = f"{said['status']} by code {said['code']} after "
+        text += f"{said['seconds']} s: {reason}"
     parts = [text, _sent(said)]
     parts += [
         f"{x.pairs['culprit']} failed it: {x.pairs['error']}" for x in failed
@@ -134,5 +150,8 @@
     """Says what is known of a request that has no outcome line."""
     if any(x.event == "log_lines_dropped" for x in lines):
         return "no outcome: lines were dropped at that time"
-    last = lines[-1].pairs.get("instance", "?")
-    return f"no outcome: {last} ended, or its log does, before the request did"
+    last = lines[-1]
+    name = last.pairs.get("instance", "?")
+    if last.event == _STARTED:
+        return f"no outcome: {name} was killed, and started at {last.time}"
+    return f"no outcome: the log of {name} ends before the request does"
