--- /dev/null
+++ b/copperloom/decisions/tests/peaks.py
@@ -0,0 +1,81 @@
+"""Plays the users' loads on the emulator of engines, by policy.
+
+Usage:
+  peaks [--seeds=N] [--seconds=S] [--burst=X] [--set=NAME=VALUE]... [SHEET...]
+
+Options:
+  --seeds N      Seeds 1 to N are played [default: 4].
+  --seconds S    Length of each play [default: 20].
+  --burst X      Times the usual load between 5 and 15 s [default: 2.4].
+  --set NAME=VALUE  A constant of copperloom.decisions set for this run, such
+                    as spread.PACK_COST=0.
+
+Prints for each policy the share of the worth that callers got, by kind and in
+all, as the mean over the seeds, and the reading offered in the busiest four
+seconds as a share of what all engines can read.
+"""
+
+import importlib
+import random
+import statistics
+import sys
+
+import docopt
+
+from copperloom.decisions.tests import emulator, sheets
+
+__all__ = ["POLICIES", "main", "play"]
+
+POLICIES = {
+    "least_requests": emulator.least_requests,
+    "copperloom": emulator.spread_by_harm,
+}
+_WINDOW_S = 4.0
+
+
+def play(
+    sheet: sheets.Sheet, policy: str, seeds: int, seconds: float, burst: float
+) -> dict[str, float]:
+    """Returns the mean shares of worth by kind, "all", and "offered"."""
+    rows = []
+    for seed in range(1, seeds + 1):
+        rng = random.Random(seed)
+        load = sheets.arrivals(sheet, rng, seconds, burst)
+        place = POLICIES[policy](sheet.spec)
+        served = emulator.play(sheet.spec, sheet.engines, load, place)
+        row = sheets.worth_share(sheet, served)
+        rows.append(row | {"offered": sheets.offered(sheet, load, _WINDOW_S)})
+    names = sorted({name for row in rows for name in row})
+    return {n: statistics.fmean(r.get(n, 1.0) for r in rows) for n in names}
+
+
+def _set(text: str) -> None:
+    """Sets a constant, given as MODULE.NAME=VALUE."""
+    name, _, value = text.partition("=")
+    module, _, constant = name.rpartition(".")
+    found = importlib.import_module(f"copperloom.decisions.{module}")
+    kind = type(getattr(found, constant))
+    setattr(found, constant, kind(float(value)))
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs the tool."""
+    args = docopt.docopt(__doc__, argv)
+    for text in args["--set"]:
+        _set(text)
+    for name in args["SHEET"] or sheets.SHEETS:
+        for policy in POLICIES:
+            row = play(
+                sheets.SHEETS[name],
+                policy,
+                int(args["--seeds"]),
+                float(args["--seconds"]),
+                float(args["--burst"]),
+            )
+            said = " ".join(f"{k}={v:.3f}" for k, v in row.items())
+            print(f"{name} {policy}: {said}", flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/copperloom/decisions/tests/sheets.py
@@ -0,0 +1,207 @@
+"""The users' loads: kinds of prompts, sizes, rates and worth, and engines.
+
+Figures are those of the users' sheets. Sizes are drawn from a lognormal
+distribution with the stated mean and spread, cut at the stated largest.
+"""
+
+import dataclasses
+import math
+import random
+
+from copperloom import routing
+from copperloom.decisions import passes, plans
+from copperloom.decisions.tests import emulator
+
+__all__ = ["SHEETS", "Kind", "Sheet", "arrivals", "offered", "worth_share"]
+
+# Callers leave a stream that shows or writes nothing for so long.
+_LEAVES_S = 2.0
+_LEAVES_AIMS = 4.0
+_LEAVES_PAUSES = 8.0
+# The way to a caller and back.
+_WAY_S = 0.03
+# A prompt is worth more the larger it is, at most so many times its kind's.
+_LEAST_WORTH = 0.3
+_MOST_WORTH = 4.0
+_BURST_S = (5.0, 15.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of prompt.
+
+    Attributes:
+        name: Its name.
+        per_s: Requests a second.
+        tokens: Mean length.
+        spread: Standard deviation of the length, as a share of the mean.
+        most: Largest length.
+        aim_s: When its first token should come.
+        pause_s: Longest pause that callers accept.
+        answer: Tokens of an answer.
+        worth: What one of mean size in time is worth.
+        late_worth: What it is worth late.
+    """
+
+    name: str
+    per_s: float
+    tokens: int
+    spread: float
+    most: int
+    aim_s: float
+    pause_s: float
+    answer: int
+    worth: float
+    late_worth: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Sheet:
+    """One fleet's load and engines.
+
+    Attributes:
+        engines: Number of engines.
+        spec: Their figures.
+        kinds: The kinds of prompts.
+    """
+
+    engines: int
+    spec: routing.EngineSpec
+    kinds: tuple[Kind, ...]
+
+
+def _spec(slots: int, kv_tokens: int, stride: int) -> routing.EngineSpec:
+    return routing.EngineSpec(
+        slots=slots,
+        kv_tokens=kv_tokens,
+        stride=stride,
+        step_s=0.00085,
+        per_sequence_s=0.00000425,
+        context_s=0.00285e-6,
+        read_tokens_per_s=177_000.0,
+        pair_s=0.184e-9,
+        chunk_tokens=2048,
+        hop_s=0.00005,
+    )
+
+
+def _kinds(rates, middle, large) -> tuple[Kind, ...]:
+    short, mid, long = rates
+    return (
+        Kind("short", short, 4960, 0.9, 23_800, 0.3, 0.25, 1600, 1.3, 0.33),
+        Kind("middle", mid, 45_000, 0.5, 110_000, 1.5, 0.6, 1000, *middle),
+        Kind(
+            "long",
+            long,
+            large[0],
+            0.55,
+            700_000,
+            large[1],
+            1.0,
+            800,
+            *large[2:],
+        ),
+    )
+
+
+_LARGE = (154_000, 3.0, 21.0, 5.2)
+_GROWN_LARGE = (220_000, 4.0, 29.0, 7.4)
+
+SHEETS = {
+    "wroclaw": Sheet(
+        14,
+        _spec(8, 315_000, 51),
+        _kinds((14.3, 0.724, 0.439), (4.2, 1.0), _LARGE),
+    ),
+    "oslo": Sheet(
+        18,
+        _spec(8, 315_000, 51),
+        _kinds((18.4, 0.935, 0.565), (4.2, 1.0), _LARGE),
+    ),
+    "wroclaw-grown": Sheet(
+        45,
+        _spec(6, 267_750, 57),
+        _kinds((36.2, 2.3, 0.979), (3.5, 0.88), _GROWN_LARGE),
+    ),
+    "oslo-grown": Sheet(
+        60,
+        _spec(6, 267_750, 57),
+        _kinds((48.4, 3.07, 1.32), (3.5, 0.88), _GROWN_LARGE),
+    ),
+}
+
+
+def arrivals(
+    sheet: Sheet, rng: random.Random, seconds: float, burst: float
+) -> list[emulator.Arrival]:
+    """Draws a load; between 5 and 15 s it is `burst` times the usual one."""
+    found = []
+    for kind in sheet.kinds:
+        at = 0.0
+        while True:
+            busy = _BURST_S[0] < at < _BURST_S[1]
+            at += rng.expovariate(kind.per_s * (burst if busy else 1.0))
+            if at > seconds:
+                break
+            found.append(emulator.Arrival(at, _prompt(kind, rng)))
+    return sorted(found, key=_at)
+
+
+def _at(arrival: emulator.Arrival) -> float:
+    return arrival.at
+
+
+def _prompt(kind: Kind, rng: random.Random) -> plans.Prompt:
+    sigma = math.sqrt(math.log(1 + kind.spread**2))
+    drawn = rng.lognormvariate(math.log(kind.tokens) - sigma**2 / 2, sigma)
+    tokens = int(min(kind.most, max(50, drawn)))
+    return plans.Prompt(tokens, kind.answer, kind.aim_s, kind.pause_s)
+
+
+def _kind(sheet: Sheet, prompt: plans.Prompt) -> Kind:
+    return next(k for k in sheet.kinds if k.aim_s == prompt.first_token_aim_s)
+
+
+def _worth(kind: Kind, prompt: plans.Prompt) -> float:
+    size = prompt.tokens / kind.tokens
+    return min(_MOST_WORTH, _LEAST_WORTH + (1 - _LEAST_WORTH) * size)
+
+
+def worth_share(sheet: Sheet, served) -> dict[str, float]:
+    """Returns the share of the worth that callers got, by kind and in all."""
+    owed = dict.fromkeys([k.name for k in sheet.kinds], 0.0)
+    got = dict(owed)
+    for one in served:
+        kind = _kind(sheet, one.arrival.prompt)
+        size = _worth(kind, one.arrival.prompt)
+        owed[kind.name] += size * kind.worth
+        got[kind.name] += size * _earned(kind, one)
+    shares = {k: got[k] / owed[k] for k in owed if owed[k]}
+    return shares | {"all": sum(got.values()) / sum(owed.values())}
+
+
+def _earned(kind: Kind, one: emulator.Served) -> float:
+    if one.first_s is None or one.first_s > max(
+        _LEAVES_S, _LEAVES_AIMS * kind.aim_s
+    ):
+        return 0.0
+    if one.pause_s > max(_LEAVES_S, _LEAVES_PAUSES * kind.pause_s):
+        return 0.0
+    in_time = one.in_time() and one.first_s < kind.aim_s - _WAY_S
+    return kind.worth if in_time else kind.late_worth
+
+
+def offered(
+    sheet: Sheet, load: list[emulator.Arrival], window_s: float
+) -> float:
+    """Returns the reading offered in the busiest window.
+
+    As a share of what all engines can read in it: above 1 something is late
+    or refused whatever is decided.
+    """
+    sums: dict[int, float] = {}
+    for arrival in load:
+        window = int(arrival.at // window_s)
+        read_s = passes.read_s(sheet.spec, arrival.prompt.tokens)
+        sums[window] = sums.get(window, 0.0) + read_s
+    return max(sums.values()) / (window_s * sheet.engines)
