--- a/copperloom/standins/proxy.py
+++ b/copperloom/standins/proxy.py
@@ -123,7 +123,7 @@
 def _control(pairs: dict[str, Pair], changes: dict) -> None:
     name = changes.pop("pair", None)
     chosen = list(pairs.values()) if name is None else [pairs[name]]
-    reset = changes.pop("reset", False)
+    wants_reset = changes.pop("reset", False)
     upstream = changes.pop("upstream", None)
     for pair in chosen:
         pair.faults = msgspec.convert(
@@ -131,7 +131,7 @@
         )
         if upstream is not None:
             pair.upstream = upstream
-        if reset:
+        if wants_reset:
             reset(pair)
 
 
