Tests: the platform's names stand in its stand-ins alone

Cause: the soak and the tests of ingress each spelled the platform's headers and settings; a fault of the soak hid an error that cannot come (KeyError). Change: copperloom/platform/standins/wire.py has the names once, apart from the product's own copy; tests ask it.

--- a/bench/frontsoak/callers.py
+++ b/bench/frontsoak/callers.py
@@ -7,6 +7,7 @@
 
 from bench.frontsoak.world import Got, World
 from copperloom.ingress.tests import fixtures
+from copperloom.platform.standins import wire
 
 __all__ = ["WAIT_S", "call_on"]
 
@@ -40,14 +41,9 @@
 async def _ask(session, front, name, path, method, prompt) -> Got | None:
     """Asks once; None if no connection could be made."""
     loop = asyncio.get_running_loop()
-    headers = {
-        "Host": fixtures.HOST,
-        "Copperloom-Request-Id": name,
-        "Copperloom-Request-Deadline": str(int(WAIT_S * 1000)),
-        "Copperloom-Key": fixtures.KEY,
-    }
-    if prompt:
-        headers["Copperloom-Token-Counts"] = f"{prompt},100"
+    headers = wire.caller_headers(
+        fixtures.HOST, name, fixtures.KEY, WAIT_S, prompt
+    )
     begun = loop.time()
     body = b""
     status = 0
--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -1,7 +1,6 @@
 """Faults from outside: signals, links, the table, targets and operators."""
 
 import asyncio
-import contextlib
 import signal
 
 from bench.frontsoak.world import World
@@ -132,8 +131,7 @@
     for number, row in enumerate(spoiled):
         world.store.put("servers", f"spoiled-{number}", row)
     world.store.put("op", "config", {"version": "none"})
-    with contextlib.suppress(KeyError):
-        world.store.put("op", "config", fixtures.routes(world.version))
+    world.store.put("op", "config", fixtures.routes(world.version))
 
 
 async def _change_routes(world: World) -> None:
--- a/bench/frontsoak/processes.py
+++ b/bench/frontsoak/processes.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from copperloom.platform.standins import wire
 from copperloom.standins import proxy
 
 __all__ = ["GRACE_S", "Front", "keep"]
@@ -39,7 +40,7 @@
         network = 16 + os.getpid() % 200
         ip = f"127.{network}.{seed % 250}.{number + 2}"
         self.ip = ip
-        self.ports = [_free_port(ip) for _ in range(3)]
+        self.ports = tuple(_free_port(ip) for _ in range(3))
         self.address = f"{ip}:{self.ports[0]}"
         self.store_link: proxy.Pair | None = None
         self.path = pathlib.Path(folder) / f"front-{number}.json"
@@ -56,7 +57,7 @@
             "copperloom.daemons.front",
             f"--settings={_SETTINGS}",
             cwd=_ROOT,
-            env=os.environ | {"COPPERLOOM_SETTINGS": str(self.path)},
+            env=os.environ | {wire.INSTANCE_ENVIRONMENT: str(self.path)},
             stdout=self.log,
             stderr=self.log,
         )
@@ -87,17 +88,14 @@
         self.log.close()
 
     def _settings(self) -> dict:
-        front, ready, control = (f"{self.ip}:{port}" for port in self.ports)
-        return {
-            "node_name": f"front-{self.number}",
-            "ip": self.ip,
-            "zone": "ab"[self.number % 2],
-            "listen": {"front": front, "readiness": ready, "control": control},
-            "internal_ports": [17_600, 17_610],
-            "seeds": [],
-            "bounds": {"grace_s": GRACE_S},
-            "platform": {"address": self.store_link.listen},
-        }
+        return wire.instance_settings(
+            f"front-{self.number}",
+            self.ip,
+            self.ports,
+            self.store_link.listen,
+            zone="ab"[self.number % 2],
+            bounds={"grace_s": GRACE_S},
+        )
 
 
 async def keep(front: Front) -> None:
--- a/copperloom/daemons/tests/test_front.py
+++ b/copperloom/daemons/tests/test_front.py
@@ -8,17 +8,16 @@
 from copperloom.daemons import front
 from copperloom.ingress import state
 from copperloom.platform import settings
+from copperloom.platform.standins import wire
 
-_GOOD = {
-    "node_name": "front-1",
-    "ip": "127.0.0.1",
-    "zone": "a",
-    "listen": {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
-    "internal_ports": [17_600, 17_610],
-    "bounds": {"grace_s": 8.0, "retry_budget_ratio": 0.2},
-    "limits": {"link_mbps": 20.0},
-    "platform": {"address": "10.0.0.1:80"},
-}
+_GOOD = wire.instance_settings(
+    "front-1",
+    "127.0.0.1",
+    (1, 2, 3),
+    "10.0.0.1:80",
+    bounds={"grace_s": 8.0, "retry_budget_ratio": 0.2},
+    limits={"link_mbps": 20.0},
+)
 
 
 class ReloadTest(unittest.TestCase):
@@ -42,8 +41,9 @@
         self.assertEqual(self.entry.budget.terms.ratio, 0.1)
 
     def test_spoiled_file_changes_nothing(self):
-        for text in ("", "{", '{"node_name": 5}', "\udcff"):
-            self.path.write_bytes(text.encode(errors="surrogateescape"))
+        wrong_type = json.dumps(_GOOD | {"listen": 5}).encode()
+        for raw in (b"", b"{", b"{}", b"\xff", wrong_type):
+            self.path.write_bytes(raw)
             front.reload(self.entry, str(self.path))
             self.assertEqual(self.entry.settings.grace_s, 8.0)
 
--- a/copperloom/ingress/tests/fixtures.py
+++ b/copperloom/ingress/tests/fixtures.py
@@ -20,12 +20,14 @@
 from copperloom.platform import settings
 from copperloom.platform.standins import store as store_standin
 from copperloom.platform.standins import target as target_standin
+from copperloom.platform.standins import wire
 
 __all__ = [
     "HOST",
     "System",
     "call",
     "engine_route",
+    "own_settings",
     "ready",
     "routes",
     "start_system",
@@ -134,25 +136,7 @@
     async def add_front(self, **changes) -> front.FrontService:
         """Starts an instance; returns it once it listens."""
         ip = f"{_NETWORK}.{next(_hosts) % 250 + 2}"
-        own = settings.PlatformSettings(
-            instance=f"front-{ip}",
-            ip=ip,
-            data_centre="a",
-            callers_listen=f"{ip}:{_port()}",
-            readiness_listen=f"{ip}:{_port()}",
-            peers_listen=f"{ip}:{_port()}",
-            internal_ports=(_FIRST_PORT, _FIRST_PORT + 10),
-            seeds=(),
-            store=self.store.address,
-            grace_s=2.0,
-            drain_s=2.0,
-            retry_ratio=0.2,
-            retry_window_s=10.0,
-            retry_slack=20.0,
-            free_s=4.0,
-            reservation_max_s=20.0,
-        )
-        own = dataclasses.replace(own, **changes)
+        own = own_settings(ip, self.store.address, **changes)
         metrics = f"{ip}:{_port()}"
         service = front.FrontService(state.IngressState(own), metrics)
         await service.start()
@@ -173,6 +157,29 @@
         return probe.getsockname()[1]
 
 
+def own_settings(ip: str, store: str, **changes) -> settings.PlatformSettings:
+    """Returns the settings of an instance at an address."""
+    own = settings.PlatformSettings(
+        instance=f"front-{ip}",
+        ip=ip,
+        data_centre="a",
+        callers_listen=f"{ip}:{_port()}",
+        readiness_listen=f"{ip}:{_port()}",
+        peers_listen=f"{ip}:{_port()}",
+        internal_ports=(_FIRST_PORT, _FIRST_PORT + 10),
+        seeds=(),
+        store=store,
+        grace_s=2.0,
+        drain_s=2.0,
+        retry_ratio=0.2,
+        retry_window_s=10.0,
+        retry_slack=20.0,
+        free_s=4.0,
+        reservation_max_s=20.0,
+    )
+    return dataclasses.replace(own, **changes)
+
+
 async def start_system(
     case: unittest.IsolatedAsyncioTestCase,
     *,
@@ -246,14 +253,7 @@
     """Calls an instance as a caller would, without any retry."""
     own = system.fronts[number].entry.settings
     request_id = f"q{next(_ids)}"
-    sent = {
-        "Host": HOST,
-        "Copperloom-Request-Id": request_id,
-        "Copperloom-Request-Deadline": str(wait_ms),
-        "Copperloom-Key": KEY,
-    }
-    if prompt:
-        sent["Copperloom-Token-Counts"] = f"{prompt},200"
+    sent = wire.caller_headers(HOST, request_id, KEY, wait_ms / 1000, prompt)
     sent |= headers or {}
     url = yarl.URL(f"http://{own.callers_listen}{path}", encoded=True)
     got = b""
--- a/copperloom/ingress/tests/test_relay.py
+++ b/copperloom/ingress/tests/test_relay.py
@@ -3,6 +3,7 @@
 import unittest
 
 from copperloom.ingress.tests import fixtures
+from copperloom.platform.standins import wire
 from copperloom.platform.standins.target import Fault
 
 
@@ -32,26 +33,26 @@
     async def test_key_and_reserved_headers_are_not_passed_on(self):
         system = await fixtures.start_system(self, plain=1)
         given = {
-            "Copperloom-Tenant": "other",
-            "Copperloom-Expect-Instance": "other",
-            "Copperloom-Helpers": "127.0.0.1:1",
+            wire.ORGANISATION: "other",
+            wire.TARGET: "other",
+            wire.HELPERS: "127.0.0.1:1",
             "X-Own": "kept",
             "Connection": "X-Hop",
             "X-Hop": "dropped",
         }
         await fixtures.call(system, "/write/x", headers=given)
         headers = system.targets["plain-0"].seen[0].headers
-        self.assertEqual(headers["Copperloom-Tenant"], "lounge")
-        self.assertEqual(headers["Copperloom-Expect-Instance"], "plain-0")
+        self.assertEqual(headers[wire.ORGANISATION], "lounge")
+        self.assertEqual(headers[wire.TARGET], "plain-0")
         self.assertEqual(headers["X-Own"], "kept")
-        for name in ("Copperloom-Key", "Copperloom-Helpers", "X-Hop"):
+        for name in (wire.KEY, wire.HELPERS, "X-Hop"):
             self.assertNotIn(name, headers)
 
     async def test_time_left_shrinks(self):
         system = await fixtures.start_system(self, plain=1)
         await fixtures.call(system, "/write/x", wait_ms=900)
         headers = system.targets["plain-0"].seen[0].headers
-        left = int(headers["Copperloom-Request-Deadline"])
+        left = int(headers[wire.LEFT])
         self.assertLessEqual(left, 900)
         self.assertGreater(left, 700)
 
@@ -60,7 +61,7 @@
         system.targets["plain-0"].always = Fault.FAIL
         answer = await fixtures.call(system, "/write/x")
         self.assertEqual(answer.status, 500)
-        self.assertIn("Copperloom-Response-Seal", answer.headers)
+        self.assertIn(wire.SEAL, answer.headers)
         self.assertEqual(answer.body, b"failed")
 
     async def test_answer_without_a_length(self):
@@ -92,7 +93,7 @@
         nowhere = await fixtures.call(system, "/nowhere/x")
         self.assertEqual(nowhere.status, 404)
         stranger = await fixtures.call(
-            system, "/write/x", headers={"Copperloom-Key": "none"}
+            system, "/write/x", headers={wire.KEY: "none"}
         )
         self.assertEqual(stranger.status, 401)
         long = await fixtures.call(system, "/write/x", body=b"x" * 100_001)
@@ -108,11 +109,11 @@
         entry = system.fronts[0].entry
         await fixtures.until(lambda: entry.table.version == 2)
         answer = await fixtures.call(
-            system, "/open/x", headers={"Copperloom-Key": "none"}
+            system, "/open/x", headers={wire.KEY: "none"}
         )
         self.assertEqual(answer.status, 200)
         headers = system.targets["plain-0"].seen[0].headers
-        self.assertNotIn("Copperloom-Tenant", headers)
+        self.assertNotIn(wire.ORGANISATION, headers)
 
     async def test_longest_prefix_wins(self):
         system = await fixtures.start_system(self)
--- a/copperloom/ingress/tests/test_reserve.py
+++ b/copperloom/ingress/tests/test_reserve.py
@@ -4,6 +4,7 @@
 
 from copperloom.ingress import reserve
 from copperloom.ingress.tests import fixtures
+from copperloom.platform.standins import wire
 
 
 class ReserveTest(unittest.IsolatedAsyncioTestCase):
@@ -22,7 +23,7 @@
         )
         self.assertEqual(answer.status, 200)
         ran = next(t for t in system.targets.values() if t.runs)
-        helpers = ran.seen[-1].headers["Copperloom-Helpers"]
+        helpers = ran.seen[-1].headers[wire.HELPERS]
         self.assertIn("/", helpers)
         await fixtures.until(
             lambda: not any(t.memory for t in system.targets.values())
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -10,10 +10,10 @@
 import msgspec
 from aiohttp import web
 
+from copperloom.platform.standins import wire
+
 __all__ = ["Fault", "Seen", "TargetStandin", "serve"]
 
-_SEAL = "Copperloom-Response-Seal"
-_NOT_EXECUTED = "Copperloom-Not-Executed"
 _PIECE = 16
 
 
@@ -142,12 +142,12 @@
     body = await request.read()
     if request.path == "/copperloom/order":
         return _order(target, msgspec.json.decode(body))
-    expected = request.headers.get("Copperloom-Expect-Instance", target.name)
+    expected = request.headers.get(wire.TARGET, target.name)
     fault = target.faults.popleft() if target.faults else target.always
     if expected != target.name:
         fault = Fault.MISDIRECTED
     refused = fault in (Fault.REFUSE, Fault.MISDIRECTED)
-    request_id = request.headers.get("Copperloom-Request-Id", "")
+    request_id = request.headers.get(wire.REQUEST, "")
     target.seen.append(
         Seen(
             id=request_id,
@@ -160,7 +160,7 @@
     )
     if refused:
         status = 421 if fault is Fault.MISDIRECTED else 503
-        return web.Response(status=status, headers={_NOT_EXECUTED: "1"})
+        return web.Response(status=status, headers={wire.NOT_RUN: "1"})
     target.running += 1
     try:
         return await _run(target, request, request_id, fault)
@@ -177,14 +177,14 @@
     if fault is Fault.RESET:
         _reset(request)
         await asyncio.sleep(0)
-    headers = {"Copperloom-Request-Id": request_id, _SEAL: f"s.{request_id}"}
+    headers = {wire.REQUEST: request_id, wire.SEAL: f"s.{request_id}"}
     if fault is Fault.OTHERS_ANSWER:
-        headers["Copperloom-Request-Id"] = "another"
+        headers[wire.REQUEST] = "another"
     if fault is Fault.UNSEALED:
-        del headers[_SEAL]
+        del headers[wire.SEAL]
     if fault is Fault.ENCODED:
         headers["Content-Encoding"] = "gzip"
-    if "Copperloom-Token-Counts" in request.headers:
+    if wire.TOKENS in request.headers:
         return await _stream(target, request, headers, fault)
     await asyncio.sleep(target.pause_s)
     if fault is Fault.FAIL:
