Catch-up asks a member again that moves on; late datagrams renew no penalty

Cause: found by reading. A member that had given its version was not asked again in the same run, so that versions in quick succession from the only member ahead sent all others to the table; penalties were taken over before the check of the datagram's number, so that an older one could bring back what had faded. Change: a member is passed over only if it brought nothing; penalties are heard after the check. Measured: ingress.tests.test_catchup, two of three tests fail before and pass after.

--- a/copperloom/ingress/catchup.py
+++ b/copperloom/ingress/catchup.py
@@ -14,9 +14,9 @@
 
 __all__ = ["CatchUp", "note"]
 
-# Peers that may fail to answer before the tables are read: each takes up to a
+# Peers that may give nothing before the tables are read: each takes up to a
 # second to be given up, and a change has to be in force within two or three.
-MOST_FAILED = 1
+MOST_USELESS = 2
 # The tables are read also if peers put it off for so long.
 MOST_WAIT_S = 1.2
 
@@ -51,30 +51,33 @@
     loop = asyncio.get_running_loop()
     await asyncio.sleep(sources.delay_s(len(state.members), state.rng))
     end = loop.time() + MOST_WAIT_S
-    tried: set[str] = set()
-    failed = 0
-    while loop.time() < end and failed <= MOST_FAILED:
-        source = sources.choose(_sources(state), tried, state.rng)
+    useless: set[str] = set()
+    while loop.time() < end and len(useless) < MOST_USELESS:
+        source = sources.choose(_sources(state), useless, state.rng)
         if source is None:
             break
-        try:
-            whole = await catalog.fetch(state, source.calls)
-        except exception.PeerUnavailableError as error:
-            failed += 1
-            whole = True
-            logs.event(
-                "peer_unavailable", member=source.instance, error=str(error)
-            )
-        if whole:
-            # One that gives nothing new is not asked for ever.
-            tried.add(source.instance)
+        before = (state.table.version, state.targets.version)
+        had_room = await _ask(state, source)
+        if (state.table.version, state.targets.version) != before:
+            continue
+        if had_room:
+            useless.add(source.instance)
         else:
             await asyncio.sleep(sources.again_s(state.rng))
     if _sources(state):
-        logs.event("peers_gave_nothing", tried=",".join(sorted(tried)))
+        logs.event("peers_gave_nothing", tried=",".join(sorted(useless)))
         state.look_now.set()
 
 
+async def _ask(state: IngressState, source: sources.Source) -> bool:
+    """Asks a member; False only if its link has no room for an answer now."""
+    try:
+        return await catalog.fetch(state, source.calls)
+    except exception.PeerUnavailableError as error:
+        logs.event("peer_unavailable", member=source.instance, error=str(error))
+        return True
+
+
 def _sources(state: IngressState) -> list[sources.Source]:
     now = asyncio.get_running_loop().time()
     own = state.settings.data_centre
--- a/copperloom/ingress/gossip.py
+++ b/copperloom/ingress/gossip.py
@@ -203,11 +203,11 @@
 def _hear(gossip: Gossip, told: _Digest) -> None:
     state = gossip.state
     now = asyncio.get_running_loop().time()
-    health.hear(state.heard_health, told.penalties, now)
     work = tuple(_decode(w, now) for w in told.work)
     heard = board.PeerWork(told.boot, told.sequence, now, work)
     if not board.hear(state.board, told.instance, heard):
         return
+    health.hear(state.heard_health, told.penalties, now)
     member = state.members.get(told.instance)
     if member is None:
         member = Member(told.instance, told.datagrams, told.calls, now)
--- /dev/null
+++ b/copperloom/ingress/tests/test_catchup.py
@@ -0,0 +1,89 @@
+"""What is fetched from peers, and what their datagrams are taken for."""
+
+import asyncio
+import dataclasses
+import unittest
+from unittest import mock
+
+from copperloom.decisions import health
+from copperloom.ingress import catchup, gossip
+from copperloom.ingress.state import IngressState, Member
+from copperloom.ingress.tests import fixtures
+from copperloom.peers import catalog
+
+
+def _state() -> IngressState:
+    return IngressState(fixtures.own_settings("127.0.0.1", "127.0.0.1:9"))
+
+
+def _member(state: IngressState, routes_version: int) -> Member:
+    now = asyncio.get_running_loop().time()
+    member = Member("front-2", "127.0.0.1:9", "127.0.0.1:9", now, now)
+    member.routes_version = routes_version
+    state.members["front-2"] = member
+    return member
+
+
+class CatchUpTest(unittest.IsolatedAsyncioTestCase):
+    async def test_member_that_moves_on_is_asked_again(self):
+        """Versions come in quick succession from the only member ahead.
+
+        While one is fetched the member gets the next; it is asked for that
+        one too, and the table is not read.
+        """
+        state = _state()
+        member = _member(state, 2)
+
+        async def fetch(state, address):
+            version = member.routes_version
+            state.table = dataclasses.replace(state.table, version=version)
+            member.routes_version = min(4, version + 1)
+            return True
+
+        with mock.patch.object(catalog, "fetch", fetch):
+            await catchup._catch_up(state)
+        self.assertEqual(state.table.version, 4)
+        self.assertFalse(state.look_now.is_set())
+
+    async def test_member_that_gives_nothing_is_not_asked_for_ever(self):
+        state = _state()
+        _member(state, 2)
+        fetch = mock.AsyncMock(return_value=True)
+        with mock.patch.object(catalog, "fetch", fetch):
+            await catchup._catch_up(state)
+        self.assertEqual(fetch.await_count, 1)
+        self.assertTrue(state.look_now.is_set())
+
+
+class LateDatagramTest(unittest.IsolatedAsyncioTestCase):
+    async def test_penalty_of_a_late_datagram_counts_not(self):
+        """Two datagrams overtake each other; the older bears a penalty.
+
+        What was true before must not be taken for what is true now.
+        """
+        state = _state()
+        told = gossip.Gossip(state, "127.0.0.1:9")
+        newer = _digest(sequence=2, penalties={})
+        older = _digest(sequence=1, penalties={"t": 5.0})
+        gossip._hear(told, newer)
+        gossip._hear(told, older)
+        now = asyncio.get_running_loop().time()
+        heard = state.heard_health.get("t")
+        self.assertEqual(health.penalty(heard, now), 0.0)
+
+
+def _digest(sequence: int, penalties: dict[str, float]) -> gossip._Digest:
+    return gossip._Digest(
+        instance="front-2",
+        boot="b",
+        sequence=sequence,
+        datagrams="127.0.0.1:9",
+        calls="",
+        data_centre="a",
+        routes_version=0,
+        targets_version=0,
+        leaving=False,
+        store_lost=False,
+        work=[],
+        penalties=penalties,
+    )
