Prompts are decided, and registrations taken over, in one place each

Cause: placed, held or refused was decided in ingress/place.py and again in the emulator of the tests, as a plan, a number or nothing; registrations were taken over by one function from the table and by another from peers; the engine's figures, the draw of arrivals and the tests' engine stood twice. Change: decisions/choice.py gives a Plan, Wait or Refusal to both; follow.adopt_targets serves both, and logs what changed only; one copy of the rest.

--- a/copperloom/cli/trace.py
+++ b/copperloom/cli/trace.py
@@ -16,8 +16,8 @@
 _TIME = re.compile(r"(\d{4}-\d\d-\d\dT[\d:.]+) level=(\w+) event=(\w+)(.*)")
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _STARTED = "started"
-# Lines about what an instance believed, shown if they came so short before the
-# request ended and after it began; they are no part of the request.
+# Lines about what an instance believed: shown if they came between the first
+# and the last line of the request.
 _AROUND = (
     "draining",
     "drain_limit",
--- /dev/null
+++ b/copperloom/decisions/choice.py
@@ -0,0 +1,36 @@
+"""What becomes of a prompt now: it is placed, held for a moment or refused."""
+
+from copperloom import routing
+from copperloom.decisions import plans, spread, waiting
+
+__all__ = ["Choice", "choose"]
+
+# None: no engine has a free slot and memory.
+Choice = plans.Plan | plans.Wait | plans.Refusal | None
+
+
+def choose(
+    engine: routing.EngineSpec,
+    prompt: plans.Prompt,
+    candidates: list[plans.Candidate],
+    *,
+    may_lead: frozenset[str] | None = None,
+    is_repeat: bool = False,
+) -> Choice:
+    """Decides what becomes of a prompt, as things are now.
+
+    Args:
+        engine: Figures of the service's engines.
+        prompt: What is to be placed.
+        candidates: The engines that may be used.
+        may_lead: Names of those that may get the request; None allows all.
+        is_repeat: Whether it was sent before: it has cost its caller time
+            enough, so it is neither held nor refused.
+    """
+    plan = spread.plan_prompt(engine, prompt, candidates, may_lead=may_lead)
+    if plan is None or is_repeat:
+        return plan
+    wait_s = waiting.wait_s(engine, prompt, candidates, plan)
+    if wait_s:
+        return plans.Wait(wait_s, plan)
+    return plans.Refusal(plan) if spread.is_refused(prompt, plan) else plan
--- a/copperloom/decisions/plans.py
+++ b/copperloom/decisions/plans.py
@@ -4,7 +4,15 @@
 
 from copperloom.decisions import board
 
-__all__ = ["Candidate", "Hold", "Plan", "Prompt", "worth"]
+__all__ = [
+    "Candidate",
+    "Hold",
+    "Plan",
+    "Prompt",
+    "Refusal",
+    "Wait",
+    "worth",
+]
 
 # What any prompt is worth, and what each token adds, in units of a prompt of
 # 5,000 tokens: who sends 150,000 has some sixteen times as much at stake.
@@ -85,6 +93,30 @@
     holds: tuple[Hold, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """A prompt is held for a moment, because engines come free.
+
+    Attributes:
+        seconds: How long, before it is looked at again.
+        plan: What could be done now.
+    """
+
+    seconds: float
+    plan: Plan
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A prompt takes more from others than it is worth.
+
+    Attributes:
+        plan: What could be done now.
+    """
+
+    plan: Plan
+
+
 def worth(tokens: int) -> float:
     """Returns what a caller has at stake, in units of a short prompt."""
     return LEAST_WORTH + TOKEN_WORTH * tokens
--- a/copperloom/decisions/tests/emulator.py
+++ b/copperloom/decisions/tests/emulator.py
@@ -9,10 +9,10 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from copperloom import routing
-from copperloom.decisions import board, passes, plans, spread, waiting
+from copperloom.decisions import board, choice, passes, plans
 
 __all__ = ["Arrival", "Served", "least_requests", "play", "spread_by_harm"]
 
@@ -76,23 +76,14 @@
         self.busy = False
 
 
-# Gives a plan, None to refuse, or how long to wait before it is asked again.
-Placement = Callable[
-    [plans.Prompt, list[plans.Candidate]], plans.Plan | float | None
-]
+Placement = Callable[[plans.Prompt, list[plans.Candidate]], choice.Choice]
 
 
 def spread_by_harm(spec: routing.EngineSpec) -> Placement:
     """Places as the product does."""
 
     def place(prompt, candidates):
-        plan = spread.plan_prompt(spec, prompt, candidates)
-        if plan is None:
-            return None
-        wait_s = waiting.wait_s(spec, prompt, candidates, plan)
-        if wait_s:
-            return wait_s
-        return None if spread.is_refused(prompt, plan) else plan
+        return choice.choose(spec, prompt, candidates)
 
     return place
 
@@ -153,10 +144,10 @@
             for n in self.engines
         ]
         plan = place(prompt, candidates)
-        if plan is None:
+        if isinstance(plan, plans.Wait):
+            self.schedule(now + plan.seconds, ("arrive", served))
             return
-        if isinstance(plan, float):
-            self.schedule(now + plan, ("arrive", served))
+        if not isinstance(plan, plans.Plan):
             return
         names = (plan.lead, *plan.helpers)
         served.left = len(names)
@@ -243,6 +234,20 @@
     return parts[-1] if parts else reading[0]
 
 
+def times(rng: random.Random, seconds: float, per_s) -> Iterator[float]:
+    """Draws when requests come.
+
+    Args:
+        rng: Source of the draw.
+        seconds: How long.
+        per_s: (time) -> requests a second from then on.
+    """
+    at = rng.expovariate(per_s(0.0))
+    while at < seconds:
+        yield at
+        at += rng.expovariate(per_s(at))
+
+
 def mixed_load(
     rng: random.Random, seconds: float, rates: dict[plans.Prompt, float]
 ) -> list[Arrival]:
@@ -253,10 +258,9 @@
         seconds: How long.
         rates: Requests a second by prompt.
     """
-    found = []
-    for prompt, rate in rates.items():
-        at = rng.expovariate(rate)
-        while at < seconds:
-            found.append(Arrival(at, prompt))
-            at += rng.expovariate(rate)
+    found = [
+        Arrival(at, prompt)
+        for prompt, rate in rates.items()
+        for at in times(rng, seconds, lambda _, rate=rate: rate)
+    ]
     return sorted(found, key=lambda a: a.at)
--- a/copperloom/decisions/tests/sheets.py
+++ b/copperloom/decisions/tests/sheets.py
@@ -104,30 +104,24 @@
     )
 
 
-_LARGE = (154_000, 3.0, 21.0, 5.2)
-_GROWN_LARGE = (220_000, 4.0, 29.0, 7.4)
+def _today(engines: int, *rates: float) -> Sheet:
+    spec = _spec(8, 315_000, 51)
+    kinds = _kinds(rates, (4.2, 1.0), (154_000, 3.0, 21.0, 5.2))
+    return Sheet(engines, spec, kinds)
 
+
+def _grown(engines: int, *rates: float) -> Sheet:
+    spec = _spec(6, 267_750, 57)
+    kinds = _kinds(rates, (3.5, 0.88), (220_000, 4.0, 29.0, 7.4))
+    return Sheet(engines, spec, kinds)
+
+
+# Engines, and requests a second by kind.
 SHEETS = {
-    "wroclaw": Sheet(
-        14,
-        _spec(8, 315_000, 51),
-        _kinds((14.3, 0.724, 0.439), (4.2, 1.0), _LARGE),
-    ),
-    "oslo": Sheet(
-        18,
-        _spec(8, 315_000, 51),
-        _kinds((18.4, 0.935, 0.565), (4.2, 1.0), _LARGE),
-    ),
-    "wroclaw-grown": Sheet(
-        45,
-        _spec(6, 267_750, 57),
-        _kinds((36.2, 2.3, 0.979), (3.5, 0.88), _GROWN_LARGE),
-    ),
-    "oslo-grown": Sheet(
-        60,
-        _spec(6, 267_750, 57),
-        _kinds((48.4, 3.07, 1.32), (3.5, 0.88), _GROWN_LARGE),
-    ),
+    "wroclaw": _today(14, 14.3, 0.724, 0.439),
+    "oslo": _today(18, 18.4, 0.935, 0.565),
+    "wroclaw-grown": _grown(45, 36.2, 2.3, 0.979),
+    "oslo-grown": _grown(60, 48.4, 3.07, 1.32),
 }
 
 
@@ -135,20 +129,18 @@
     sheet: Sheet, rng: random.Random, seconds: float, burst: float
 ) -> list[emulator.Arrival]:
     """Draws a load; between 5 and 15 s it is `burst` times the usual one."""
-    found = []
-    for kind in sheet.kinds:
-        at = 0.0
-        while True:
-            busy = _BURST_S[0] < at < _BURST_S[1]
-            at += rng.expovariate(kind.per_s * (burst if busy else 1.0))
-            if at > seconds:
-                break
-            found.append(emulator.Arrival(at, _prompt(kind, rng)))
-    return sorted(found, key=_at)
-
-
-def _at(arrival: emulator.Arrival) -> float:
-    return arrival.at
+
+    def swell(at: float) -> float:
+        return burst if _BURST_S[0] < at < _BURST_S[1] else 1.0
+
+    found = [
+        emulator.Arrival(at, _prompt(kind, rng))
+        for kind in sheet.kinds
+        for at in emulator.times(
+            rng, seconds, lambda at, kind=kind: kind.per_s * swell(at)
+        )
+    ]
+    return sorted(found, key=lambda a: a.at)
 
 
 def _prompt(kind: Kind, rng: random.Random) -> plans.Prompt:
--- a/copperloom/decisions/tests/test_spread.py
+++ b/copperloom/decisions/tests/test_spread.py
@@ -4,21 +4,10 @@
 import random
 import unittest
 
-from copperloom import routing
 from copperloom.decisions import board, passes, plans, spread
+from copperloom.decisions.tests import sheets
 
-ENGINE = routing.EngineSpec(
-    slots=8,
-    kv_tokens=315_000,
-    stride=51,
-    step_s=0.00085,
-    per_sequence_s=0.0000085,
-    context_s=2.85e-9,
-    read_tokens_per_s=177_000.0,
-    pair_s=1.84e-10,
-    chunk_tokens=2048,
-    hop_s=0.00005,
-)
+ENGINE = sheets.SHEETS["wroclaw"].spec
 SHORT = plans.Prompt(
     tokens=5000,
     answer_tokens=1600,
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -10,7 +10,7 @@
 from copperloom.ingress.state import IngressState
 from copperloom.platform import headers
 
-__all__ = ["Exchange", "Filter", "Next"]
+__all__ = ["Exchange", "Filter", "Next", "engine"]
 
 # A caller that does not say how long it waits is held to its route's limit.
 _UNSTATED_S = 60.0
@@ -82,5 +82,11 @@
         self.reason = ""
 
 
+def engine(ex: Exchange) -> routing.EngineSpec | None:
+    """Returns the figures of its service's engines; None for plain services."""
+    spec = ex.state.table.services.get(ex.service)
+    return spec.engine if spec is not None else None
+
+
 Next = Callable[[Exchange], Awaitable[None]]
 Filter = Callable[[Exchange, Next], Awaitable[None]]
--- a/copperloom/ingress/follow.py
+++ b/copperloom/ingress/follow.py
@@ -14,7 +14,12 @@
 from copperloom.ingress.state import IngressState, live_members
 from copperloom.platform import catalog, decoding, store
 
-__all__ = ["adopt_routes", "follow_routes", "follow_targets"]
+__all__ = [
+    "adopt_routes",
+    "adopt_targets",
+    "follow_routes",
+    "follow_targets",
+]
 
 # So many instances follow the tables; the others hear of changes from them. At
 # 77 instances 4,200 calls in a minute became some 500; five, because a table
@@ -174,30 +179,61 @@
 def _take_targets(
     state: IngressState, feed: store.Feed, *, whole: bool
 ) -> None:
-    now = asyncio.get_running_loop().time()
     if whole and feed.version < state.targets.version:
         # A peer has told of later changes meanwhile.
         return
-    changes = catalog.target_changes(feed)
     # The version is that of the newest row, not of the whole service: all
     # instances that have the same rows then have the same version, and none
     # takes another to be ahead.
     newest = max((row.version for row in feed.rows), default=0)
     newest = max(newest, state.targets.version)
     rows = [rowlog.Row(r.key, r.version, r.value) for r in feed.rows]
+    adopt_targets(state, rows, newest, whole=whole, source="store")
+
+
+def adopt_targets(
+    state: IngressState,
+    rows: list[rowlog.Row],
+    version: int,
+    *,
+    whole: bool,
+    source: str,
+) -> None:
+    """Takes over registrations, and logs what they change.
+
+    Args:
+        state: The instance's state.
+        rows: All rows, or those that have changed.
+        version: Version that they are as of, not lower than the known one.
+        whole: Whether they are all there are.
+        source: Who told them, for the log.
+    """
+    now = asyncio.get_running_loop().time()
+    before = dict(state.targets.entries)
+    changes = [(r.key, decoding.decode_target(r.key, r.value)) for r in rows]
     if whole:
         entries = [entry for _, entry in changes if entry is not None]
-        rowlog.replace(state.target_rows, rows, newest)
-        started = registry.replace(state.targets, entries, newest, now)
+        rowlog.replace(state.target_rows, rows, version)
+        started = registry.replace(state.targets, entries, version, now)
     else:
         rowlog.update(state.target_rows, rows)
-        started = registry.update(state.targets, changes, newest, now)
-    note_targets(state, changes, started, "store")
+        started = registry.update(state.targets, changes, version, now)
+    for entry in started:
+        board.forget_target(state.board, entry.name)
+        state.health.pop(entry.name, None)
+        state.heard_health.pop(entry.name, None)
+    _log_targets(state, before, source)
+    state.targets_at = now
+    state.board.changes += 1
+    state.changed.set()
 
 
-def note_targets(state: IngressState, changes, started, source: str) -> None:
-    """Logs changes of targets, and forgets what started targets had."""
-    for name, entry in changes:
+def _log_targets(state: IngressState, before: dict, source: str) -> None:
+    after = state.targets.entries
+    for name in sorted(before.keys() | after.keys()):
+        entry = after.get(name)
+        if entry == before.get(name):
+            continue
         logs.event(
             "target_changed",
             target=name,
@@ -206,13 +242,6 @@
             version=state.targets.version,
             source=source,
         )
-    state.targets_at = asyncio.get_running_loop().time()
-    for entry in started:
-        board.forget_target(state.board, entry.name)
-        state.health.pop(entry.name, None)
-        state.heard_health.pop(entry.name, None)
-    state.board.changes += 1
-    state.changed.set()
 
 
 def _word(entry) -> str:
--- a/copperloom/ingress/place.py
+++ b/copperloom/ingress/place.py
@@ -5,11 +5,11 @@
 from copperloom import exception, logs, routing
 from copperloom.decisions import (
     board,
+    choice,
     health,
     plans,
     registry,
     spread,
-    waiting,
 )
 from copperloom.ingress import exchange
 
@@ -49,12 +49,15 @@
             raise exception.NoTargetError(
                 f"no target of {ex.service}", retry_after_s=_NO_TARGET_RETRY_S
             )
-        plan, wait_s = _plan(ex, known, now)
-        if plan is not None:
-            _tell(ex, plan, now - begun, len(known))
-            return plan
-        if wait_s:
-            await asyncio.sleep(wait_s)
+        chosen = _choose(ex, known, now)
+        if isinstance(chosen, plans.Plan):
+            _tell(ex, chosen, now - begun, len(known))
+            return chosen
+        if isinstance(chosen, plans.Refusal):
+            raise _too_dear(ex, chosen.plan)
+        if isinstance(chosen, plans.Wait):
+            _tell_wait(ex, chosen, now - begun)
+            await asyncio.sleep(chosen.seconds)
             continue
         if now >= give_up:
             raise exception.OverloadedError(
@@ -70,23 +73,16 @@
     return fresh or known
 
 
-def _engine(ex: exchange.Exchange) -> routing.EngineSpec | None:
-    spec = ex.state.table.services.get(ex.service)
-    return spec.engine if spec is not None else None
-
-
-def _plan(
+def _choose(
     ex: exchange.Exchange, known: list[routing.TargetEntry], now: float
-) -> tuple[plans.Plan | None, float]:
-    """Returns a plan, or None and how long to wait for engines; 0: a place."""
+) -> choice.Choice:
     load = board.loads(ex.state.board, now)
     candidates = [_candidate(ex, e, load, now) for e in known]
-    engine = _engine(ex)
+    engine = exchange.engine(ex)
     if engine is None or not ex.head.prompt_tokens:
-        plan = spread.plan_service(
+        return spread.plan_service(
             [c for c in candidates if c.load.requests < c.slots * _PLAIN_QUEUE]
         )
-        return plan, 0.0
     prompt = plans.Prompt(
         tokens=ex.head.prompt_tokens,
         answer_tokens=ex.head.max_tokens or _DEFAULT_ANSWER_TOKENS,
@@ -94,22 +90,21 @@
         pause_aim_s=ex.route.pause_aim_s,
         waited_s=now - ex.arrived,
     )
-    candidates = spread.sample(candidates, ex.state.rng)
-    plan = spread.plan_prompt(
-        engine, prompt, candidates, may_lead=_may_lead(ex)
+    return choice.choose(
+        engine,
+        prompt,
+        spread.sample(candidates, ex.state.rng),
+        may_lead=_may_lead(ex),
+        is_repeat=bool(ex.sends),
+    )
+
+
+def _too_dear(ex, plan: plans.Plan) -> exception.OverloadedError:
+    stake = plans.worth(ex.head.prompt_tokens)
+    return exception.OverloadedError(
+        f"costs {plan.cost:.1f}, worth {stake:.1f}",
+        retry_after_s=_TOO_DEAR_RETRY_S,
     )
-    if plan is None or ex.sends:
-        return plan, 0.0
-    wait_s = waiting.wait_s(engine, prompt, candidates, plan)
-    if wait_s:
-        _tell_wait(ex, prompt, plan, wait_s)
-        return None, wait_s
-    if spread.is_refused(prompt, plan):
-        raise exception.OverloadedError(
-            f"costs {plan.cost:.1f}, worth {plans.worth(prompt.tokens):.1f}",
-            retry_after_s=_TOO_DEAR_RETRY_S,
-        )
-    return plan, 0.0
 
 
 def _may_lead(ex: exchange.Exchange) -> frozenset[str] | None:
@@ -144,15 +139,15 @@
         return
 
 
-def _tell_wait(ex, prompt: plans.Prompt, plan, wait_s: float) -> None:
+def _tell_wait(ex, wait: plans.Wait, waited_s: float) -> None:
     logs.event(
         "place_waits",
         request=ex.id,
         service=ex.service,
-        wait_s=wait_s,
-        waited_s=prompt.waited_s,
-        cost=plan.cost,
-        predicted_s=plan.first_token_s,
+        wait_s=wait.seconds,
+        waited_s=waited_s,
+        cost=wait.plan.cost,
+        predicted_s=wait.plan.first_token_s,
     )
 
 
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -103,10 +103,10 @@
 
 def _note_pace(ex: exchange.Exchange, written: pace.Pace, now: float) -> None:
     """Holds it against a target if it writes slowly all the while."""
-    spec = ex.state.table.services.get(ex.service)
-    if spec is None or spec.engine is None:
+    engine = exchange.engine(ex)
+    if engine is None:
         return
-    if not pace.is_slow(written, spec.engine, ex.head.prompt_tokens):
+    if not pace.is_slow(written, engine, ex.head.prompt_tokens):
         return
     ex.slow = True
     known = ex.state.health.setdefault(ex.plan.lead, health.Health())
--- a/copperloom/peers/catalog.py
+++ b/copperloom/peers/catalog.py
@@ -14,11 +14,11 @@
 import msgspec
 
 from copperloom import logs
-from copperloom.decisions import registry, rowlog, sources
+from copperloom.decisions import rowlog, sources
 from copperloom.ingress import follow
 from copperloom.ingress.state import IngressState, Member
 from copperloom.peers import client, peers_grpc, peers_pb2
-from copperloom.platform import catalog, decoding
+from copperloom.platform import catalog
 
 __all__ = ["fetch", "serve"]
 
@@ -140,29 +140,13 @@
     except msgspec.MsgspecError as error:
         logs.event("peer_unreadable", peer=address, error=str(error))
         return
-    version = reply.targets_version
-    if told.whole:
-        rowlog.replace(state.target_rows, told.rows, version)
-    else:
-        rowlog.update(state.target_rows, told.rows)
-    now = asyncio.get_running_loop().time()
-    before = dict(state.targets.entries)
-    changes = [
-        (row.key, decoding.decode_target(row.key, row.value))
-        for row in told.rows
-    ]
-    if told.whole:
-        entries = [entry for _, entry in changes if entry is not None]
-        started = registry.replace(state.targets, entries, version, now)
-    else:
-        started = registry.update(state.targets, changes, version, now)
-    after = state.targets.entries
-    changed = [
-        (name, after.get(name))
-        for name in before.keys() | after.keys()
-        if before.get(name) != after.get(name)
-    ]
-    follow.note_targets(state, changed, started, address)
+    follow.adopt_targets(
+        state,
+        told.rows,
+        reply.targets_version,
+        whole=told.whole,
+        source=address,
+    )
 
 
 def _take_members(state: IngressState, raw: bytes) -> None:
--- a/copperloom/platform/catalog.py
+++ b/copperloom/platform/catalog.py
@@ -8,8 +8,7 @@
 
 import msgspec
 
-from copperloom import routing
-from copperloom.platform import decoding, store
+from copperloom.platform import store
 
 __all__ = [
     "MEMBERS_TABLE",
@@ -19,7 +18,6 @@
     "decode_member",
     "encode_member",
     "routes_row",
-    "target_changes",
 ]
 
 ROUTES_TABLE = "op"
@@ -54,16 +52,6 @@
     return found
 
 
-def target_changes(
-    feed: store.Feed,
-) -> list[tuple[str, routing.TargetEntry | None]]:
-    """Decodes registrations; None for a row that names no target."""
-    return [
-        (row.key, decoding.decode_target(row.key, row.value))
-        for row in feed.rows
-    ]
-
-
 def encode_member(row: MemberRow) -> bytes:
     """Makes the bytes of a member's row."""
     return msgspec.json.encode(row)
