--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -22,6 +22,7 @@
     placement,
     quarantines,
     relay,
+    reply_checks,
     reserve,
     retry,
     sender,
@@ -49,8 +50,6 @@
 # Delay before a plan with draining targets is replaced, so that the shard owner
 # can receive the update first.
 _STALE_PLAN_DELAY_S = 0.01
-_MISDIRECTED = 421
-_SERVER_ERROR = 500
 
 
 async def forward(ex: exchange.Exchange, nxt: exchange.Next) -> None:
@@ -197,9 +196,9 @@
         ) as reply:
             facts = headers.read_reply(reply.headers)
             answered_at = asyncio.get_running_loop().time()
-            if reply.status != _MISDIRECTED:
+            if reply.status != reply_checks.MISDIRECTED:
                 limited_targets.record_answer(ex, entry, facts, answered_at)
-            _check_reply(ex, reply, facts)
+            reply_checks.check(ex, reply.status, facts)
             await relay.relay(ex, reply, facts)
         _record_success(ex, entry)
     except exception.TargetUnreachableError:
@@ -238,51 +237,6 @@
     ex.state.metrics.attempts.labels("answered").inc()
 
 
-def _check_reply(
-    ex: exchange.Exchange, reply: sender.Reply, facts: headers.ReplyFacts
-) -> None:
-    """Checks that a reply is the target's answer to this request.
-
-    Raises:
-        copperloom.exception.TargetRefusedError: The target did not run it.
-        copperloom.exception.StreamBrokenError: It is not a valid answer to
-            this request, or a server error after which a retry is allowed.
-    """
-    if facts.not_run or reply.status == _MISDIRECTED:
-        error = exception.TargetRefusedError(
-            f"target did not run the request: status {reply.status}"
-        )
-        error.target = _find_target(ex, facts.at_fault)
-        raise error
-    if facts.request and facts.request != ex.id:
-        raise exception.StreamBrokenError(
-            "target answered with the request id of another request"
-        )
-    if facts.encoded:
-        raise exception.StreamBrokenError(
-            "target sent an unrequested content encoding"
-        )
-    if reply.status < 300 and not facts.sealed:
-        raise exception.StreamBrokenError(
-            "target sent a success status without the seal header"
-        )
-    if reply.status < _SERVER_ERROR:
-        return
-    may_retry = ex.route.repeatable and len(ex.sent_to) < ex.route.max_attempts
-    if may_retry or not facts.sealed:
-        raise exception.StreamBrokenError(
-            f"target answered with a server error: status {reply.status}"
-        )
-
-
-def _find_target(ex: exchange.Exchange, at_fault: str) -> str:
-    """Returns the name of the target at fault, or "" if it is unknown."""
-    for name, entry in ex.state.targets.entries.items():
-        if at_fault and at_fault in (name, entry.address):
-            return name
-    return ""
-
-
 def _headers(ex: exchange.Exchange, now: float):
     priority = None
     if ex.head.prompt_tokens:
--- /dev/null
+++ b/copperloom/ingress/reply_checks.py
@@ -0,0 +1,61 @@
+"""Checks whether a reply is the target's answer to the request."""
+
+from copperloom import exception
+from copperloom.ingress import exchange
+from copperloom.platform import headers
+
+__all__ = ["MISDIRECTED", "check"]
+
+# Status of a target that was not meant.
+MISDIRECTED = 421
+_SERVER_ERROR = 500
+
+
+def check(
+    ex: exchange.Exchange, status: int, facts: headers.ReplyFacts
+) -> None:
+    """Checks that a reply is the target's answer to this request.
+
+    Args:
+        ex: The request.
+        status: HTTP status of the reply.
+        facts: Values of its headers.
+
+    Raises:
+        copperloom.exception.TargetRefusedError: The target did not run it.
+        copperloom.exception.StreamBrokenError: It is not a valid answer to
+            this request, or a server error after which a retry is allowed.
+    """
+    if facts.not_run or status == MISDIRECTED:
+        error = exception.TargetRefusedError(
+            f"target did not run the request: status {status}"
+        )
+        error.target = _find_target(ex, facts.at_fault)
+        raise error
+    if facts.request and facts.request != ex.id:
+        raise exception.StreamBrokenError(
+            "target answered with the request id of another request"
+        )
+    if facts.encoded:
+        raise exception.StreamBrokenError(
+            "target sent an unrequested content encoding"
+        )
+    if status < 300 and not facts.sealed:
+        raise exception.StreamBrokenError(
+            "target sent a success status without the seal header"
+        )
+    if status < _SERVER_ERROR:
+        return
+    may_retry = ex.route.repeatable and len(ex.sent_to) < ex.route.max_attempts
+    if may_retry or not facts.sealed:
+        raise exception.StreamBrokenError(
+            f"target answered with a server error: status {status}"
+        )
+
+
+def _find_target(ex: exchange.Exchange, at_fault: str) -> str:
+    """Returns the name of the target at fault, or "" if it is unknown."""
+    for name, entry in ex.state.targets.entries.items():
+        if at_fault and at_fault in (name, entry.address):
+            return name
+    return ""
