Observability: what answers say about draining

Each such answer now gets a line (drain_notice) and a counter. Nothing is decided by it yet. The target stand-in can say it in all its answers.

--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -17,6 +17,7 @@
     registry,
 )
 from copperloom.ingress import (
+    draining_targets,
     exchange,
     limited_targets,
     placement,
@@ -198,6 +199,7 @@
             answered_at = asyncio.get_running_loop().time()
             if reply.status != reply_checks.MISDIRECTED:
                 limited_targets.record_answer(ex, entry, facts, answered_at)
+            draining_targets.record_answer(ex, entry, reply.status, facts)
             reply_checks.check(ex, reply.status, facts)
             await relay.relay(ex, reply, facts)
         _record_success(ex, entry)
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -77,6 +77,12 @@
             ["result"],
             registry=self.registry,
         )
+        self.drain_notices = prometheus_client.Counter(
+            "copperloom_drain_notices",
+            "Answers that say something about draining, by what it means.",
+            ["result"],
+            registry=self.registry,
+        )
         self.table_failures = prometheus_client.Counter(
             "copperloom_store_failures",
             "Failed calls to the platform's table service, by table.",
--- a/copperloom/ingress/reply_checks.py
+++ b/copperloom/ingress/reply_checks.py
@@ -4,13 +4,33 @@
 from copperloom.ingress import exchange
 from copperloom.platform import headers
 
-__all__ = ["MISDIRECTED", "check"]
+__all__ = ["MISDIRECTED", "check", "is_from_target"]
 
 # Status of a target that was not meant.
 MISDIRECTED = 421
 _SERVER_ERROR = 500
 
 
+def is_from_target(
+    ex: exchange.Exchange, status: int, facts: headers.ReplyFacts
+) -> bool:
+    """Returns whether a reply may tell what its target says of itself.
+
+    A faulty target may send the answer to another request, and another target
+    may have got the address. Refusals and errors count like other answers.
+
+    Args:
+        ex: The request.
+        status: HTTP status of the reply.
+        facts: Values of its headers.
+    """
+    if status == MISDIRECTED or facts.encoded:
+        return False
+    if facts.request and facts.request != ex.id:
+        return False
+    return facts.sealed or facts.not_run
+
+
 def check(
     ex: exchange.Exchange, status: int, facts: headers.ReplyFacts
 ) -> None:
--- a/copperloom/platform/headers.py
+++ b/copperloom/platform/headers.py
@@ -38,6 +38,8 @@
 _LAST_EVENT_ID = "Last-Event-Id"
 _RETRY_AFTER = "Retry-After"
 _LIMIT = "server-limit"
+_DRAINS = "server-leaving"
+_DRAINS_VALUE = "1"
 
 _HOP_BY_HOP = frozenset(
     [
@@ -144,6 +146,9 @@
             none.
         limit_per_s: That limit in requests per second, for all instances
             together; None if it is not a valid number.
+        drains_text: What the target says about draining, as sent; None if it
+            says nothing.
+        drains: Whether that means that it drains.
     """
 
     request: str
@@ -156,6 +161,8 @@
     encoded: bool
     limit_text: str | None = None
     limit_per_s: float | None = None
+    drains_text: str | None = None
+    drains: bool = False
 
 
 def read_head(headers: Mapping[str, str]) -> RequestHead:
@@ -223,7 +230,8 @@
 def read_reply(headers: Mapping[str, str]) -> ReplyFacts:
     """Parses the headers of a target's response."""
     running, waiting = _parse_load(headers.get(_LOAD))
-    limits = [v for k, v in headers.items() if k.lower() == _LIMIT]
+    limit_text = _all_values(headers, _LIMIT)
+    drains_text = _all_values(headers, _DRAINS)
     return ReplyFacts(
         request=headers.get(_REQUEST_ID, ""),
         sealed=bool(headers.get(_SEAL)),
@@ -233,11 +241,24 @@
         retry_after_s=_parse_number(headers.get(_RETRY_AFTER)),
         at_fault=headers.get(_AT_FAULT, ""),
         encoded="Content-Encoding" in headers,
-        limit_text=",".join(limits) if limits else None,
-        limit_per_s=_parse_limit(",".join(limits)),
+        limit_text=limit_text,
+        limit_per_s=_parse_limit(limit_text or ""),
+        drains_text=drains_text,
+        drains=(drains_text or "").strip() == _DRAINS_VALUE,
     )
 
 
+def _all_values(headers: Mapping[str, str], name: str) -> str | None:
+    """Returns all values of a header, separated by commas; None without any.
+
+    Args:
+        headers: The headers.
+        name: Name of the header, in lower case.
+    """
+    values = [v for k, v in headers.items() if k.lower() == name]
+    return ",".join(values) if values else None
+
+
 def _parse_load(text: str | None) -> tuple[int | None, int]:
     """Parses "RUNNING,WAITING,SLOTS" into running and waiting requests."""
     parts = (text or "").split(",")
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -97,6 +97,7 @@
             for no restart.
         renamed: Whether it has another name after a restart.
         limit: The limit that it names in its answers; None for none.
+        leaving: What its answers say about draining; None for nothing.
         on_crash: Called after a crash.
         on_restart: Called after a restart, to register it again.
         restarting: The restart that is due, if any.
@@ -122,6 +123,7 @@
         self.restart_after_s: float | None = 0.5
         self.renamed = False
         self.limit: str | None = None
+        self.leaving: str | None = None
         self.on_crash: Callable[[TargetStandin], None] = _ignore
         self.on_restart: Callable[[TargetStandin], None] = _ignore
         self.restarting: asyncio.Task | None = None
@@ -204,7 +206,7 @@
     target.seen.append(received)
     if refused:
         status = 421 if fault is Fault.MISDIRECTED else 503
-        headers = _limit_header(target) | {wire.NOT_RUN: "1"}
+        headers = _own_headers(target) | {wire.NOT_RUN: "1"}
         return web.Response(status=status, headers=headers)
     target.running += 1
     try:
@@ -218,8 +220,10 @@
         target.running -= 1
 
 
-def _limit_header(target: TargetStandin) -> dict[str, str]:
-    return {} if target.limit is None else {wire.LIMIT: target.limit}
+def _own_headers(target: TargetStandin) -> dict[str, str]:
+    """Returns the headers by which a target tells of itself in all answers."""
+    values = {wire.LIMIT: target.limit, wire.LEAVING: target.leaving}
+    return {name: v for name, v in values.items() if v is not None}
 
 
 async def _run(target, request, request_id, fault) -> web.StreamResponse:
@@ -229,7 +233,7 @@
         crashes.reset(request.transport)
         await asyncio.sleep(0)
     headers = {wire.REQUEST: request_id, wire.SEAL: f"s.{request_id}"}
-    headers |= _limit_header(target)
+    headers |= _own_headers(target)
     if fault is Fault.OTHERS_ANSWER:
         headers[wire.REQUEST] = "another"
     if fault is Fault.UNSEALED:
@@ -296,11 +300,13 @@
 
 def _handle_order(target: TargetStandin, order: dict) -> web.Response:
     name = order.get("id", "")
+    headers = _own_headers(target)
     if order["op"] == "release":
         target.memory.pop(name, None)
-        return web.json_response({"free": 0})
+        return web.json_response({"free": 0}, headers=headers)
     others = sum(v for k, v in target.memory.items() if k != name)
     if others + order["tokens"] > target.kv_tokens:
-        return web.json_response({"free": 0}, status=409)
+        return web.json_response({"free": 0}, status=409, headers=headers)
     target.memory[name] = order["tokens"]
-    return web.json_response({"free": target.kv_tokens - others})
+    left = target.kv_tokens - others
+    return web.json_response({"free": left}, headers=headers)
--- a/copperloom/platform/standins/wire.py
+++ b/copperloom/platform/standins/wire.py
@@ -8,6 +8,7 @@
     "HELPERS",
     "INSTANCE_ENVIRONMENT",
     "KEY",
+    "LEAVING",
     "LEFT",
     "LIMIT",
     "NOT_RUN",
@@ -38,6 +39,8 @@
 # Response header: the requests per second that a target takes from all
 # instances together.
 LIMIT = "Server-Limit"
+# Response header of a target that is about to end.
+LEAVING = "Server-Leaving"
 # The call that reads rows of a table.
 READ_CALL = "rows-get"
 # The environment variable that holds the path of the settings file.
--- a/copperloom/platform/tests/test_decoding.py
+++ b/copperloom/platform/tests/test_decoding.py
@@ -148,6 +148,41 @@
         self.assertIsNone(facts.limit_per_s)
 
 
+class DrainsTest(unittest.TestCase):
+    def test_only_one_value_says_that_the_target_drains(self):
+        """Guards against a target that is lost by a malformed header."""
+        for text in ("1", " 1 "):
+            facts = headers.read_reply({"server-leaving": text})
+            self.assertTrue(facts.drains)
+        for text in (
+            "",
+            "0",
+            "true",
+            "yes",
+            "01",
+            "1.0",
+            "-1",
+            "1 1",
+            "\u0661",
+        ):
+            with self.subTest(text):
+                facts = headers.read_reply({"SERVER-LEAVING": text})
+                self.assertFalse(facts.drains)
+                self.assertEqual(facts.drains_text, text)
+
+    def test_several_values_contradict_each_other(self):
+        """Guards against a guess which one is meant."""
+        given = multidict.CIMultiDict(
+            [("Server-Leaving", "0"), ("Server-Leaving", "1")]
+        )
+        self.assertFalse(headers.read_reply(given).drains)
+
+    def test_answer_that_says_nothing(self):
+        facts = headers.read_reply({})
+        self.assertIsNone(facts.drains_text)
+        self.assertFalse(facts.drains)
+
+
 class EventsTest(unittest.TestCase):
     @hypothesis.given(
         st.lists(
