Drain: what a target says in its answers counts at once

Callers saw requests reach a target later than drain_ms after its answer had said that it leaves (2579 ms and 2614 ms in the incident), and would have lost what runs there at its end.

Cause: the header Server-Leaving was not read. Only the target's row ended placements, and the table took that row 13 s later. Evidence: all placements of the 13 s name version 18 of the targets; no module knew the header.

Change: an answer of the target that was meant (refusals and answers to orders included) marks that start of it, apart from its row. Placement, owners' plans, the last resort after an outage and the check before each send ask the mark; it ends with a new start only. Digests tell the other instances, at a start as well; the query to an owner names what the owner may not have heard. If all targets of a service drain, they are used for half of the drain time; then requests are refused at once (3009).

--- a/copperloom/cli/tests/test_trace.py
+++ b/copperloom/cli/tests/test_trace.py
@@ -95,6 +95,28 @@
             ["crash_evidence", "target_ended", "outcome"],
         )
 
+    def test_refusal_since_targets_drain_shows_what_they_said(self):
+        """Guards against a refusal that no target's answer explains."""
+        said = "request={} target={} service=s result=drains text=1"
+        rows = [
+            ("01.00", "drain_notice", said.format("r1", "t-1@1"), "front-2"),
+            ("01.10", "drain_notice", said.format("r2", "t-2@1"), "front-1"),
+            ("01.20", "drain_notice", said.format("r3", "t-2@1"), "front-2"),
+            (
+                "02.00",
+                "outcome",
+                "request=r9 outcome=TargetsDraining status=503 code=3009 "
+                'seconds=0.1 sends=0 service=s reason="all drain"',
+                "front-1",
+            ),
+            ("03.00", "drain_notice", said.format("r4", "t-3@1"), "front-2"),
+        ]
+        log = _write_log(self, "draining.log", rows)
+        found = trace.find(trace.read([log]), "r9")
+        self.assertEqual(
+            [line.fields["request"] for line in found], ["r1", "r3", "r9"]
+        )
+
     def test_killed_instance_explains_a_missing_outcome(self):
         """The process was killed while it handled the request."""
         found = trace.find(trace.read(self.logs), "r2")
--- a/copperloom/cli/trace.py
+++ b/copperloom/cli/trace.py
@@ -37,6 +37,8 @@
     "target_ended",
 )
 _QUARANTINED = "RequestQuarantined"
+# Events that tell what targets said, by the outcome that follows from it.
+_ANSWER_EVENTS = {"TargetsDraining": "drain_notice"}
 _ANSWERED = "answered"
 _CALLER_GONE = "caller_gone"
 
@@ -105,6 +107,7 @@
         and line.fields.get("target", "") in targets | {""}
     ]
     context += _find_evidence(lines, matching, last)
+    context += _find_answers(lines, matching, last)
     if not any(line.event == "outcome" for line in matching):
         context += _next_starts(lines, instances, last)
     return sorted([*matching, *context], key=lambda line: line.time)
@@ -132,6 +135,30 @@
     ]
 
 
+def _find_answers(
+    lines: list[Line], matching: list[Line], until: str
+) -> list[Line]:
+    """Returns what the targets of a refused request said in earlier answers.
+
+    The latest line of each target counts, of all instances.
+    """
+    latest = {}
+    for outcome in matching:
+        event = _ANSWER_EVENTS.get(outcome.fields.get("outcome"))
+        said = [
+            line
+            for line in lines
+            if line.event == event
+            and line.fields.get("service") == outcome.fields.get("service")
+            and line.time <= until
+        ]
+        latest |= {
+            line.fields["target"]: line
+            for line in sorted(said, key=lambda line: line.time)
+        }
+    return [line for line in latest.values() if line not in matching]
+
+
 def _next_starts(lines, instances, after: str) -> list[Line]:
     """Returns the first start after a time, as a list of at most one line.
 
--- a/copperloom/decisions/placement_query.py
+++ b/copperloom/decisions/placement_query.py
@@ -22,7 +22,7 @@
         may_lead: Targets that may be the lead; None allows all.
         is_repeat: Whether the request was sent before.
         is_away: Whether the owner of another data centre forwarded it.
-        exhausted: Targets whose rate limit leaves no room for it.
+        excluded: Targets that the sender knows to take no requests now.
     """
 
     request: str
@@ -34,7 +34,7 @@
     may_lead: tuple[str, ...] | None = None
     is_repeat: bool = False
     is_away: bool = False
-    exhausted: tuple[str, ...] = ()
+    excluded: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/copperloom/decisions/registry.py
+++ b/copperloom/decisions/registry.py
@@ -5,18 +5,27 @@
 them at once would refuse every request although the targets work. Entries that
 vanish around an outage are therefore kept for a short time as a last resort:
 they are used only if their service has no other target.
+
+A target that says in its answers that it drains gets no new work either,
+whatever its row says (see `drain_notices`).
 """
 
 from collections.abc import Iterable
 
 from copperloom import routing
-from copperloom.decisions import shards
+from copperloom.decisions import drain_notices, shards
 
 __all__ = [
     "Registry",
     "usable_by_shard",
     "find",
+    "has_draining",
     "incarnation",
+    "is_draining",
+    "is_usable",
+    "note_draining",
+    "noted",
+    "ready_incarnations",
     "set_low_latency",
     "record_outage",
     "replace",
@@ -43,16 +52,21 @@
         divisions: Entries that accept new work, by service and shard; a cache
             that each change clears.
         services: Services that entries belong to; None after a change.
+        ready: Incarnations whose rows say that they are ready; None after a
+            change.
+        drain_notices: The targets that said in their answers that they drain.
         low_latency: Services with low latency between their data centres.
     """
 
-    def __init__(self):
+    def __init__(self, drain_s: float = 0.0):
         self.entries: dict[str, routing.TargetEntry] = {}
         self.missing: dict[str, tuple[routing.TargetEntry, float]] = {}
         self.version = 0
         self.outage_at = float("-inf")
         self.divisions: dict[str, shards.Division] = {}
         self.services: frozenset[str] | None = None
+        self.ready: frozenset[str] | None = None
+        self.drain_notices = drain_notices.DrainNotices(drain_s)
         self.low_latency: frozenset[str] = frozenset()
 
 
@@ -92,6 +106,7 @@
     """
     reg.divisions.clear()
     reg.services = None
+    reg.ready = None
     started = []
     for name, entry in changes:
         old = reg.entries.get(name)
@@ -106,12 +121,15 @@
         if old is None or entry.born_ms > old.born_ms:
             started.append(entry)
     reg.version = max(reg.version, version)
+    if reg.drain_notices.notices:
+        registered = {incarnation(e) for e in reg.entries.values()}
+        drain_notices.drop_oldest_gone(reg.drain_notices, registered)
     return started
 
 
 def _remove(reg: Registry, name: str, now: float) -> None:
     old = reg.entries.pop(name, None)
-    if old is None or old.draining:
+    if old is None or is_draining(reg, old):
         return
     until = reg.outage_at + LAPSE_S
     if now < until:
@@ -131,6 +149,79 @@
     return f"{entry.name}@{entry.born_ms}" if entry.born_ms else entry.name
 
 
+def note_draining(
+    reg: Registry, incarnation: str, now: float, *, forwards: bool
+) -> bool:
+    """Records that a target said in an answer that it drains.
+
+    Args:
+        reg: The registry.
+        incarnation: The target, as named by `incarnation`.
+        now: Monotonic time.
+        forwards: Whether this instance passes it on at once.
+
+    Returns:
+        Whether that is new.
+    """
+    if not drain_notices.note(
+        reg.drain_notices, incarnation, now, forwards=forwards
+    ):
+        return False
+    reg.divisions.clear()
+    return True
+
+
+def is_draining(reg: Registry, entry: routing.TargetEntry) -> bool:
+    """Returns whether a target drains by its row or by its answers."""
+    return entry.draining or _is_noted(reg, entry)
+
+
+def _is_noted(reg: Registry, entry: routing.TargetEntry) -> bool:
+    if not reg.drain_notices.notices:
+        return False
+    return drain_notices.is_noted(reg.drain_notices, incarnation(entry))
+
+
+def is_usable(reg: Registry, entry: routing.TargetEntry, now: float) -> bool:
+    """Returns whether a registered target may get new work."""
+    if not is_draining(reg, entry):
+        return True
+    return entry in usable(reg, entry.service, now)
+
+
+def has_draining(reg: Registry, service: str) -> bool:
+    """Returns whether a service has targets that drain."""
+    return any(
+        e.service == service and is_draining(reg, e)
+        for e in reg.entries.values()
+    )
+
+
+def noted(reg: Registry, service: str, now: float) -> tuple[str, ...]:
+    """Lists the targets that get no new work only because of their answers.
+
+    Other instances may not have heard of these answers.
+    """
+    if not reg.drain_notices.notices:
+        return ()
+    return tuple(
+        e.name
+        for e in reg.entries.values()
+        if e.service == service
+        and not e.draining
+        and not is_usable(reg, e, now)
+    )
+
+
+def ready_incarnations(reg: Registry) -> frozenset[str]:
+    """Returns the incarnations whose rows say that they are ready."""
+    if reg.ready is None:
+        reg.ready = frozenset(
+            incarnation(e) for e in reg.entries.values() if not e.draining
+        )
+    return reg.ready
+
+
 def set_low_latency(reg: Registry, low_latency: frozenset[str]) -> None:
     """Sets the services with low latency between their data centres."""
     if low_latency != reg.low_latency:
@@ -160,7 +251,7 @@
             [
                 e
                 for e in reg.entries.values()
-                if e.service == service and not e.draining
+                if e.service == service and not is_draining(reg, e)
             ],
             low_latency=service in reg.low_latency,
         )
@@ -168,10 +259,28 @@
     if division.targets:
         return division
     return shards.divide(
-        [
-            entry
-            for entry, until in reg.missing.values()
-            if entry.service == service and now < until
-        ],
+        [e for e in _last_resorts(reg, now) if e.service == service],
         low_latency=service in reg.low_latency,
     )
+
+
+def _last_resorts(reg: Registry, now: float) -> list[routing.TargetEntry]:
+    """Lists the targets that get work only if there are no others.
+
+    These are targets that vanished around an outage, and for a part of the
+    drain time those that have just said that they drain.
+    """
+    missing = [
+        entry
+        for entry, until in reg.missing.values()
+        if now < until and not _is_noted(reg, entry)
+    ]
+    draining = [
+        entry
+        for entry in reg.entries.values()
+        if not entry.draining
+        and drain_notices.is_last_resort(
+            reg.drain_notices, incarnation(entry), now
+        )
+    ]
+    return missing + draining
--- /dev/null
+++ b/copperloom/decisions/tests/test_registry.py
@@ -0,0 +1,104 @@
+"""Tests which registered targets get work once they say that they drain."""
+
+import unittest
+
+from copperloom import routing
+from copperloom.decisions import registry
+
+_DRAIN_S = 2.0
+_LATE = 100.0
+
+
+def _entry(name: str, born_ms: int = 1, **changes) -> routing.TargetEntry:
+    return routing.TargetEntry(
+        name, "s", "127.0.0.1:1", "a", 1, born_ms=born_ms, **changes
+    )
+
+
+def _registry(*names: str) -> registry.Registry:
+    reg = registry.Registry(_DRAIN_S)
+    registry.update(reg, [(n, _entry(n)) for n in names], 1, 0.0)
+    return reg
+
+
+def _names(reg: registry.Registry, now: float) -> list[str]:
+    return [e.name for e in registry.usable(reg, "s", now)]
+
+
+def _note(reg: registry.Registry, incarnation: str, now: float) -> None:
+    registry.note_draining(reg, incarnation, now, forwards=True)
+
+
+class DrainNoticeTest(unittest.TestCase):
+    def test_notice_counts_at_once(self):
+        """Guards against a cached division that still names the target."""
+        reg = _registry("t", "u")
+        self.assertEqual(_names(reg, 0.0), ["t", "u"])
+        _note(reg, "t@1", 0.1)
+        self.assertEqual(_names(reg, 0.1), ["u"])
+        self.assertFalse(registry.is_usable(reg, reg.entries["t"], 0.1))
+
+    def test_notice_outlasts_rows_that_say_ready(self):
+        """Guards against rows that are read late and whole tables."""
+        reg = _registry("t", "u")
+        _note(reg, "t@1", 0.1)
+        registry.update(reg, [("t", _entry("t"))], 2, _LATE)
+        self.assertEqual(_names(reg, _LATE), ["u"])
+        registry.update(reg, [("t", None)], 3, _LATE)
+        registry.replace(reg, [_entry("t"), _entry("u")], 4, _LATE)
+        self.assertEqual(_names(reg, _LATE), ["u"])
+
+    def test_notice_may_come_before_the_row(self):
+        reg = _registry("u")
+        _note(reg, "t@1", 0.1)
+        registry.update(reg, [("t", _entry("t"))], 2, _LATE)
+        self.assertEqual(_names(reg, _LATE), ["u"])
+
+    def test_new_start_ends_the_notice(self):
+        """Guards against a late answer that marks the later start."""
+        reg = _registry("t", "u")
+        _note(reg, "t@1", 0.1)
+        registry.update(reg, [("t", _entry("t", 2))], 2, 1.0)
+        self.assertEqual(_names(reg, 1.0), ["t", "u"])
+        _note(reg, "t@1", 1.1)
+        self.assertEqual(_names(reg, 1.1), ["t", "u"])
+
+    def test_lapsed_row_of_draining_target_is_no_last_resort(self):
+        """Guards against late requests since its row vanished in an outage."""
+        for noted_at in (0.5, 10.2):
+            with self.subTest(noted_at):
+                reg = _registry("t")
+                if noted_at < 10:
+                    _note(reg, "t@1", noted_at)
+                registry.record_outage(reg, 10.0)
+                registry.update(reg, [("t", None)], 2, 10.1)
+                _note(reg, "t@1", noted_at)
+                self.assertEqual(_names(reg, 10.3), [])
+
+    def test_all_targets_drain(self):
+        """Guards against refusals as long as there is time to serve."""
+        reg = _registry("t", "u")
+        _note(reg, "t@1", 0.1)
+        _note(reg, "u@1", 0.4)
+        self.assertEqual(_names(reg, 0.5), ["t", "u"])
+        self.assertTrue(registry.is_usable(reg, reg.entries["t"], 0.5))
+        self.assertEqual(_names(reg, 1.2), ["u"])
+        self.assertEqual(_names(reg, 1.5), [])
+        self.assertTrue(registry.has_draining(reg, "s"))
+
+    def test_row_that_says_draining_is_no_last_resort(self):
+        reg = _registry("t")
+        _note(reg, "t@1", 0.1)
+        registry.update(reg, [("t", _entry("t", draining=True))], 2, 0.2)
+        self.assertEqual(_names(reg, 0.2), [])
+
+    def test_noted_lists_what_peers_may_not_know(self):
+        reg = _registry("t", "u", "v")
+        _note(reg, "t@1", 0.1)
+        _note(reg, "u@1", 0.1)
+        registry.update(reg, [("u", _entry("u", draining=True))], 2, 0.2)
+        self.assertEqual(registry.noted(reg, "s", 0.2), ("t",))
+        self.assertEqual(registry.noted(reg, "other", 0.2), ())
+        self.assertEqual(
+            registry.ready_incarnations(reg), frozenset({"t@1", "v@1"})
+        )
--- a/copperloom/exception.py
+++ b/copperloom/exception.py
@@ -226,6 +226,14 @@
     retry_after_s = 1.0
 
 
+class TargetsDrainingError(CopperloomError):
+    """All targets of the service are about to end and take no new work."""
+
+    code = 3009
+    status = 503
+    retry_after_s = 1.0
+
+
 class TargetUnreachableError(CopperloomError):
     """The target accepted no connection, so nothing was sent."""
 
--- a/copperloom/ingress/datagrams.py
+++ b/copperloom/ingress/datagrams.py
@@ -110,6 +110,8 @@
         evidence: Evidence about requests whose targets crashed.
         evidence_loaded: Whether it knows the quarantines of earlier processes.
         limits: Rate limits that targets name.
+        draining_targets: Incarnations of targets that said in their answers
+            that they drain.
     """
 
     sender: Announcement
@@ -129,6 +131,7 @@
     evidence: list[wire_knowledge.WireEvidence] = []
     evidence_loaded: bool = False
     limits: list[wire_knowledge.WireLimit] = []
+    draining_targets: list[str] = []
 
 
 class PlacementRequest(msgspec.Struct, array_like=True, tag="q"):
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -153,10 +153,13 @@
     received it and reserving memory takes time. A draining target must get no
     new work.
     """
+    now = asyncio.get_running_loop().time()
     stale = set()
     for name in (ex.plan.lead, *ex.plan.helpers):
         entry = registry.find(ex.state.targets, name)
-        if entry is None or entry.draining:
+        if entry is None or not registry.is_usable(
+            ex.state.targets, entry, now
+        ):
             stale.add(name)
     if stale:
         logs.event("plan_stale", request=ex.id, targets=",".join(sorted(stale)))
@@ -199,7 +202,9 @@
             answered_at = asyncio.get_running_loop().time()
             if reply.status != reply_checks.MISDIRECTED:
                 limited_targets.record_answer(ex, entry, facts, answered_at)
-            draining_targets.record_answer(ex, entry, reply.status, facts)
+            draining_targets.record_answer(
+                ex, entry, reply.status, facts, answered_at
+            )
             reply_checks.check(ex, reply.status, facts)
             await relay.relay(ex, reply, facts)
         _record_success(ex, entry)
--- a/copperloom/ingress/knowledge.py
+++ b/copperloom/ingress/knowledge.py
@@ -1,14 +1,21 @@
 """Adds what an instance knows to its digests, and merges what peers know.
 
-This is evidence about requests that crash targets, and rate limits that targets
-name. Unlike the work in a digest it holds whatever the order of messages.
+This is evidence about requests that crash targets, rate limits that targets
+name, and which targets said that they drain. Unlike the work in a digest it
+holds whatever the order of messages.
 """
 
 from copperloom import logs
-from copperloom.decisions import crash_evidence, target_limits
+from copperloom.decisions import (
+    crash_evidence,
+    drain_notices,
+    registry,
+    target_limits,
+)
 from copperloom.decisions.sharing import Occasion
 from copperloom.ingress import (
     datagrams,
+    draining_targets,
     limit_grants,
     quarantines,
     recipients,
@@ -18,9 +25,10 @@
 
 __all__ = ["add", "apply"]
 
-# Requests and limits that fit into one message.
+# Requests, limits and notices that fit into one message.
 _MAX_REQUESTS = 40
 _MAX_LIMITS = 60
+_MAX_NOTICES = 200
 
 
 def add(
@@ -53,6 +61,14 @@
         wire_knowledge.encode_limit(target, report)
         for target, report in limits.items()
     ]
+    if state.targets.drain_notices.notices:
+        digest.draining_targets = drain_notices.to_share(
+            state.targets.drain_notices,
+            registry.ready_incarnations(state.targets),
+            now,
+            _MAX_NOTICES,
+            occasion,
+        )
 
 
 def apply(state: IngressState, digest: datagrams.Digest, now: float) -> None:
@@ -62,7 +78,7 @@
     """
     if digest.evidence_loaded:
         state.quarantines_loaded.set()
-    if not digest.evidence and not digest.limits:
+    if not (digest.evidence or digest.limits or digest.draining_targets):
         return
     forwards = is_large_fleet(state) and recipients.owns_local_shards(
         state, now
@@ -78,5 +94,9 @@
         changed |= limit_grants.apply(
             state, wire, now, source=sender, forwards=forwards
         )
+    for target in digest.draining_targets:
+        changed |= draining_targets.apply(
+            state, target, now, source=sender, forwards=forwards
+        )
     if changed and forwards:
         state.digest_due.set()
--- a/copperloom/ingress/local_placement.py
+++ b/copperloom/ingress/local_placement.py
@@ -43,16 +43,15 @@
     Returns:
         The decision, with the utilisation of the query's shard.
     """
-    usable = _usable(state, query, now)
+    usable = registry.usable_by_shard(state.targets, query.shard.service, now)
+    in_shard = shards.targets_in(query.shard, usable)
     drawn = planner.draw_targets(
-        usable, frozenset(query.may_lead or ()), state.rng
+        _allowed(query, in_shard), frozenset(query.may_lead or ()), state.rng
     )
     if alone:
         drawn = state.rng.sample(drawn, len(drawn))
     candidates = _candidates(state, query, drawn, now)
-    chosen = _choose(
-        state, query, [c for c in candidates if c.name not in query.exhausted]
-    )
+    chosen = _choose(state, query, candidates)
     busy = spillover.utilisation(candidates)
     remote = None
     if not alone and not query.is_away:
@@ -62,7 +61,7 @@
         )
     return placement_query.Decision(
         choice=chosen,
-        targets=len(usable),
+        targets=len(in_shard),
         targets_version=state.targets.version,
         decided_by=state.settings.instance,
         staleness_s=inflight_table.staleness_s(state.inflight, now),
@@ -120,13 +119,15 @@
     return [_candidate(state, query, e, load, now) for e in drawn]
 
 
-def _usable(
-    state: IngressState, query: placement_query.Query, now: float
+def _allowed(
+    query: placement_query.Query, targets: list[routing.TargetEntry]
 ) -> list[routing.TargetEntry]:
-    usable = registry.usable_by_shard(state.targets, query.shard.service, now)
-    in_shard = shards.targets_in(query.shard, usable)
-    untried = [e for e in in_shard if e.name not in query.avoid]
-    return untried or in_shard
+    """Lists the targets that the request may be sent to, untried ones first."""
+    if query.excluded:
+        excluded = frozenset(query.excluded)
+        targets = [e for e in targets if e.name not in excluded]
+    untried = [e for e in targets if e.name not in query.avoid]
+    return untried or targets
 
 
 def _choose(
--- a/copperloom/ingress/placement.py
+++ b/copperloom/ingress/placement.py
@@ -15,6 +15,8 @@
 # is left to its caller, who may retry at another instance.
 MAX_WAIT_SHARE = 0.6
 _NO_TARGET_RETRY_S = 0.5
+# Replacements start within seconds; callers return spread over this range.
+_DRAINING_RETRY_S = (0.8, 1.6)
 _FULL_RETRY_S = 0.3
 # Bursts of short prompts last for some seconds.
 _TOO_COSTLY_RETRY_S = 3.0
@@ -27,6 +29,7 @@
 
     Raises:
         copperloom.exception.NoTargetError: The service has no usable target.
+        copperloom.exception.TargetsDrainingError: All its targets drain.
         copperloom.exception.TargetsLimitedError: All targets are at the rate
             limits that they name.
         copperloom.exception.OverloadedError: All targets stayed full, or the
@@ -39,10 +42,7 @@
         now = loop.time()
         usable = registry.usable_by_shard(ex.state.targets, ex.service, now)
         if not usable.targets:
-            raise exception.NoTargetError(
-                f"retry later: no usable target for service {ex.service}",
-                retry_after_s=_NO_TARGET_RETRY_S,
-            )
+            raise _no_target_error(ex)
         limited_targets.check_room(ex, now)
         ex.shard = placement_rpc.shard_of(ex.state, ex.service, usable)
         decision = await placement_rpc.decide(ex.state, to_query(ex, now), now)
@@ -88,7 +88,26 @@
         avoid=tuple(ex.avoid),
         may_lead=_may_lead(ex),
         is_repeat=bool(ex.sends),
-        exhausted=limited_targets.exhausted(ex, now),
+        excluded=_excluded(ex, now),
+    )
+
+
+def _excluded(ex: exchange.Exchange, now: float) -> tuple[str, ...]:
+    """Lists the targets that must not be chosen, as known to this instance."""
+    drained = registry.noted(ex.state.targets, ex.service, now)
+    return limited_targets.exhausted(ex, now) + drained
+
+
+def _no_target_error(ex: exchange.Exchange) -> exception.CopperloomError:
+    if registry.has_draining(ex.state.targets, ex.service):
+        return exception.TargetsDrainingError(
+            f"retry later: all targets of service {ex.service} are draining",
+            run=ex.run,
+            retry_after_s=ex.state.rng.uniform(*_DRAINING_RETRY_S),
+        )
+    return exception.NoTargetError(
+        f"retry later: no usable target for service {ex.service}",
+        retry_after_s=_NO_TARGET_RETRY_S,
     )
 
 
--- a/copperloom/ingress/reserve.py
+++ b/copperloom/ingress/reserve.py
@@ -12,8 +12,13 @@
 
 from copperloom import exception, logs
 from copperloom.decisions import plans, registry
-from copperloom.ingress import exchange, sender
-from copperloom.platform import orders
+from copperloom.ingress import (
+    draining_targets,
+    exchange,
+    reply_checks,
+    sender,
+)
+from copperloom.platform import headers, orders
 
 __all__ = ["helpers_in_order", "hold_memory", "reservation_paths"]
 
@@ -127,6 +132,10 @@
             ) as reply,
         ):
             granted = orders.was_granted(reply.status)
+            if reply.status != reply_checks.MISDIRECTED:
+                facts = headers.read_reply(reply.headers)
+                now = asyncio.get_running_loop().time()
+                draining_targets.record(ex, entry, facts, now)
     except (exception.CopperloomError, TimeoutError) as error:
         logs.event(
             "order_failed", request=ex.id, target=target, error=str(error)
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -113,7 +113,7 @@
         self.routes_at = float("-inf")
         self.routes_raw = b""
         self.routes_packed = b""
-        self.targets = registry.Registry()
+        self.targets = registry.Registry(own.drain_s)
         self.targets_packed = (0, b"")
         self.targets_at = float("-inf")
         self.target_rows = rowlog.RowLog()
--- a/copperloom/ingress/target_checks.py
+++ b/copperloom/ingress/target_checks.py
@@ -61,7 +61,7 @@
     """
     for name in _suspects(ex, error):
         entry = registry.find(ex.state.targets, name)
-        if entry is None or entry.draining:
+        if entry is None or registry.is_draining(ex.state.targets, entry):
             continue
         suspicion = Suspicion(
             request=ex.id,
--- a/copperloom/ingress/tests/test_placement_rpc.py
+++ b/copperloom/ingress/tests/test_placement_rpc.py
@@ -5,8 +5,14 @@
 import unittest
 from unittest import mock
 
-from copperloom.decisions import inflight, inflight_table, members, shards
-from copperloom.ingress import gossip, placement_rpc, server
+from copperloom.decisions import (
+    inflight,
+    inflight_table,
+    members,
+    registry,
+    shards,
+)
+from copperloom.ingress import draining_targets, gossip, placement_rpc, server
 from copperloom.ingress.tests import fixtures
 from copperloom.platform.standins import target as target_standin
 
@@ -124,6 +130,33 @@
         seen = [len(system.targets[f"engine-{n}"].seen) for n in range(4)]
         self.assertLess(max(seen), _FRONTS * 0.7)
 
+    async def test_owner_that_has_not_heard_of_draining_targets(self):
+        """Guards against the plans of an owner that lost the digests."""
+        system = await _start_fleet(self, engines=4)
+        owners = _order(system)[: shards.OWNERS]
+        number = next(
+            n
+            for n, f in enumerate(system.fronts)
+            if f.entry.settings.instance not in owners
+        )
+        entry = system.fronts[number].entry
+        now = asyncio.get_running_loop().time()
+        with mock.patch.object(draining_targets, "apply", return_value=False):
+            for name in ("engine-0", "engine-1", "engine-2"):
+                registry.note_draining(
+                    entry.targets, f"{name}@1", now, forwards=True
+                )
+            started_at = time.monotonic()
+            answers = [
+                await fixtures.call(
+                    system, "/chat/x", prompt=5000, number=number
+                )
+                for _ in range(8)
+            ]
+        self.assertLess(time.monotonic() - started_at, _WAIT_S)
+        self.assertEqual({a.status for a in answers}, {200})
+        self.assertEqual(len(system.targets["engine-3"].seen), 8)
+
     async def test_idle_fleet_sends_digests_to_owners_only(self):
         """The number of messages must not grow with the square of the fleet."""
         system = await _start_fleet(self, engines=1)
--- a/copperloom/ingress/views.py
+++ b/copperloom/ingress/views.py
@@ -106,7 +106,8 @@
         counts = by_service.setdefault(
             entry.service, {"ready": 0, "draining": 0}
         )
-        counts["draining" if entry.draining else "ready"] += 1
+        drains = registry.is_draining(state.targets, entry)
+        counts["draining" if drains else "ready"] += 1
     for service, counts in by_service.items():
         usable = registry.usable(state.targets, service, now)
         counts["failing"] = sum(
