Observability: targets that turn requests away for a time

Retry-After of a target's 503 was parsed and used by nothing, so no line tells that a target asked for a pause, nor for how long. Each such answer now gets a line (turned_away) and a counter. The value is parsed as decimal seconds of at most an hour, the longest of several; anything else is no time. Nothing is decided by it yet. The target stand-in can turn requests away, in sealed answers as well.

--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -28,6 +28,7 @@
     retry,
     sender,
     stopping,
+    target_backoff,
     target_checks,
 )
 from copperloom.platform import headers
@@ -205,6 +206,7 @@
             draining_targets.record_answer(
                 ex, entry, reply.status, facts, answered_at
             )
+            target_backoff.record_answer(ex, entry, reply.status, facts)
             reply_checks.check(ex, reply.status, facts)
             await relay.relay(ex, reply, facts)
         _record_success(ex, entry)
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -83,6 +83,12 @@
             ["result"],
             registry=self.registry,
         )
+        self.turned_away = prometheus_client.Counter(
+            "copperloom_turned_away",
+            "Answers with status 503 and a time to wait, by what it means.",
+            ["result"],
+            registry=self.registry,
+        )
         self.table_failures = prometheus_client.Counter(
             "copperloom_store_failures",
             "Failed calls to the platform's table service, by table.",
--- a/copperloom/platform/headers.py
+++ b/copperloom/platform/headers.py
@@ -36,7 +36,7 @@
 _LOAD = "Copperloom-Instance-Load"
 _AT_FAULT = "At-Server"
 _LAST_EVENT_ID = "Last-Event-Id"
-_RETRY_AFTER = "Retry-After"
+_RETRY_AFTER = "retry-after"
 _LIMIT = "server-limit"
 _DRAINS = "server-leaving"
 _DRAINS_VALUE = "1"
@@ -74,6 +74,8 @@
 _DECIMAL = re.compile(r"\d+\.?\d*|\.\d+", re.ASCII)
 # Higher limits are of no consequence.
 _MAX_LIMIT_PER_S = 1_000_000.0
+# Longer times are malformed: they would take the target out for good.
+_MAX_RETRY_AFTER_S = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,8 +139,9 @@
         running: Requests in progress at the target; None if it does not
             report its load.
         waiting: Requests queued at the target.
-        retry_after_s: Time to wait before a retry, in seconds; None if not
+        retry_after_text: Time to wait before a retry, as sent; None if not
             given.
+        retry_after_s: That time in seconds; None if it is not a valid one.
         at_fault: Helper engine that caused the failure of a split request;
             "" if none.
         encoded: Whether the body has a content encoding.
@@ -156,6 +159,7 @@
     not_run: bool
     running: int | None
     waiting: int
+    retry_after_text: str | None
     retry_after_s: float | None
     at_fault: str
     encoded: bool
@@ -232,13 +236,15 @@
     running, waiting = _parse_load(headers.get(_LOAD))
     limit_text = _all_values(headers, _LIMIT)
     drains_text = _all_values(headers, _DRAINS)
+    retry_after_text = _all_values(headers, _RETRY_AFTER)
     return ReplyFacts(
         request=headers.get(_REQUEST_ID, ""),
         sealed=bool(headers.get(_SEAL)),
         not_run=_NOT_EXECUTED in headers,
         running=running,
         waiting=waiting,
-        retry_after_s=_parse_number(headers.get(_RETRY_AFTER)),
+        retry_after_text=retry_after_text,
+        retry_after_s=_parse_retry_after(retry_after_text or ""),
         at_fault=headers.get(_AT_FAULT, ""),
         encoded="Content-Encoding" in headers,
         limit_text=limit_text,
@@ -272,14 +278,22 @@
 
 def _parse_limit(text: str) -> float | None:
     """Parses the lowest of the limits in a list; None without a valid one."""
-    valid = [
-        min(float(part), _MAX_LIMIT_PER_S)
-        for part in map(str.strip, text.split(","))
-        if _DECIMAL.fullmatch(part)
-    ]
+    valid = [min(number, _MAX_LIMIT_PER_S) for number in _parse_decimals(text)]
     return min(valid, default=None)
 
 
+def _parse_retry_after(text: str) -> float | None:
+    """Parses the longest of the times in a list; None without a valid one."""
+    valid = [n for n in _parse_decimals(text) if n <= _MAX_RETRY_AFTER_S]
+    return max(valid, default=None)
+
+
+def _parse_decimals(text: str) -> list[float]:
+    """Parses the decimal numbers in a list, and leaves out all other parts."""
+    parts = map(str.strip, text.split(","))
+    return [float(part) for part in parts if _DECIMAL.fullmatch(part)]
+
+
 def _named_by_connection(given: list[tuple[str, str]]) -> frozenset[str]:
     return frozenset(
         token.strip().lower()
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -53,6 +53,8 @@
         body: Body of the request.
         ran: Whether the target ran the request.
         at: Monotonic time at which it was received.
+        retry_after: The Retry-After with which it was turned away; None
+            without one.
     """
 
     id: str
@@ -62,6 +64,7 @@
     body: bytes
     ran: bool
     at: float
+    retry_after: str | None = None
 
 
 def _never(request: ReceivedRequest) -> bool:
@@ -98,6 +101,10 @@
         renamed: Whether it has another name after a restart.
         limit: The limit that it names in its answers; None for none.
         leaving: What its answers say about draining; None for nothing.
+        retry_after: Retry-After with which it turns all requests away; None
+            to serve them.
+        seals_refusals: Whether it does so in sealed answers, instead of saying
+            that it did not run the request.
         on_crash: Called after a crash.
         on_restart: Called after a restart, to register it again.
         restarting: The restart that is due, if any.
@@ -124,6 +131,8 @@
         self.renamed = False
         self.limit: str | None = None
         self.leaving: str | None = None
+        self.retry_after: str | None = None
+        self.seals_refusals = False
         self.on_crash: Callable[[TargetStandin], None] = _ignore
         self.on_restart: Callable[[TargetStandin], None] = _ignore
         self.restarting: asyncio.Task | None = None
@@ -192,7 +201,8 @@
     fault = target.faults.popleft() if target.faults else target.always
     if expected != target.name:
         fault = Fault.MISDIRECTED
-    refused = fault in (Fault.REFUSE, Fault.MISDIRECTED)
+    turned_away = target.retry_after is not None
+    refused = turned_away or fault in (Fault.REFUSE, Fault.MISDIRECTED)
     request_id = request.headers.get(wire.REQUEST, "")
     received = ReceivedRequest(
         id=request_id,
@@ -202,12 +212,11 @@
         body=body,
         ran=not refused,
         at=asyncio.get_running_loop().time(),
+        retry_after=target.retry_after,
     )
     target.seen.append(received)
     if refused:
-        status = 421 if fault is Fault.MISDIRECTED else 503
-        headers = _own_headers(target) | {wire.NOT_RUN: "1"}
-        return web.Response(status=status, headers=headers)
+        return _refuse(target, received, fault)
     target.running += 1
     try:
         if target.crashes_on(received):
@@ -220,6 +229,19 @@
         target.running -= 1
 
 
+def _refuse(target, received: ReceivedRequest, fault) -> web.Response:
+    status = 421 if fault is Fault.MISDIRECTED else 503
+    headers = _own_headers(target)
+    if received.retry_after is not None:
+        headers[wire.RETRY_AFTER] = received.retry_after
+    if target.seals_refusals and status == 503:
+        headers[wire.REQUEST] = received.id
+        headers[wire.SEAL] = f"s.{received.id}"
+    else:
+        headers[wire.NOT_RUN] = "1"
+    return web.Response(status=status, headers=headers)
+
+
 def _own_headers(target: TargetStandin) -> dict[str, str]:
     """Returns the headers by which a target tells of itself in all answers."""
     values = {wire.LIMIT: target.limit, wire.LEAVING: target.leaving}
--- a/copperloom/platform/standins/wire.py
+++ b/copperloom/platform/standins/wire.py
@@ -15,6 +15,7 @@
     "ORGANISATION",
     "READ_CALL",
     "REQUEST",
+    "RETRY_AFTER",
     "SEAL",
     "TARGET",
     "TOKENS",
@@ -41,6 +42,8 @@
 LIMIT = "Server-Limit"
 # Response header of a target that is about to end.
 LEAVING = "Server-Leaving"
+# Response header of a target that turns requests away: for how many seconds.
+RETRY_AFTER = "Retry-After"
 # The call that reads rows of a table.
 READ_CALL = "rows-get"
 # The environment variable that holds the path of the settings file.
--- a/copperloom/platform/tests/test_decoding.py
+++ b/copperloom/platform/tests/test_decoding.py
@@ -148,6 +148,37 @@
         self.assertIsNone(facts.limit_per_s)
 
 
+def _retry_after(*values: str) -> float | None:
+    given = multidict.CIMultiDict(("Retry-After", v) for v in values)
+    return headers.read_reply(given).retry_after_s
+
+
+class RetryAfterTest(unittest.TestCase):
+    def test_seconds(self):
+        for text, seconds in (("9", 9.0), (" 1.5 ", 1.5), ("0", 0.0)):
+            self.assertEqual(_retry_after(text), seconds)
+
+    def test_malformed_times_are_no_times(self):
+        """Guards against a target that is lost by a malformed header."""
+        malformed = ("", " ", "-1", "nan", "inf", "1e3", "9" * 400, "3601")
+        date = "Wed, 21 Oct 2026 07:28:00 GMT"
+        for text in (*malformed, date, "\u0663", "1_0", "5 s"):
+            with self.subTest(text):
+                self.assertIsNone(_retry_after(text))
+                given = {"retry-after": text}
+                facts = headers.read_reply(given)
+                self.assertEqual(facts.retry_after_text, text)
+
+    def test_longest_of_several_times_counts(self):
+        self.assertEqual(_retry_after("2", "x", "7", "9999"), 7.0)
+        self.assertEqual(_retry_after("2, 3"), 3.0)
+
+    def test_answer_without_a_time(self):
+        facts = headers.read_reply({})
+        self.assertIsNone(facts.retry_after_text)
+        self.assertIsNone(facts.retry_after_s)
+
+
 class DrainsTest(unittest.TestCase):
     def test_only_one_value_says_that_the_target_drains(self):
         """Guards against a target that is lost by a malformed header."""
