--- /dev/null
+++ b/copperloom/ingress/tests/test_target_backoff.py
@@ -0,0 +1,107 @@
+"""Tests that targets which turn requests away for a time get none meanwhile."""
+
+import asyncio
+import unittest
+
+from copperloom.ingress.tests import fixtures
+
+# Of each instance, a target gets at most _ALLOWED requests from _GRACE_S after
+# an answer with Retry-After until that time has passed.
+_ALLOWED = 2
+_GRACE_S = 0.5
+_INTERVAL_S = 0.02
+
+
+def _most_in_hold(system, answers) -> int:
+    """Returns the most requests of one instance in one target's time."""
+    count = len(system.fronts)
+    fronts = {a.id: number % count for number, a in enumerate(answers)}
+    return max(
+        (
+            _count_in_hold(target.seen, refused, fronts)
+            for target in system.targets.values()
+            for refused in target.seen
+            if refused.retry_after is not None
+        ),
+        default=0,
+    )
+
+
+def _count_in_hold(seen, refused, fronts: dict[str, int]) -> int:
+    until = refused.at + float(refused.retry_after)
+    return sum(
+        fronts[r.id] == fronts[refused.id]
+        and refused.at + _GRACE_S <= r.at < until
+        for r in seen
+    )
+
+
+async def _call_for(system, seconds: float, path: str = "/read/x", **call):
+    return await fixtures.call_often(system, path, seconds, _INTERVAL_S, **call)
+
+
+class BackoffTest(unittest.IsolatedAsyncioTestCase):
+    async def _start(self, **changes) -> fixtures.System:
+        sizes = {"engines": 0, "plain": 3, "fronts": 2}
+        system = await fixtures.start_system(self, **sizes | changes)
+        for target in system.targets.values():
+            # With work in progress the others are not always preferred.
+            target.pause_s = 0.5
+        return system
+
+    async def test_one_of_three_targets_turns_away(self):
+        """Guards against requests as soon as the penalty has faded."""
+        system = await self._start()
+        system.targets["plain-0"].retry_after = "6"
+        answers = await _call_for(system, 6.5)
+        self.assertLessEqual(_most_in_hold(system, answers), _ALLOWED)
+        self.assertEqual({a.status for a in answers}, {200})
+
+    async def test_one_of_three_engines_turns_away(self):
+        """Guards against streams, which take another path than plain calls."""
+        system = await self._start(engines=3, plain=0)
+        system.targets["engine-0"].retry_after = "6"
+        answers = await _call_for(system, 6.5, "/chat/x", prompt=4000)
+        self.assertLessEqual(_most_in_hold(system, answers), _ALLOWED)
+        self.assertEqual({a.status for a in answers}, {200})
+
+    async def test_all_targets_turn_away(self):
+        """Guards against requests since nothing else is there."""
+        await self._check_all_turn_away("/read/x")
+
+    async def test_all_targets_turn_away_requests_that_run_once(self):
+        """Guards against an exception for requests without a retry."""
+        await self._check_all_turn_away("/write/x")
+
+    async def _check_all_turn_away(self, path: str) -> None:
+        system = await self._start(plain=2)
+        for target in system.targets.values():
+            target.retry_after = "3"
+        answers = await _call_for(system, 3.5, path)
+        self.assertLessEqual(_most_in_hold(system, answers), _ALLOWED)
+
+    async def test_caller_is_told_when_the_first_target_is_back(self):
+        """Guards against callers that come back in vain, again and again."""
+        system = await self._start(plain=2, fronts=1)
+        system.targets["plain-0"].retry_after = "4"
+        system.targets["plain-1"].retry_after = "9"
+        await _call_for(system, 0.5)
+        started_at = asyncio.get_running_loop().time()
+        answer = await fixtures.call(system, "/read/x")
+        self.assertLess(asyncio.get_running_loop().time() - started_at, 0.5)
+        self.assertEqual(answer.status, 503)
+        told_s = float(answer.headers["Retry-After"])
+        back_s = system.targets["plain-0"].seen[0].at + 4 - started_at
+        self.assertGreaterEqual(told_s, back_s)
+        self.assertLess(told_s, back_s + 1)
+
+    async def test_sealed_answers_that_turn_away(self):
+        """Guards against a failed answer where the target gave a clear one."""
+        system = await self._start(plain=2)
+        for target in system.targets.values():
+            target.retry_after = "3"
+            target.seals_refusals = True
+        answers = await _call_for(system, 3.5)
+        self.assertLessEqual(_most_in_hold(system, answers), _ALLOWED)
+        before = [a for a in answers if a.status == 503]
+        self.assertGreater(len(before), 0)
