--- a/copperloom/ingress/limited_targets.py
+++ b/copperloom/ingress/limited_targets.py
@@ -1,29 +1,23 @@
 """Keeps requests within the rate limits that their targets name.
 
 Before a request goes to a limited target, the limit's owner says when it may be
-sent. If that is later than the request can wait, another target is chosen; if
-all targets of the service are limited, the request is refused at once.
+sent. If that is later than the request can wait, another target is chosen.
 """
 
 import asyncio
 
-from copperloom import exception, logs, routing
+from copperloom import logs, routing
 from copperloom.decisions import limit_schedule, registry, target_limits
-from copperloom.ingress import exchange, limit_grants
+from copperloom.ingress import exchange, limit_grants, target_room
 from copperloom.platform import headers
 
 __all__ = [
     "await_grant",
-    "check_room",
-    "exhausted",
     "record_answer",
-    "refuse_unplaced",
 ]
 
 # A target whose limit's owner is silent is left alone for this time.
 _SILENT_OWNER_S = 0.3
-_MIN_RETRY_AFTER_S = 0.2
-_FULL_RETRY_AFTER_S = 1.0
 _MAX_LOGGED_TEXT = 60
 
 
@@ -64,66 +58,6 @@
         ex.state.digest_due.set()
 
 
-def _find_room(ex: exchange.Exchange, now: float) -> limit_schedule.Room | None:
-    """Returns what the limits leave to a request; None without any limit."""
-    state = ex.state
-    if not state.limits.limits:
-        return None
-    usable = registry.usable(state.targets, ex.service, now)
-    untried = [e for e in usable if e.name not in ex.avoid]
-    return limit_schedule.find_room(
-        state.limits,
-        {e.name: registry.incarnation(e) for e in untried or usable},
-        now,
-        aim_s=ex.route.target_latency_s,
-        waited_s=now - ex.arrived,
-        left_s=ex.deadline - now,
-    )
-
-
-def check_room(ex: exchange.Exchange, now: float) -> None:
-    """Refuses a request if no target has room for it within its limit.
-
-    Raises:
-        copperloom.exception.TargetsLimitedError: All targets are at their
-            limits for longer than the request can wait.
-    """
-    room = _find_room(ex, now)
-    if room is not None and len(room.exhausted) == len(room.waits_s):
-        raise _limited_error(ex, room, min(room.waits_s.values()))
-
-
-def refuse_unplaced(ex: exchange.Exchange, now: float) -> None:
-    """Refuses a request that found no place, if all targets are limited.
-
-    Limited targets free slots too slowly to wait for one, and none of them
-    prefills parts of a prompt that exceeds one engine's memory.
-
-    Raises:
-        copperloom.exception.TargetsLimitedError: All targets name limits.
-    """
-    room = _find_room(ex, now)
-    if room is not None and room.all_limited:
-        raise _limited_error(ex, room, _FULL_RETRY_AFTER_S)
-
-
-def _limited_error(
-    ex: exchange.Exchange, room: limit_schedule.Room, wait_s: float
-) -> exception.TargetsLimitedError:
-    return exception.TargetsLimitedError(
-        f"retry later: all {len(room.waits_s)} targets of service "
-        f"{ex.service} are at the rate limits that they name",
-        run=ex.run,
-        retry_after_s=max(_MIN_RETRY_AFTER_S, wait_s),
-    )
-
-
-def exhausted(ex: exchange.Exchange, now: float) -> tuple[str, ...]:
-    """Lists the targets whose limit leaves no room for a request in time."""
-    room = _find_room(ex, now)
-    return room.exhausted if room is not None else ()
-
-
 async def await_grant(ex: exchange.Exchange) -> bool:
     """Waits until the request may be sent to the lead of its plan.
 
@@ -132,7 +66,7 @@
     """
     state = ex.state
     now = asyncio.get_running_loop().time()
-    room = _find_room(ex, now)
+    room = target_room.find(ex, now)
     target = registry.find(state.targets, ex.plan.lead)
     if room is None or target is None:
         return True
--- a/copperloom/ingress/placement.py
+++ b/copperloom/ingress/placement.py
@@ -4,7 +4,7 @@
 
 from copperloom import exception, logs
 from copperloom.decisions import placement_query, plans, registry
-from copperloom.ingress import exchange, limited_targets, placement_rpc
+from copperloom.ingress import exchange, placement_rpc, target_room
 
 __all__ = ["place", "to_query"]
 
@@ -43,7 +43,7 @@
         usable = registry.usable_by_shard(ex.state.targets, ex.service, now)
         if not usable.targets:
             raise _no_target_error(ex)
-        limited_targets.check_room(ex, now)
+        target_room.check(ex, now)
         ex.shard = placement_rpc.shard_of(ex.state, ex.service, usable)
         decision = await placement_rpc.decide(ex.state, to_query(ex, now), now)
         choice = decision.choice
@@ -56,7 +56,7 @@
             _log_deferral(ex, choice, now - started_at)
             await asyncio.sleep(choice.delay_s)
             continue
-        limited_targets.refuse_unplaced(ex, now)
+        target_room.refuse_unplaced(ex, now)
         if now >= wait_until:
             raise exception.OverloadedError(
                 f"all {decision.targets} targets of service {ex.service} "
@@ -95,7 +95,7 @@
 def _excluded(ex: exchange.Exchange, now: float) -> tuple[str, ...]:
     """Lists the targets that must not be chosen, as known to this instance."""
     drained = registry.noted(ex.state.targets, ex.service, now)
-    return limited_targets.exhausted(ex, now) + drained
+    return target_room.exhausted(ex, now) + drained
 
 
 def _no_target_error(ex: exchange.Exchange) -> exception.CopperloomError:
