Soak: targets that say in their answers that they drain

One target or all of a service say so in all answers and serve on, while the table is away or keeps rows that say ready; then they end and start again. The check is the users' rule: no request that a caller sent later than 2 s after an instance had passed on such an answer reaches that start of the target from that instance, unless it was restarted or frozen since.

--- a/bench/frontsoak/checks.py
+++ b/bench/frontsoak/checks.py
@@ -1,12 +1,12 @@
 """Checks the guarantees to callers against what callers and targets saw."""
 
 import collections
-import dataclasses
 
-from bench.frontsoak import callers
+from bench.frontsoak import callers, drain_checks
+from bench.frontsoak.findings import Finding
 from bench.frontsoak.world import CallResult, LimitPeriod, World
 
-__all__ = ["Finding", "check"]
+__all__ = ["check"]
 
 # Adds to the callers' timeout the longest pause of a process, the longest delay
 # of a link in both directions and a margin for a busy machine.
@@ -24,19 +24,6 @@
 _LIMIT_WINDOW_S = 4.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Finding:
-    """A violation of a guarantee.
-
-    Attributes:
-        rule: Name of the guarantee.
-        detail: What was observed.
-    """
-
-    rule: str
-    detail: str
-
-
 def check(world: World) -> list[Finding]:
     """Returns all violations of guarantees."""
     targets = world.targets.values()
@@ -49,6 +36,7 @@
         found += _check_crashing(world, body)
     for period in world.limits:
         found += _check_limit(world, period)
+    found += drain_checks.check_draining(world)
     # A target behind a silenced link can't learn that its caller disconnected.
     busy = [n for n, t in world.targets.items() if t.running]
     busy = [n for n in busy if n not in world.silenced]
--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -31,6 +31,7 @@
 )
 _MAX_CONCURRENT = 4
 _MAX_LIMIT_S = 12.0
+_MAX_LEAVING_S = 5.0
 
 
 async def inject_faults(world: World) -> None:
@@ -157,6 +158,36 @@
         world.limits.append(LimitPeriod(name, per_s, since, until))
 
 
+async def _leave(world: World) -> None:
+    await _leave_together(world, [world.rng.choice(list(world.targets))])
+
+
+async def _leave_service(world: World) -> None:
+    kind = world.rng.choice(("engine", "plain"))
+    await _leave_together(
+        world, [n for n in world.targets if n.startswith(kind)]
+    )
+
+
+async def _leave_together(world: World, names: list[str]) -> None:
+    """Makes targets say that they drain, serve on, end and start again.
+
+    The table is away for a part of that time, or keeps rows that say ready.
+    """
+    for name in names:
+        world.targets[name].leaving = "1"
+    if world.rng.random() < 0.5:
+        await _take_table_down(world)
+    else:
+        for name in names:
+            world.register(name, seq=world.rng.randint(1, 99))
+    await asyncio.sleep(world.rng.uniform(0.5, _MAX_LEAVING_S))
+    for name in names:
+        if world.targets[name].leaving is not None:
+            world.targets[name].restart_after_s = world.rng.uniform(0.1, 1.0)
+            crashes.crash(world.targets[name])
+
+
 async def _drain_target(world: World) -> None:
     name = world.rng.choice(list(world.targets))
     world.register(name, state="draining")
@@ -199,6 +230,8 @@
     _crash_many_targets,
     _limit_target,
     _limit_service,
+    _leave,
+    _leave_service,
     _drain_target,
     _corrupt_rows,
     _change_routes,
--- a/bench/frontsoak/main.py
+++ b/bench/frontsoak/main.py
@@ -26,7 +26,7 @@
 import aiohttp
 import docopt
 
-from bench.frontsoak import callers, checks, faults, processes, world
+from bench.frontsoak import callers, checks, faults, findings, processes, world
 
 __all__ = ["main", "play"]
 
@@ -39,7 +39,7 @@
 
 async def play(
     seed: int, sizes: world.Sizes, folder: str
-) -> list[checks.Finding]:
+) -> list[findings.Finding]:
     """Plays one schedule and returns the violations found.
 
     Args:
--- a/bench/frontsoak/processes.py
+++ b/bench/frontsoak/processes.py
@@ -37,6 +37,7 @@
         process: The process; None before the first start.
         disrupted_at: Monotonic times at which it was killed, paused or resumed.
         signalled_at: Monotonic times of all signals and starts.
+        started_at: Monotonic times of all starts.
     """
 
     def __init__(self, number: int, seed: int, folder: str):
@@ -53,10 +54,13 @@
         self.process: asyncio.subprocess.Process | None = None
         self.disrupted_at: list[float] = []
         self.signalled_at: list[float] = []
+        self.started_at: list[float] = []
 
     async def start(self) -> None:
         """Writes the settings and starts the process."""
-        self.signalled_at.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.signalled_at.append(now)
+        self.started_at.append(now)
         self.path.write_text(json.dumps(self._settings()))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -55,6 +55,8 @@
         at: Monotonic time at which it was received.
         retry_after: The Retry-After with which it was turned away; None
             without one.
+        leaving: What the answer said about draining; None for nothing.
+        born: The start of the target that received it.
     """
 
     id: str
@@ -65,6 +67,8 @@
     ran: bool
     at: float
     retry_after: str | None = None
+    leaving: str | None = None
+    born: int = 1
 
 
 def _never(request: ReceivedRequest) -> bool:
@@ -213,6 +217,8 @@
         ran=not refused,
         at=asyncio.get_running_loop().time(),
         retry_after=target.retry_after,
+        leaving=target.leaving,
+        born=target.born,
     )
     target.seen.append(received)
     if refused:
