Soak: targets that turn requests away for a time

One target or all of a service answer 503 with Retry-After, sealed or not, some with values that are no times. The check is the users' rule: of one instance, a target gets at most two requests from half a second after such an answer to the end of its time, unless the instance was restarted or frozen or the target's link was disturbed.

--- a/bench/frontsoak/checks.py
+++ b/bench/frontsoak/checks.py
@@ -37,6 +37,7 @@
     for period in world.limits:
         found += _check_limit(world, period)
     found += drain_checks.check_draining(world)
+    found += drain_checks.check_held(world)
     # A target behind a silenced link can't learn that its caller disconnected.
     busy = [n for n, t in world.targets.items() if t.running]
     busy = [n for n in busy if n not in world.silenced]
--- a/bench/frontsoak/drain_checks.py
+++ b/bench/frontsoak/drain_checks.py
@@ -1,14 +1,20 @@
-"""Checks that targets which say that they drain get no more requests."""
+"""Checks that targets which ask to be left alone get no more requests."""
 
 from bench.frontsoak.findings import Finding
 from bench.frontsoak.world import CallResult, World
 from copperloom.platform.standins.target import ReceivedRequest
 
-__all__ = ["check_draining"]
+__all__ = ["check_draining", "check_held"]
 
 # The time limit for the last request after an answer was passed on that says
 # that its target drains.
 _DRAIN_S = 2.0
+# Of one instance, a target gets at most _ALLOWED requests from _GRACE_S after
+# it has turned one away until the time that it asked for has passed.
+_ALLOWED = 2
+_GRACE_S = 0.5
+# Longest time that a disturbed link holds a request or an answer.
+_LINK_S = 2.0
 
 
 def check_draining(world: World) -> list[Finding]:
@@ -59,6 +65,49 @@
     return not _was_interrupted(world, result.front, told_at, reached_at)
 
 
+def check_held(world: World) -> list[Finding]:
+    """Returns the targets that got too many requests after turning one away."""
+    fronts = {result.id: result.front for result in world.got}
+    found = []
+    for name, target in world.targets.items():
+        for refused in target.seen:
+            hold_s = _valid_time_s(refused)
+            if hold_s is None or refused.id not in fronts:
+                continue
+            counted = [
+                r.id
+                for r in target.seen
+                if r.born == refused.born
+                and fronts.get(r.id) == fronts[refused.id]
+                and refused.at + _GRACE_S <= r.at < refused.at + hold_s
+                and not _is_excused(world, name, fronts[r.id], refused.at, r.at)
+            ]
+            if len(counted) > _ALLOWED:
+                detail = f"{name} within {hold_s} s: {counted}"
+                found.append(Finding("BUDGET", detail))
+    return found
+
+
+def _valid_time_s(refused: ReceivedRequest) -> float | None:
+    """Returns the time that a target asked for; None without a valid one."""
+    if not (refused.retry_after or "").replace(".", "").isdecimal():
+        return None
+    seconds = float(refused.retry_after)
+    return seconds if seconds <= 3600 else None
+
+
+def _is_excused(
+    world: World, name: str, front: int, since: float, until: float
+) -> bool:
+    disturbed = any(
+        fault.target == name
+        and fault.since <= until
+        and fault.until >= since - _LINK_S
+        for fault in world.link_faults
+    )
+    return disturbed or _was_interrupted(world, front, since, until)
+
+
 def _was_interrupted(
     world: World, front: int, since: float, until: float
 ) -> bool:
--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 
-from bench.frontsoak.world import LimitPeriod, World
+from bench.frontsoak.world import LimitPeriod, LinkFault, World
 from copperloom.ingress.tests import fixtures
 from copperloom.platform.standins import crashes
 from copperloom.platform.standins import target as target_standin
@@ -32,6 +32,9 @@
 _MAX_CONCURRENT = 4
 _MAX_LIMIT_S = 12.0
 _MAX_LEAVING_S = 5.0
+_MAX_RETRY_AFTER_S = 6.0
+_MAX_TURNING_AWAY_S = 3.0
+_MALFORMED_TIMES = ("", "-1", "nan", "9" * 30)
 
 
 async def inject_faults(world: World) -> None:
@@ -101,7 +104,10 @@
     link_faults = world.rng.choice((*_DELAYED, *_SILENT, {"refuse": True}))
     if link_faults in _SILENT:
         world.silenced.add(name)
+    since = asyncio.get_running_loop().time()
     await _fault_link(world, world.links[name], link_faults)
+    until = asyncio.get_running_loop().time()
+    world.link_faults.append(LinkFault(name, since, until))
 
 
 async def _fault_link(
@@ -114,7 +120,14 @@
 
 async def _reset_link(world: World) -> None:
     links = [*world.links.values(), *(f.table_link for f in world.fronts)]
-    proxy.reset(world.rng.choice(links))
+    link = world.rng.choice(links)
+    proxy.reset(link)
+    now = asyncio.get_running_loop().time()
+    world.link_faults += [
+        LinkFault(name, now, now)
+        for name, known in world.links.items()
+        if known is link
+    ]
 
 
 async def _fault_target(world: World) -> None:
@@ -188,6 +201,31 @@
             crashes.crash(world.targets[name])
 
 
+async def _turn_away(world: World) -> None:
+    await _turn_away_together(world, [world.rng.choice(list(world.targets))])
+
+
+async def _turn_away_service(world: World) -> None:
+    kind = world.rng.choice(("engine", "plain"))
+    await _turn_away_together(
+        world, [n for n in world.targets if n.startswith(kind)]
+    )
+
+
+async def _turn_away_together(world: World, names: list[str]) -> None:
+    """Makes targets turn requests away, some with values that are no times."""
+    for name in names:
+        target = world.targets[name]
+        seconds = f"{world.rng.uniform(0.1, _MAX_RETRY_AFTER_S):.1f}"
+        target.seals_refusals = world.rng.random() < 0.5
+        target.retry_after = world.rng.choice(
+            (seconds, seconds, seconds, *_MALFORMED_TIMES)
+        )
+    await asyncio.sleep(world.rng.uniform(0.1, _MAX_TURNING_AWAY_S))
+    for name in names:
+        world.targets[name].retry_after = None
+
+
 async def _drain_target(world: World) -> None:
     name = world.rng.choice(list(world.targets))
     world.register(name, state="draining")
@@ -232,6 +270,8 @@
     _limit_service,
     _leave,
     _leave_service,
+    _turn_away,
+    _turn_away_service,
     _drain_target,
     _corrupt_rows,
     _change_routes,
--- a/bench/frontsoak/world.py
+++ b/bench/frontsoak/world.py
@@ -13,6 +13,7 @@
 __all__ = [
     "CallResult",
     "LimitPeriod",
+    "LinkFault",
     "Sizes",
     "World",
     "close",
@@ -82,6 +83,21 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True)
+class LinkFault:
+    """A period in which a target's link delayed or lost bytes, or was reset.
+
+    Attributes:
+        target: Name of the target.
+        since: Monotonic time from which it did.
+        until: Monotonic time until which it did.
+    """
+
+    target: str
+    since: float
+    until: float
+
+
 class World:
     """The state of one schedule.
 
@@ -94,6 +110,7 @@
         links: Proxy in front of each target, by name of the target.
         link_listeners: Listener of each of these proxies, by the same name.
         limits: Periods in which targets name rate limits.
+        link_faults: Faults of the targets' links.
         crashing: Bodies of the requests that crash the targets that run them.
         silenced: Names of the targets whose link has lost or held back bytes,
             or the closing of a connection.
@@ -113,6 +130,7 @@
         self.links: dict[str, proxy.Pair] = {}
         self.link_listeners: dict[str, asyncio.Server] = {}
         self.limits: list[LimitPeriod] = []
+        self.link_faults: list[LinkFault] = []
         self.crashing: set[bytes] = set()
         self.background: set[asyncio.Task] = set()
         self.silenced: set[str] = set()
--- a/copperloom/platform/standins/crashes.py
+++ b/copperloom/platform/standins/crashes.py
@@ -52,6 +52,7 @@
     host, _, port = target.address.rpartition(":")
     target.born += 1
     target.leaving = None
+    target.retry_after = None
     if target.renamed:
         target.name = f"{target.name.partition('.')[0]}.{target.born}"
     await target.listen(host, int(port))
