--- a/copperloom/ingress/table_watch.py
+++ b/copperloom/ingress/table_watch.py
@@ -75,6 +75,7 @@
             wait_s = 0.0 if is_due else await _next_read(state)
             is_due = False
             if version is None:
+                _log_whole_read(state, table)
                 feed = await store.read_all(state.store, table)
                 apply(state, feed, whole=True)
             else:
@@ -98,6 +99,20 @@
             await asyncio.sleep(_backoff(state, failures))
 
 
+def _log_whole_read(state: IngressState, table: str) -> None:
+    """Logs what this instance knows of the others when it reads a table."""
+    now = asyncio.get_running_loop().time()
+    logs.event(
+        "table_read",
+        table=table,
+        fleet=fleet_size(state),
+        members=len(state.members),
+        peers_synced=state.peers_synced.is_set(),
+        watcher=watchers.is_watcher(state, now),
+        since_start_s=now - state.listening_since,
+    )
+
+
 async def _wait_for_peers(state: IngressState) -> None:
     """Waits for routes and targets from peers, unless this is a watcher.
 
