--- a/copperloom/ingress/tests/fixtures.py
+++ b/copperloom/ingress/tests/fixtures.py
@@ -12,12 +12,13 @@
 import socket
 import unittest
 from collections.abc import Iterable
+from unittest import mock
 
 import aiohttp
 import yarl
 
 from copperloom.daemons import front
-from copperloom.ingress import server, state
+from copperloom.ingress import gossip, server, state
 from copperloom.platform import catalog, settings
 from copperloom.platform.standins import store as store_standin
 from copperloom.platform.standins import target as target_standin
@@ -28,6 +29,7 @@
     "System",
     "call",
     "call_often",
+    "delay_datagrams",
     "engine_route",
     "free_port",
     "next_ip",
@@ -268,6 +270,19 @@
         )
 
 
+def delay_datagrams(case: unittest.TestCase, delay_s: float) -> None:
+    """Delays all datagrams between instances until the end of the test."""
+    receive = gossip.Gossip.datagram_received
+
+    def receive_later(protocol, data, addr):
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, receive, protocol, data, addr)
+
+    patch = mock.patch.object(gossip.Gossip, "datagram_received", receive_later)
+    patch.start()
+    case.addCleanup(patch.stop)
+
+
 async def ready(system: System, number: int = 0) -> int:
     """Returns the HTTP status of an instance's readiness check."""
     own = system.fronts[number].entry.settings
--- a/copperloom/ingress/tests/test_fleet_quarantine.py
+++ b/copperloom/ingress/tests/test_fleet_quarantine.py
@@ -16,13 +16,16 @@
 _DIGEST = b"digest"
 _STABILITY_WINDOW_S = 3.0
 _START_LIMIT_S = 20.0
+# Below the timeout of a call to the table service.
+_UNKNOWN_S = 0.9
 # Three of each data centre, which have more processor time than the others.
 _OWNERS = 9
 
 
-async def _start_fleet(case) -> fixtures.System:
+async def _start_fleet(case, members_delay_s=0.0) -> fixtures.System:
     """Starts a fleet; returns it once all know the owners."""
     system = await fixtures.start_system(case, engines=0, plain=1, fronts=0)
+    system.store.delays_s[catalog.MEMBERS_TABLE] = members_delay_s
     fleet = [
         fixtures.own_settings(
             fixtures.next_ip(),
@@ -83,6 +86,13 @@
         reads = system.store.pages[catalog.QUARANTINE_TABLE]
         self.assertLessEqual(reads, _OWNERS)
 
+    async def test_few_instances_read_them_before_they_know_the_fleet(self):
+        """Guards against an instance that takes itself for a small fleet."""
+        fixtures.delay_datagrams(self, _UNKNOWN_S)
+        system = await _start_fleet(self, members_delay_s=_UNKNOWN_S)
+        reads = system.store.pages[catalog.QUARANTINE_TABLE]
+        self.assertLessEqual(reads, _OWNERS)
+
     async def test_instance_that_joins_learns_of_it(self):
         """Guards against repeats at instances that were added."""
         system = await _start_fleet(self)
--- a/copperloom/ingress/tests/test_fleet_start.py
+++ b/copperloom/ingress/tests/test_fleet_start.py
@@ -19,6 +19,8 @@
 _LIMIT_S = 20.0
 _SLOWDOWN = 8.0
 _SEED_LEAD_S = 0.3
+# Below the timeout of a call to the table service.
+_UNKNOWN_S = 0.9
 _DISCOVERY_LIMIT_S = 2.0
 
 
@@ -86,6 +88,22 @@
         pages = system.store.pages[catalog.TARGETS_TABLE]
         self.assertLessEqual(pages, _MAX_READERS * _PAGES)
 
+    async def test_few_instances_read_before_they_know_the_fleet(self):
+        """Guards against an instance that takes itself for a small fleet.
+
+        Nothing of the others comes for a while: no reply and no row.
+        """
+        fixtures.delay_datagrams(self, _UNKNOWN_S)
+        system = await fixtures.start_system(self, engines=0, plain=0, fronts=0)
+        _put_targets(system)
+        fleet = _fleet(system.store.address)
+        fixtures.put_member_rows(system, fleet[:_OWNERS], _FLEET)
+        system.store.delays_s[catalog.MEMBERS_TABLE] = _UNKNOWN_S
+        await asyncio.gather(*(system.start_front(own) for own in fleet))
+        await _wait_for_tables(system)
+        pages = system.store.pages[catalog.TARGETS_TABLE]
+        self.assertLessEqual(pages, _MAX_READERS * _PAGES)
+
     async def test_instances_find_the_owners_whichever_seed_replies(self):
         """Guards against instances that know the fleet size but no owners.
 
--- a/copperloom/platform/standins/store.py
+++ b/copperloom/platform/standins/store.py
@@ -28,6 +28,7 @@
         down: Status returned to every call; None to serve calls.
         rejected_callers: Addresses of callers that receive status 503.
         unresponsive: Whether calls get no response.
+        delays_s: Delay of reads by table, in seconds.
         lost_responses: Number of next writes that are applied but get no
             response.
         calls: Number of calls by the last component of their path.
@@ -44,6 +45,7 @@
         self.down: int | None = None
         self.rejected_callers: set[str] = set()
         self.unresponsive = False
+        self.delays_s: dict[str, float] = {}
         self.lost_responses = 0
         self.calls: dict[str, int] = {}
         self.pages: dict[str, int] = {}
@@ -127,6 +129,7 @@
 
 async def _get(store: StoreStandin, request: web.Request) -> web.Response:
     name = request.query["table"]
+    await asyncio.sleep(store.delays_s.get(name, 0.0))
     store.pages[name] = store.pages.get(name, 0) + 1
     table = store.rows.get(name, {})
     start = request.query.get("from", "")
