Start: the tables are read only once the fleet is known

When a fleet restarted on a busy machine, every instance read all targets (40 pages in the test, bound 18; with hundreds of instances, hundreds of reads).

Cause: the watchers of the tables waited at most 0.5 s for the start to be announced. The read of the members' rows before that may take longer (its call times out after 1.5 s). An instance that knew nobody then took itself for a fleet of one, whose members read at once. Shown by lines of the readers: beside ten busy processes one of five starts had peers_synced=False and fleet=1 to 10 in 40 of its lines and read 55 pages.

Change: the watchers wait until the first attempt to find the others has ended, with or without success, however long its calls take.

--- a/copperloom/ingress/registration.py
+++ b/copperloom/ingress/registration.py
@@ -54,6 +54,7 @@
                 await _read_rows(state)
             if not state.peers_synced.is_set():
                 await gossip.announce_start(protocol)
+            state.fleet_asked.set()
             # Shard ownership is known once the other members have replied.
             if not is_registered and _needs_row(state):
                 await _write_row(state)
@@ -65,6 +66,7 @@
             failures += 1
             logs.event("members_unread", code=error.code, failures=failures)
             await _fetch_from_seeds(protocol)
+            state.fleet_asked.set()
             wait_s = min(_MAX_RETRY_S, _FIRST_RETRY_S * 2 ** min(failures, 6))
             await asyncio.sleep(wait_s * state.rng.uniform(0.5, 1.0))
 
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -72,6 +72,8 @@
         listening_since: Monotonic time at which this instance began to listen.
         reported_fleet_size: Largest fleet size that a peer or a row of the
             platform's table has reported.
+        fleet_asked: Set once the first attempt to find the other instances has
+            ended, with or without success.
         peers_synced: Set once the start has been announced to the members that
             know of others' work, and they have had time to reply.
         budget: The retry budget.
@@ -131,6 +133,7 @@
         self.shards_used: dict[str, tuple[shards.Shard, float]] = {}
         self.listening_since = float("-inf")
         self.reported_fleet_size = 0
+        self.fleet_asked = asyncio.Event()
         self.peers_synced = asyncio.Event()
         self.budget = budget.Budget(budget_policy(own))
         self.health: dict[str, health.Health] = {}
--- a/copperloom/ingress/table_watch.py
+++ b/copperloom/ingress/table_watch.py
@@ -10,7 +10,7 @@
 
 from copperloom import exception, logs
 from copperloom.decisions import registry, rowlog
-from copperloom.ingress import updates, watchers
+from copperloom.ingress import startup, updates, watchers
 from copperloom.ingress.state import (
     IngressState,
     fleet_size,
@@ -50,9 +50,6 @@
 # others, so that few read.
 _READ_SPREAD_S = 0.02
 _MAX_READ_SPREAD_S = 4.0
-# Longest wait for the replies of peers to the announcement of the start.
-_SYNC_WAIT_S = 0.5
-_FIRST_SYNC_WAIT_S = 5.0
 
 
 async def watch_routes(state: IngressState) -> None:
@@ -119,18 +116,14 @@
     Hundreds of instances may start at the same moment. Their reads would be
     costly, and running instances can send them the same data.
     """
-    first = state.settings.is_first_start
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(
-            _FIRST_SYNC_WAIT_S if first else _SYNC_WAIT_S
-        ):
-            await state.peers_synced.wait()
+    await startup.wait_for_fleet(state)
     loop = asyncio.get_running_loop()
     if not is_large_fleet(state):
         return
     if watchers.is_watcher(state, loop.time()):
         return
-    wait_s = FIRST_PEER_WAIT_S if first else PEER_WAIT_S
+    is_first = state.settings.is_first_start
+    wait_s = FIRST_PEER_WAIT_S if is_first else PEER_WAIT_S
     spread_s = min(_MAX_READ_SPREAD_S, _READ_SPREAD_S * fleet_size(state))
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(wait_s + state.rng.uniform(0.0, spread_s)):
