--- a/copperloom/decisions/admission.py
+++ b/copperloom/decisions/admission.py
@@ -30,7 +30,7 @@
 MAX_LONG_WAIT_SHARE = 0.5
 # A request is refused if its remaining time is below this share of its
 # predicted residence time; it would take capacity from requests that can still
-# finish.
+# finish. At one half it could not finish even if it ran twice as fast as usual.
 MIN_RUN_SHARE = 0.5
 
 
--- a/copperloom/decisions/concurrency.py
+++ b/copperloom/decisions/concurrency.py
@@ -29,7 +29,7 @@
 LIMIT_CUT_INTERVAL_S = 0.5
 # A first token is slow if it exceeds the pool's median by this factor and by
 # this many seconds. The factor leaves room for prefix cache misses, which take
-# several times as long without any queueing.
+# four times as long without any queueing.
 SLOW_RATIO = 4.0
 SLOW_EXCESS_S = 0.5
 # Streams added to the limit per round of quick answers.
--- a/copperloom/decisions/decode_rate.py
+++ b/copperloom/decisions/decode_rate.py
@@ -15,7 +15,8 @@
 
 # Successive gaps that must all be long; fewer could be due to prefills.
 MIN_GAPS = 3
-# Multiple of a full engine's iteration that counts as slow.
+# Multiple of a full engine's iteration that counts as slow. The engines' own
+# spread is some hundredths.
 SLOW_FACTOR = 1.7
 # Typical share of an engine's memory that decodes hold at a peak.
 BUSY_SHARE = 0.25
--- a/copperloom/decisions/fairqueue.py
+++ b/copperloom/decisions/fairqueue.py
@@ -25,7 +25,8 @@
 
 # Finish tags of idle organisations are removed once there are this many tags,
 # or twice as many as remained after the last removal. This bounds memory and
-# keeps the amortised cost of a push low.
+# keeps the amortised cost of a push low. There may be 25,000 organisations that
+# sent a request once.
 MIN_TAGS_TO_PRUNE = 1_000
 
 
--- a/copperloom/decisions/fetch_policy.py
+++ b/copperloom/decisions/fetch_policy.py
@@ -28,9 +28,10 @@
 # which makes the fetch unnecessary.
 MIN_DELAY_S = 0.04
 # Growth of the maximum delay per member: less than a fetch takes, since each
-# completed fetch adds a source.
+# completed fetch adds a source. On a link of 20 Mbit/s a fetch of 40 KB takes
+# 16 ms.
 DELAY_PER_MEMBER_S = 0.004
-# A small part of the time in which a change has to be in force everywhere.
+# A fifth of the time in which a change has to be in force everywhere.
 MAX_DELAY_S = 0.4
 # A document is declined while more than this is queued on the uplink. The
 # number of sources then doubles with each round, and responses to callers,
--- a/copperloom/decisions/groups.py
+++ b/copperloom/decisions/groups.py
@@ -7,7 +7,8 @@
 __all__ = ["MAX_GROUP_SIZE", "choose", "split"]
 
 # Each part is a reservation and a KV transfer that must all succeed, so the
-# probability of failure grows with the size of a group.
+# probability of failure grows with the size of a group. Eight engines hold the
+# longest prompts about three times over.
 MAX_GROUP_SIZE = 8
 # Smaller parts do not repay the cost of a KV transfer.
 MIN_PART_TOKENS = 16_000
--- a/copperloom/decisions/health.py
+++ b/copperloom/decisions/health.py
@@ -22,7 +22,8 @@
 ]
 
 # A penalty halves in this time. It bounds how often a persistent fault is
-# probed by a request.
+# probed by a request. A fault that lasts is found again by one request in about
+# three half-lives.
 HALF_LIFE_S = 3.0
 # An unreachable target fails all requests; one that responds with an error may
 # serve some.
@@ -30,11 +31,13 @@
 BROKEN_PENALTY = 1.0
 # Slow decoding makes all requests on the target miss their objectives.
 SLOW_PENALTY = 2.0
-# Share of the penalty that a successful response removes.
+# Share of the penalty that a successful response removes. Two in a row clear
+# most of a failure.
 SUCCESS_REDUCTION = 0.6
 MAX_PENALTY = 12.0
 # Minimum penalty that is shared with peers: a single error response decays
-# below it at once.
+# below it at once. Two failures within some seconds exceed it, and so does one
+# of a kind that hits all requests.
 MIN_SHARED_PENALTY = 1.0
 # Minimum penalty that is reported to owners. It is lower, since owners add up
 # the reports: a fault that each peer saw once is visible only in the sum.
--- a/copperloom/decisions/interference.py
+++ b/copperloom/decisions/interference.py
@@ -45,7 +45,7 @@
 # replaced by as many new ones in it.
 SHORT_ANSWER_S = 1.5
 # Multiple of the first-token objective after which callers are assumed to
-# abandon a stream without a token.
+# abandon a stream without a token. They leave at four times the objective.
 ABANDON_MARGIN_OBJECTIVES = 3.5
 # Safety factor for the gap after which callers abandon a stream, since all work
 # for it is then wasted.
--- a/copperloom/decisions/limits.py
+++ b/copperloom/decisions/limits.py
@@ -12,7 +12,7 @@
 __all__ = ["Limits", "charge", "demand", "excess_wait_s", "shares"]
 
 # Capacity of a bucket, in seconds of its rate: enough for a short burst of
-# requests.
+# requests. A page of requests passes, a minute's worth does not.
 BURST_S = 2.0
 # Demand is averaged over several digests, so that shares change smoothly.
 DEMAND_HALF_LIFE_S = 5.0
--- a/copperloom/decisions/placement.py
+++ b/copperloom/decisions/placement.py
@@ -24,7 +24,7 @@
 # herding among instances that share a stale view (Mitzenmacher 2001).
 SAMPLES = 2
 # Targets examined in turn if the sampled ones are full; bounds the cost per
-# request in large pools.
+# request in large pools. A pool may have 1,400 targets.
 MAX_SCANNED = 32
 # Share of a prompt's prefill that the prefix cache at its home target saves.
 CACHED_SHARE = 0.7
@@ -33,7 +33,8 @@
 # first token and one for each further token.
 LONG_ITERATION_TOKENS = 4_000
 # Weight of such an iteration while decoding, relative to the one before the
-# first token, by the preset's objective.
+# first token, by the preset's objective. The trade-off is measured in
+# docs/design/decisions.md, "The two objectives".
 DECODE_WEIGHT = {"first_token": 0.0, "slowdown": 0.1}
 # Cost, in prompt tokens, of the interference of a long prefill with one
 # decoding stream. Short answers suffer far more from it than a long request
--- a/copperloom/decisions/planner.py
+++ b/copperloom/decisions/planner.py
@@ -28,7 +28,8 @@
 # Numbers of parts that are tried, along with the largest possible one: between
 # large numbers the length of a part hardly differs.
 PART_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14)
-# Prefill time below which a prompt is not split further.
+# Prefill time below which a prompt is not split further. Parts shorter than a
+# fifth of an iteration gain less than they cost.
 SHORTEST_PART_S = 0.02
 # Engines evaluated for one prompt; about twice as many as take part in one.
 MAX_CANDIDATES = 34
@@ -55,7 +56,8 @@
 PACKED_SHARE = 0.8
 # Cost of decoding at an engine whose memory is full.
 FULL_COST = 0.1
-# Gain of a lead engine in the same data centre.
+# Gain of a lead engine in the same data centre, which is about a millisecond
+# nearer.
 LOCAL_GAIN = 0.005
 # Memory reserved for concurrent placements of peers.
 MEMORY_SLACK_TOKENS = 4000
--- a/copperloom/decisions/plans.py
+++ b/copperloom/decisions/plans.py
@@ -21,7 +21,8 @@
 SHORT_TOKENS = 16_000
 LONG_TOKENS = 100_000
 # The worth of a prompt is linear in its length; the unit is the worth of a
-# prompt of 5,000 tokens.
+# prompt of 5,000 tokens. A prompt of 150,000 tokens is worth some sixteen times
+# as much.
 MIN_WORTH = 0.5
 TOKEN_WORTH = 0.0001
 
--- a/copperloom/decisions/shards.py
+++ b/copperloom/decisions/shards.py
@@ -46,7 +46,7 @@
 # Maximum number of targets in a shard that spans data centres.
 MAX_COMBINED_TARGETS = 100
 # Up to this one-way delay between data centres, the round trip of a placement
-# query is well below its timeout.
+# query and the placement are well below its timeout.
 LOW_LATENCY_S = 0.002
 
 
--- a/copperloom/decisions/timeouts.py
+++ b/copperloom/decisions/timeouts.py
@@ -11,7 +11,7 @@
 ABANDON_OBJECTIVES = 4.0
 ABANDON_PAUSES = 8.0
 # Timeout of the first event: a multiple of the predicted time, with slack for
-# work that has arrived since.
+# work that has arrived since. Callers of short streams leave after two seconds.
 FIRST_SLACK_S = 1.0
 FIRST_FACTOR = 3.0
 # Lower bound of the timeout that lets a repeat meet the objective. A shorter
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -40,11 +40,13 @@
 # sender.CONNECT_TIMEOUT_S.
 _MAX_UNREACHABLE = 4
 # Engines admit 0 first. Short prompts precede long ones, since a long prefill
-# delays a short prompt far more than a short prefill delays a long one.
+# delays a short prompt far more than a short prefill delays a long one: a long
+# prefill takes seconds, a short one hundredths of a second.
 SHORT_PRIORITY = 1
 LONG_PRIORITY = 6
 _REFUSED_RETRY_S = 0.15
-# Memory is freed only as long answers end, so a quick retry would fail again.
+# Memory is freed only as long answers end, about once a second, so a quick
+# retry would fail again.
 _MEMORY_WAIT_S = 0.25
 _MEMORY_RETRY_S = 1.0
 # Share of the remaining time after which a plain request is sent to another
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -6,7 +6,8 @@
 
 __all__ = ["IngressMetrics", "prompt_length"]
 
-# Dense around the first-token objectives of short, middle and long prompts.
+# Dense around the first-token objectives of short (0.3 s), middle (1.5 s) and
+# long prompts (3 s).
 _FIRST_BUCKETS_S = (
     0.01,
     0.025,
--- a/copperloom/ingress/placement.py
+++ b/copperloom/ingress/placement.py
@@ -12,7 +12,8 @@
 # work of peers expires without an event.
 _RECHECK_S = 0.05
 # Share of the remaining time that a request may wait for a free slot. The rest
-# is left to its caller, who may retry at another instance.
+# is left to its caller, who may retry at another instance. A request that was
+# placed later could not be served in time any more.
 MAX_WAIT_SHARE = 0.6
 _NO_TARGET_RETRY_S = 0.5
 # Requests that waited for the same target are sent spread over this time.
--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -24,7 +24,8 @@
 __all__ = ["Reply", "Sender", "close", "is_listening", "send"]
 
 # Below the operating system's delay before it resends a lost SYN packet: trying
-# another target is faster.
+# another target is faster. A target that runs accepts within a few
+# milliseconds; the lost packet is sent again after a second.
 CONNECT_TIMEOUT_S = 0.35
 _MAX_LINE_BYTES = 65_536
 
--- a/copperloom/ingress/watchers.py
+++ b/copperloom/ingress/watchers.py
@@ -8,7 +8,9 @@
 __all__ = ["is_watcher"]
 
 # Number of instances that watch the tables and send changes to the others. Few,
-# since each call is billed; several, since the platform may refuse some.
+# since each call is billed; several, since the platform may refuse some. A
+# platform that turns a third of the instances away hardly ever turns all of
+# them away.
 WATCHERS = 5
 
 
