Limits: only an answer of the target itself names its limit

Measured: test_limit_in_the_answer_to_another_request fails before (limit 0 recorded) and passes now; all tests of limits pass.

--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -217,7 +217,7 @@
         ) as reply:
             facts = headers.read_reply(reply.headers)
             answered_at = asyncio.get_running_loop().time()
-            if reply.status != reply_checks.MISDIRECTED:
+            if reply_checks.is_from_target(ex, reply.status, facts):
                 limited_targets.record_answer(ex, entry, facts, answered_at)
             draining_targets.record_answer(
                 ex, entry, reply.status, facts, answered_at
--- a/copperloom/ingress/tests/test_target_limits.py
+++ b/copperloom/ingress/tests/test_target_limits.py
@@ -8,6 +8,7 @@
 from copperloom.ingress import limit_grants, views
 from copperloom.ingress.tests import fixtures
 from copperloom.platform.standins import crashes
+from copperloom.platform.standins.target import Fault
 
 _STABILITY_WINDOW_S = 3.0
 _WINDOW_S = 4.0
@@ -126,6 +127,19 @@
                 known = target_limits.find(service.entry.limits, "plain-0@1")
                 self.assertEqual(known, _LIMIT_PER_S)
 
+    async def test_limit_in_the_answer_to_another_request(self):
+        """Guards against a target that is lost by another one's answer."""
+        system = await fixtures.start_system(self, engines=0, plain=1, fronts=1)
+        target = system.targets["plain-0"]
+        target.limit = "0"
+        for fault in (Fault.OTHERS_ANSWER, Fault.ENCODED, Fault.MISDIRECTED):
+            target.faults.append(fault)
+            await fixtures.call(system, "/write/x")
+        target.limit = None
+        self.assertEqual(system.fronts[0].entry.limits.limits, {})
+        answer = await fixtures.call(system, "/write/x")
+        self.assertEqual(answer.status, 200)
+
     async def test_owner_that_dies_is_replaced(self):
         """Guards against a limited target that nobody may use any more."""
         system = await fixtures.start_system(self, engines=0, plain=1, fronts=3)
