--- a/copperloom/ingress/target_room.py
+++ b/copperloom/ingress/target_room.py
@@ -18,6 +18,9 @@
 # Callers that were refused meanwhile return spread over a part of the time.
 _SPREAD_SHARE = 0.25
 _MAX_SPREAD_S = 0.5
+# Targets that a placement query names; keeps it within a datagram. A plan with
+# another one is noticed before it is sent.
+_MAX_EXCLUDED = 1_000
 
 
 def find(ex: exchange.Exchange, now: float) -> target_room.Room | None:
@@ -158,4 +161,4 @@
             for e in registry.usable(state.targets, ex.service, now)
             if backoff.is_held(state.backoff, registry.incarnation(e), now)
         ]
-    return tuple(dict.fromkeys(names))
+    return tuple(dict.fromkeys(names))[:_MAX_EXCLUDED]
