Refusals: one with the id of another request proves nothing

Measured: test_non_idempotent_request_runs_at_most_once with such a refusal fails before (503, allowed 502) and passes now; 31 tests of failures and of the relay pass.

--- a/copperloom/ingress/reply_checks.py
+++ b/copperloom/ingress/reply_checks.py
@@ -48,16 +48,16 @@
             this request, or a server error after which the request is sent
             to another target.
     """
+    if facts.request and facts.request != ex.id:
+        raise exception.StreamBrokenError(
+            "target answered with the request id of another request"
+        )
     if facts.not_run or status == MISDIRECTED:
         error = exception.TargetRefusedError(
             f"target did not run the request: status {status}"
         )
         error.target = _find_target(ex, facts.at_fault)
         raise error
-    if facts.request and facts.request != ex.id:
-        raise exception.StreamBrokenError(
-            "target answered with the request id of another request"
-        )
     if facts.encoded:
         raise exception.StreamBrokenError(
             "target sent an unrequested content encoding"
--- a/copperloom/ingress/tests/test_failures.py
+++ b/copperloom/ingress/tests/test_failures.py
@@ -12,6 +12,7 @@
 _MAY_HAVE_RUN = (
     Fault.UNSEALED,
     Fault.OTHERS_ANSWER,
+    Fault.OTHERS_REFUSAL,
     Fault.ENCODED,
     Fault.TRUNCATE,
     Fault.RESET_UNFRAMED,
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -30,6 +30,7 @@
     FAIL = "fail"
     UNSEALED = "unsealed"
     OTHERS_ANSWER = "others_answer"
+    OTHERS_REFUSAL = "others_refusal"
     ENCODED = "encoded"
     TRUNCATE = "truncate"
     RESET_UNFRAMED = "reset_unframed"
@@ -262,8 +263,11 @@
         await asyncio.sleep(0)
     headers = {wire.REQUEST: request_id, wire.SEAL: f"s.{request_id}"}
     headers |= _own_headers(target)
-    if fault is Fault.OTHERS_ANSWER:
+    if fault in (Fault.OTHERS_ANSWER, Fault.OTHERS_REFUSAL):
         headers[wire.REQUEST] = "another"
+    if fault is Fault.OTHERS_REFUSAL:
+        headers[wire.NOT_RUN] = "1"
+        return web.Response(status=503, headers=headers)
     if fault is Fault.UNSEALED:
         del headers[wire.SEAL]
     if fault is Fault.ENCODED:
