--- a/copperloom/ingress/tests/fixtures.py
+++ b/copperloom/ingress/tests/fixtures.py
@@ -21,9 +21,9 @@
 from copperloom.daemons import front
 from copperloom.ingress import gossip, server, state
 from copperloom.platform import catalog, settings
+from copperloom.platform.standins import crashes, wire
 from copperloom.platform.standins import store as store_standin
 from copperloom.platform.standins import target as target_standin
-from copperloom.platform.standins import wire
 
 __all__ = [
     "HOST",
@@ -37,6 +37,7 @@
     "own_settings",
     "put_member_rows",
     "ready",
+    "restart_target",
     "routes",
     "start_system",
     "until",
@@ -271,6 +272,19 @@
         )
 
 
+async def restart_target(system: System, name: str) -> None:
+    """Restarts a target, and waits until all instances know its new start."""
+    target = system.targets[name]
+    target.restart_after_s = 0.1
+    born = target.born + 1
+    crashes.crash(target)
+    await until(
+        lambda: all(
+            f.entry.targets.entries[name].born_ms == born for f in system.fronts
+        )
+    )
+
+
 def hold_datagrams(case: unittest.TestCase, seconds: float) -> None:
     """Holds all datagrams between instances back for some time from now."""
     receive = gossip.Gossip.datagram_received
--- a/copperloom/ingress/tests/test_draining_targets.py
+++ b/copperloom/ingress/tests/test_draining_targets.py
@@ -7,7 +7,6 @@
 from copperloom.decisions import registry
 from copperloom.ingress import limited_targets
 from copperloom.ingress.tests import fixtures
-from copperloom.platform.standins import crashes
 from copperloom.platform.standins import target as target_standin
 
 # The time limit for the last request after an answer that says so.
@@ -108,14 +107,7 @@
         target = system.targets["plain-0"]
         await _late_requests(system, "/read/x", ["plain-0"])
         target.leaving = None
-        target.restart_after_s = 0.1
-        crashes.crash(target)
-        await fixtures.until(
-            lambda: all(
-                f.entry.targets.entries["plain-0"].born_ms == 2
-                for f in system.fronts
-            )
-        )
+        await fixtures.restart_target(system, "plain-0")
         answers = await fixtures.call_often(system, "/read/x", 0.5, _INTERVAL_S)
         self.assertEqual({a.status for a in answers}, {200})
 
--- a/copperloom/ingress/tests/test_target_backoff.py
+++ b/copperloom/ingress/tests/test_target_backoff.py
@@ -6,7 +6,6 @@
 from copperloom.cli import fronts
 from copperloom.ingress import views
 from copperloom.ingress.tests import fixtures
-from copperloom.platform.standins import crashes
 
 # Of each instance, a target gets at most _ALLOWED requests from _GRACE_S after
 # an answer with Retry-After until that time has passed.
@@ -156,14 +155,7 @@
         target.retry_after = "60"
         await _call_for(system, 0.3)
         target.retry_after = None
-        target.restart_after_s = 0.1
-        crashes.crash(target)
-        await fixtures.until(
-            lambda: all(
-                f.entry.targets.entries["plain-0"].born_ms == 2
-                for f in system.fronts
-            )
-        )
+        await fixtures.restart_target(system, "plain-0")
         target.pause_s = 0.01
         answers = await _call_for(system, 0.5)
         self.assertEqual({a.status for a in answers}, {200})
--- a/copperloom/ingress/tests/test_target_limits.py
+++ b/copperloom/ingress/tests/test_target_limits.py
@@ -7,7 +7,6 @@
 from copperloom.decisions import members, target_limits
 from copperloom.ingress import limit_grants, views
 from copperloom.ingress.tests import fixtures
-from copperloom.platform.standins import crashes
 from copperloom.platform.standins.target import Fault
 
 _STABILITY_WINDOW_S = 3.0
@@ -100,14 +99,7 @@
         target.limit = "0"
         await _call_for(system, 0.5, "/write/x")
         target.limit = None
-        target.restart_after_s = 0.1
-        crashes.crash(target)
-        await fixtures.until(
-            lambda: all(
-                f.entry.targets.entries["plain-0"].born_ms == 2
-                for f in system.fronts
-            )
-        )
+        await fixtures.restart_target(system, "plain-0")
         answers = await _call_for(system, 0.5, "/write/x")
         self.assertEqual({a.status for a in answers}, {200})
 
