--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -55,6 +55,8 @@
 # Delay before a plan with draining targets is replaced, so that the shard owner
 # can receive the update first.
 _STALE_PLAN_DELAY_S = 0.01
+# A target that answers so has not completed the request.
+_UNAVAILABLE = 503
 
 
 async def forward(ex: exchange.Exchange, nxt: exchange.Next) -> None:
@@ -227,7 +229,8 @@
             )
             reply_checks.check(ex, reply.status, facts, answered_at)
             await relay.relay(ex, reply, facts)
-        _record_success(ex, entry)
+        if reply.status != _UNAVAILABLE:
+            _record_success(ex, entry)
     except exception.TargetUnreachableError:
         ex.sends -= 1
         if is_first:
--- a/copperloom/ingress/tests/test_target_backoff.py
+++ b/copperloom/ingress/tests/test_target_backoff.py
@@ -112,6 +112,22 @@
         self.assertLessEqual(_most_in_hold(system, answers), _ALLOWED)
         self.assertEqual({a.status for a in answers}, {503})
 
+    async def test_sealed_answer_that_turns_away_is_no_completed_run(self):
+        """Guards against requests that crash targets and are trusted again."""
+        system = await self._start(plain=2, fronts=1)
+        for target in system.targets.values():
+            target.crashes_on = lambda request: request.body == b"crash"
+            target.restart_after_s = None
+        await fixtures.call(system, "/write/x", body=b"crash")
+        requests = system.fronts[0].entry.crashes.requests
+        await fixtures.until(lambda: any(e.crashes for e in requests.values()))
+        for target in system.targets.values():
+            target.retry_after = "0.1"
+            target.seals_refusals = True
+        answer = await fixtures.call(system, "/write/x", body=b"crash")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual([len(e.crashes) for e in requests.values()], [1])
+
     async def test_short_time_is_waited_for(self):
         """Guards against refusals of requests that have time to wait."""
         system = await self._start(plain=1, fronts=1)
