Drain: equal values of several headers agree

A target that sends the header twice with the value 1 was not understood, though nothing contradicts it. test_several_equal_values_agree fails before and passes now.

--- a/copperloom/platform/headers.py
+++ b/copperloom/platform/headers.py
@@ -250,7 +250,7 @@
         limit_text=limit_text,
         limit_per_s=_parse_limit(limit_text or ""),
         drains_text=drains_text,
-        drains=(drains_text or "").strip() == _DRAINS_VALUE,
+        drains=_parse_drains(drains_text or ""),
     )
 
 
@@ -282,6 +282,11 @@
     return min(valid, default=None)
 
 
+def _parse_drains(text: str) -> bool:
+    """Returns whether all values in a list say that the target drains."""
+    return {part.strip() for part in text.split(",")} == {_DRAINS_VALUE}
+
+
 def _parse_retry_after(text: str) -> float | None:
     """Parses the longest of the times in a list; None without a valid one."""
     valid = [n for n in _parse_decimals(text) if n <= _MAX_RETRY_AFTER_S]
--- a/copperloom/platform/tests/test_decoding.py
+++ b/copperloom/platform/tests/test_decoding.py
@@ -208,6 +208,12 @@
         )
         self.assertFalse(headers.read_reply(given).drains)
 
+    def test_several_equal_values_agree(self):
+        given = multidict.CIMultiDict(
+            [("Server-Leaving", "1"), ("Server-Leaving", "1")]
+        )
+        self.assertTrue(headers.read_reply(given).drains)
+
     def test_answer_that_says_nothing(self):
         facts = headers.read_reply({})
         self.assertIsNone(facts.drains_text)
