--- a/bench/frontsoak/drain_checks.py
+++ b/bench/frontsoak/drain_checks.py
@@ -10,7 +10,7 @@
 # that its target drains.
 _DRAIN_S = 2.0
 # Of one instance, a target gets at most _ALLOWED requests from _GRACE_S after
-# it has turned one away until the time that it asked for has passed.
+# it has rejected one until the time that it asked for has passed.
 _ALLOWED = 2
 _GRACE_S = 0.5
 # Longest time that a disturbed link holds a request or an answer.
@@ -36,7 +36,7 @@
                 late_s = result.started_at - told_at
                 detail = f"{received.id} to {name} {late_s:.3f} s after"
                 found.append(Finding("DRAIN", detail))
-            if received.leaving == "1" and last[received.id] == name:
+            if received.draining == "1" and last[received.id] == name:
                 _record_told(told, key, received, result)
     return found
 
@@ -66,7 +66,7 @@
 
 
 def check_held(world: World) -> list[Finding]:
-    """Returns the targets that got too many requests after turning one away."""
+    """Returns the targets that got too many requests after rejecting one."""
     fronts = {result.id: result.front for result in world.got}
     found = []
     for name, target in world.targets.items():
--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -31,9 +31,9 @@
 )
 _MAX_CONCURRENT = 4
 _MAX_LIMIT_S = 12.0
-_MAX_LEAVING_S = 5.0
+_MAX_ANNOUNCED_S = 5.0
 _MAX_RETRY_AFTER_S = 6.0
-_MAX_TURNING_AWAY_S = 3.0
+_MAX_REJECTING_S = 3.0
 _MALFORMED_TIMES = ("", "-1", "nan", "9" * 30)
 
 
@@ -171,49 +171,49 @@
         world.limits.append(LimitPeriod(name, per_s, since, until))
 
 
-async def _leave(world: World) -> None:
-    await _leave_together(world, [world.rng.choice(list(world.targets))])
+async def _announce_drain(world: World) -> None:
+    await _announce_together(world, [world.rng.choice(list(world.targets))])
 
 
-async def _leave_service(world: World) -> None:
+async def _announce_service(world: World) -> None:
     kind = world.rng.choice(("engine", "plain"))
-    await _leave_together(
+    await _announce_together(
         world, [n for n in world.targets if n.startswith(kind)]
     )
 
 
-async def _leave_together(world: World, names: list[str]) -> None:
+async def _announce_together(world: World, names: list[str]) -> None:
     """Makes targets say that they drain, serve on, end and start again.
 
     The table is away for a part of that time, or keeps rows that say ready.
     """
     for name in names:
-        world.targets[name].leaving = "1"
+        world.targets[name].draining = "1"
     if world.rng.random() < 0.5:
         await _take_table_down(world)
     else:
         for name in names:
             world.register(name, seq=world.rng.randint(1, 99))
-    await asyncio.sleep(world.rng.uniform(0.5, _MAX_LEAVING_S))
+    await asyncio.sleep(world.rng.uniform(0.5, _MAX_ANNOUNCED_S))
     for name in names:
-        if world.targets[name].leaving is not None:
+        if world.targets[name].draining is not None:
             world.targets[name].restart_after_s = world.rng.uniform(0.1, 1.0)
             crashes.crash(world.targets[name])
 
 
-async def _turn_away(world: World) -> None:
-    await _turn_away_together(world, [world.rng.choice(list(world.targets))])
+async def _reject(world: World) -> None:
+    await _reject_together(world, [world.rng.choice(list(world.targets))])
 
 
-async def _turn_away_service(world: World) -> None:
+async def _reject_service(world: World) -> None:
     kind = world.rng.choice(("engine", "plain"))
-    await _turn_away_together(
+    await _reject_together(
         world, [n for n in world.targets if n.startswith(kind)]
     )
 
 
-async def _turn_away_together(world: World, names: list[str]) -> None:
-    """Makes targets turn requests away, some with values that are no times."""
+async def _reject_together(world: World, names: list[str]) -> None:
+    """Makes targets reject requests, some with values that are no times."""
     for name in names:
         target = world.targets[name]
         seconds = f"{world.rng.uniform(0.1, _MAX_RETRY_AFTER_S):.1f}"
@@ -221,7 +221,7 @@
         target.retry_after = world.rng.choice(
             (seconds, seconds, seconds, *_MALFORMED_TIMES)
         )
-    await asyncio.sleep(world.rng.uniform(0.1, _MAX_TURNING_AWAY_S))
+    await asyncio.sleep(world.rng.uniform(0.1, _MAX_REJECTING_S))
     for name in names:
         world.targets[name].retry_after = None
 
@@ -268,10 +268,10 @@
     _crash_many_targets,
     _limit_target,
     _limit_service,
-    _leave,
-    _leave_service,
-    _turn_away,
-    _turn_away_service,
+    _announce_drain,
+    _announce_service,
+    _reject,
+    _reject_service,
     _drain_target,
     _corrupt_rows,
     _change_routes,
--- a/copperloom/cli/fronts.py
+++ b/copperloom/cli/fronts.py
@@ -68,7 +68,7 @@
             f"in {limit['next_s']} s"
         )
     for target, left_s in sorted(answer["held"].items()):
-        lines.append(f"{target} wants no requests for {left_s} s")
+        lines.append(f"{target} gets no requests for {left_s} s")
     for found in answer["quarantined"]:
         crashes = ", ".join(
             f"{target} {age_s} s ago"
--- a/copperloom/cli/tests/test_trace.py
+++ b/copperloom/cli/tests/test_trace.py
@@ -117,17 +117,17 @@
             [line.fields["request"] for line in found], ["r1", "r3", "r9"]
         )
 
-    def test_refusal_since_targets_turn_away_shows_their_answers(self):
+    def test_refusal_since_targets_back_off_shows_their_answers(self):
         """Guards against the answers that other instances got."""
         said = "request={} target=t-1@1 service=s result=asked text=9"
         rows = [
-            ("01.00", "turned_away", said.format("r1"), "front-2"),
-            ("01.10", "turned_away", said.format("r2"), "front-1"),
+            ("01.00", "backoff_requested", said.format("r1"), "front-2"),
+            ("01.10", "backoff_requested", said.format("r2"), "front-1"),
             (
                 "02.00",
                 "outcome",
                 "request=r9 outcome=TargetsBackingOff status=503 code=3010 "
-                'seconds=0.1 sends=0 service=s reason="all turn away"',
+                'seconds=0.1 sends=0 service=s reason="all back off"',
                 "front-1",
             ),
         ]
--- a/copperloom/cli/trace.py
+++ b/copperloom/cli/trace.py
@@ -39,11 +39,11 @@
 _QUARANTINED = "RequestQuarantined"
 # Events that tell what targets said, by the outcome that follows from it.
 _ANSWER_EVENTS = {
-    "TargetsBackingOff": "turned_away",
+    "TargetsBackingOff": "backoff_requested",
     "TargetsDraining": "drain_notice",
 }
 # Events that concern only the instance that logged them.
-_LOCAL_EVENTS = ("turned_away",)
+_LOCAL_EVENTS = ("backoff_requested",)
 _ANSWERED = "answered"
 _CALLER_GONE = "caller_gone"
 
--- a/copperloom/decisions/backoff.py
+++ b/copperloom/decisions/backoff.py
@@ -1,8 +1,9 @@
-"""Targets that turn requests away and say for how long.
+"""Targets that reject requests and say when to retry.
 
-A target that answers 503 with Retry-After wants no requests from the instance
-that it answered until that time has passed. Others are answered by themselves,
-so nothing of this is shared. A hold belongs to one start of the target.
+A target that answers 503 with Retry-After must get no requests from the
+instance that it answered until that time has passed. Others get answers of
+their own, so nothing of this is shared. A hold belongs to one start of the
+target.
 
 It is no failure: a penalty would outlast a short hold, and fade before the end
 of a long one.
@@ -15,7 +16,7 @@
     """The holds that targets have asked this instance for.
 
     Attributes:
-        until: Monotonic time until which a target wants no requests, by
+        until: Monotonic time until which a target must get no requests, by
             incarnation of the target.
     """
 
@@ -31,7 +32,7 @@
     Args:
         known: The holds, from which ended ones are dropped.
         incarnation: The target.
-        retry_after_s: Seconds for which it wants no requests.
+        retry_after_s: Seconds for which it must get no requests.
         now: Monotonic time of its answer.
 
     Returns:
@@ -47,10 +48,10 @@
 
 
 def wait_s(known: Backoff, incarnation: str, now: float) -> float:
-    """Returns the seconds until a target wants requests again; 0 if it does."""
+    """Returns the seconds until a target may get requests; 0 if it may now."""
     return max(0.0, known.until.get(incarnation, now) - now)
 
 
 def is_held(known: Backoff, incarnation: str, now: float) -> bool:
-    """Returns whether a target wants no requests now."""
+    """Returns whether a target must get no requests now."""
     return wait_s(known, incarnation, now) > 0
--- a/copperloom/decisions/target_room.py
+++ b/copperloom/decisions/target_room.py
@@ -28,7 +28,7 @@
     Attributes:
         waits_s: Seconds until the request may be sent, by name of the target.
         max_wait_s: Seconds that it can wait.
-        held: Names of the targets that want no requests now.
+        held: Names of the targets that are held.
         all_limited: Whether all targets name limits.
     """
 
@@ -93,7 +93,7 @@
 
     Args:
         limits: The rate limits.
-        holds: The times for which targets want no requests.
+        holds: The holds that targets have asked for.
         incarnations: The targets that it may be sent to, by name.
         now: Monotonic time.
         aim_s: Its latency objective, in seconds.
--- a/copperloom/decisions/tests/test_backoff.py
+++ b/copperloom/decisions/tests/test_backoff.py
@@ -1,4 +1,4 @@
-"""Tests the times for which targets want no requests, without a network."""
+"""Tests the holds of targets that reject requests, without a network."""
 
 import unittest
 
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -157,7 +157,7 @@
 
 
 def _is_stale(ex: exchange.Exchange) -> bool:
-    """Returns whether a target of the plan is gone, drains or turns away.
+    """Returns whether a target of the plan is gone, drains or is held.
 
     The plan may be older than the latest update, since its owner may not have
     received it and reserving memory takes time. A draining target must get no
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -84,8 +84,8 @@
             ["result"],
             registry=self.registry,
         )
-        self.turned_away = prometheus_client.Counter(
-            "copperloom_turned_away",
+        self.backoff_requested = prometheus_client.Counter(
+            "copperloom_backoff_requests",
             "Answers with status 503 and a time to wait, by what it means.",
             ["result"],
             registry=self.registry,
--- a/copperloom/ingress/placement.py
+++ b/copperloom/ingress/placement.py
@@ -33,8 +33,8 @@
     Raises:
         copperloom.exception.NoTargetError: The service has no usable target.
         copperloom.exception.TargetsDrainingError: All its targets drain.
-        copperloom.exception.TargetsBackingOffError: All targets turn requests
-            away for longer than the request can wait.
+        copperloom.exception.TargetsBackingOffError: All targets reject
+            requests for longer than the request can wait.
         copperloom.exception.TargetsLimitedError: All targets are at the rate
             limits that they name.
         copperloom.exception.OverloadedError: All targets stayed full, or the
--- a/copperloom/ingress/scrape.py
+++ b/copperloom/ingress/scrape.py
@@ -47,7 +47,7 @@
         )
         yield core.GaugeMetricFamily(
             "copperloom_held_targets",
-            "Targets that want no requests of this instance for a time.",
+            "Targets that get no requests of this instance for a time.",
             value=sum(
                 until > self.now for until in self.state.backoff.until.values()
             ),
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -86,7 +86,7 @@
         uplink: Documents being sent to other instances.
         sender: The HTTP client for targets.
         limits: The rate limits that targets name.
-        backoff: The times for which targets want no requests of this instance.
+        backoff: The holds that targets have asked this instance for.
         crashes: Evidence about requests that crashed their targets.
         quarantine_changed: Set when a quarantine has begun, changed or ended.
         quarantines_loaded: Set once the quarantines of earlier processes are
--- a/copperloom/ingress/target_backoff.py
+++ b/copperloom/ingress/target_backoff.py
@@ -1,4 +1,4 @@
-"""Records the targets that turn requests away for a time."""
+"""Records the targets that reject requests for a time."""
 
 from copperloom import logs, routing
 from copperloom.decisions import backoff, registry
@@ -38,9 +38,9 @@
         result = "unreadable"
     else:
         backoff.hold(ex.state.backoff, incarnation, facts.retry_after_s, now)
-    ex.state.metrics.turned_away.labels(result).inc()
+    ex.state.metrics.backoff_requested.labels(result).inc()
     logs.event(
-        "turned_away",
+        "backoff_requested",
         request=ex.id,
         target=incarnation,
         service=target.service,
@@ -52,7 +52,7 @@
 
 
 def is_held(state: IngressState, name: str, now: float) -> bool:
-    """Returns whether a target wants no requests of this instance now.
+    """Returns whether a target must get no requests of this instance now.
 
     Args:
         state: The instance's state.
--- a/copperloom/ingress/target_room.py
+++ b/copperloom/ingress/target_room.py
@@ -62,8 +62,8 @@
         Seconds to wait until it is placed, 0 if a target may have room now.
 
     Raises:
-        copperloom.exception.TargetsBackingOffError: All targets want no
-            requests for longer than the request can wait.
+        copperloom.exception.TargetsBackingOffError: All targets are
+            held for longer than the request can wait.
         copperloom.exception.TargetsLimitedError: All targets are at their
             limits for longer than the request can wait.
     """
@@ -103,7 +103,7 @@
     limited = len(room.waits_s) - len(room.held)
     return exception.TargetsBackingOffError(
         f"retry later: all {len(room.waits_s)} targets of service "
-        f"{ex.service} take no requests now ({len(room.held)} turn them away, "
+        f"{ex.service} get no requests now ({len(room.held)} are backing off, "
         f"{limited} are at limits); the first is back in {room.first_s:.3f} s",
         run=ex.run,
         retry_after_s=_spread(ex, room.first_s),
@@ -147,9 +147,9 @@
 def excluded(ex: exchange.Exchange, now: float) -> tuple[str, ...]:
     """Lists the targets that must not get a request now.
 
-    The instance that places the request may not know of them: targets that turn
-    away requests of this instance only, that leave no room within their limits,
-    or that said that they drain.
+    The instance that places the request may not know of them: targets that
+    reject requests of this instance only, that leave no room within their
+    limits, or that said that they drain.
     """
     state = ex.state
     names = list(registry.noted(state.targets, ex.service, now))
--- a/copperloom/ingress/tests/test_draining_targets.py
+++ b/copperloom/ingress/tests/test_draining_targets.py
@@ -26,7 +26,7 @@
 ):
     """Calls while targets drain; returns the late requests and all answers."""
     for name in names:
-        system.targets[name].leaving = "1"
+        system.targets[name].draining = "1"
     drains_at = asyncio.get_running_loop().time()
     answers = await fixtures.call_often(
         system, path, _CALL_S, interval_s, **call
@@ -106,7 +106,7 @@
         system = await fixtures.start_system(self, engines=0, plain=1, fronts=2)
         target = system.targets["plain-0"]
         await _late_requests(system, "/read/x", ["plain-0"])
-        target.leaving = None
+        target.draining = None
         await fixtures.restart_target(system, "plain-0")
         answers = await fixtures.call_often(system, "/read/x", 0.5, _INTERVAL_S)
         self.assertEqual({a.status for a in answers}, {200})
@@ -116,14 +116,14 @@
         system = await fixtures.start_system(self, engines=0, plain=1, fronts=1)
         target = system.targets["plain-0"]
         for text in ("", "0", "true"):
-            target.leaving = text
+            target.draining = text
             await fixtures.call_often(system, "/read/x", 0.3, _INTERVAL_S)
-        target.leaving = "1"
+        target.draining = "1"
         for fault in _NOT_FROM_TARGET:
             target.always = fault
             await fixtures.call_often(system, "/read/x", 0.3, _INTERVAL_S)
         target.always = None
-        target.leaving = None
+        target.draining = None
         await asyncio.sleep(_DRAIN_S)
         answers = await fixtures.call_often(system, "/read/x", 0.5, _INTERVAL_S)
         self.assertEqual({a.status for a in answers}, {200})
@@ -132,7 +132,7 @@
         """Guards against requests of those that got no such answer."""
         system = await fixtures.start_system(self, engines=0, plain=2, fronts=3)
         system.store.down = 503
-        system.targets["plain-0"].leaving = "1"
+        system.targets["plain-0"].draining = "1"
         while not _knows(system.fronts[0]):
             await fixtures.call(system, "/read/x")
         await fixtures.until(lambda: all(_knows(f) for f in system.fronts))
@@ -179,7 +179,7 @@
         state = system.fronts[0].entry
         await fixtures.until(lambda: state.table.version == 2)
         for target in system.targets.values():
-            target.leaving = "1"
+            target.draining = "1"
         await fixtures.call(system, "/long/x", prompt=500_000, wait_ms=8000)
         ran = sum(bool(t.seen) for t in system.targets.values())
         self.assertGreater(len(state.targets.drain_notices.notices), ran)
--- a/copperloom/ingress/tests/test_placement_rpc.py
+++ b/copperloom/ingress/tests/test_placement_rpc.py
@@ -158,7 +158,7 @@
         self.assertEqual({a.status for a in answers}, {200})
         self.assertEqual(len(system.targets["engine-3"].seen), 8)
 
-    async def test_owner_places_around_targets_that_turn_others_away(self):
+    async def test_owner_places_around_targets_that_reject_others(self):
         """Guards against an owner that knows only its own answers."""
         system = await _start_fleet(self, engines=4)
         for name in ("engine-0", "engine-1", "engine-2"):
--- a/copperloom/ingress/tests/test_target_backoff.py
+++ b/copperloom/ingress/tests/test_target_backoff.py
@@ -1,4 +1,4 @@
-"""Tests that targets which turn requests away for a time get none meanwhile."""
+"""Tests that targets which reject requests for a time get none meanwhile."""
 
 import asyncio
 import unittest
@@ -51,7 +51,7 @@
             target.pause_s = 0.5
         return system
 
-    async def test_one_of_three_targets_turns_away(self):
+    async def test_one_of_three_targets_rejects_requests(self):
         """Guards against requests as soon as the penalty has faded."""
         system = await self._start()
         system.targets["plain-0"].retry_after = "6"
@@ -59,7 +59,7 @@
         self.assertLessEqual(_most_in_hold(system, answers), _ALLOWED)
         self.assertEqual({a.status for a in answers}, {200})
 
-    async def test_one_of_three_engines_turns_away(self):
+    async def test_one_of_three_engines_rejects_requests(self):
         """Guards against streams, which take another path than plain calls."""
         system = await self._start(engines=3, plain=0)
         for target in system.targets.values():
@@ -72,15 +72,15 @@
         served = sum(a.status == 200 for a in answers)
         self.assertGreater(served, len(answers) / 2)
 
-    async def test_all_targets_turn_away(self):
+    async def test_all_targets_reject_requests(self):
         """Guards against requests since nothing else is there."""
-        await self._check_all_turn_away("/read/x")
+        await self._check_all_reject("/read/x")
 
-    async def test_all_targets_turn_away_requests_that_run_once(self):
+    async def test_all_targets_reject_requests_that_run_once(self):
         """Guards against an exception for requests without a retry."""
-        await self._check_all_turn_away("/write/x")
+        await self._check_all_reject("/write/x")
 
-    async def _check_all_turn_away(self, path: str) -> None:
+    async def _check_all_reject(self, path: str) -> None:
         system = await self._start(plain=2)
         for target in system.targets.values():
             target.retry_after = "3"
@@ -102,7 +102,7 @@
         self.assertGreaterEqual(told_s, back_s)
         self.assertLess(told_s, back_s + 1)
 
-    async def test_sealed_answers_that_turn_away(self):
+    async def test_sealed_answers_that_reject(self):
         """Guards against a failed answer where the target gave a clear one."""
         system = await self._start(plain=2)
         for target in system.targets.values():
@@ -112,7 +112,7 @@
         self.assertLessEqual(_most_in_hold(system, answers), _ALLOWED)
         self.assertEqual({a.status for a in answers}, {503})
 
-    async def test_sealed_answer_that_turns_away_is_no_completed_run(self):
+    async def test_sealed_rejection_is_no_completed_run(self):
         """Guards against requests that crash targets and are trusted again."""
         system = await self._start(plain=2, fronts=1)
         for target in system.targets.values():
@@ -162,7 +162,7 @@
         now = asyncio.get_running_loop().time()
         status = views.status(system.fronts[0].entry, now)
         self.assertGreater(status["held"]["plain-0@1"], 59)
-        self.assertIn("plain-0@1 wants no requests", fronts.status(status))
+        self.assertIn("plain-0@1 gets no requests", fronts.status(status))
 
     async def test_new_start_ends_the_time(self):
         """Guards against a hold that the new start has not asked for."""
--- a/copperloom/platform/standins/crashes.py
+++ b/copperloom/platform/standins/crashes.py
@@ -51,7 +51,7 @@
     """Starts the target again at its address, as a new incarnation."""
     host, _, port = target.address.rpartition(":")
     target.born += 1
-    target.leaving = None
+    target.draining = None
     target.retry_after = None
     if target.renamed:
         target.name = f"{target.name.partition('.')[0]}.{target.born}"
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -54,9 +54,9 @@
         body: Body of the request.
         ran: Whether the target ran the request.
         at: Monotonic time at which it was received.
-        retry_after: The Retry-After with which it was turned away; None
+        retry_after: The Retry-After with which it was rejected; None
             without one.
-        leaving: What the answer said about draining; None for nothing.
+        draining: What the answer said about draining; None for nothing.
         born: The start of the target that received it.
     """
 
@@ -68,7 +68,7 @@
     ran: bool
     at: float
     retry_after: str | None = None
-    leaving: str | None = None
+    draining: str | None = None
     born: int = 1
 
 
@@ -105,8 +105,8 @@
             for no restart.
         renamed: Whether it has another name after a restart.
         limit: The limit that it names in its answers; None for none.
-        leaving: What its answers say about draining; None for nothing.
-        retry_after: Retry-After with which it turns all requests away; None
+        draining: What its answers say about draining; None for nothing.
+        retry_after: Retry-After with which it rejects all requests; None
             to serve them.
         seals_refusals: Whether it does so in sealed answers, instead of saying
             that it did not run the request.
@@ -135,7 +135,7 @@
         self.restart_after_s: float | None = 0.5
         self.renamed = False
         self.limit: str | None = None
-        self.leaving: str | None = None
+        self.draining: str | None = None
         self.retry_after: str | None = None
         self.seals_refusals = False
         self.on_crash: Callable[[TargetStandin], None] = _ignore
@@ -206,8 +206,8 @@
     fault = target.faults.popleft() if target.faults else target.always
     if expected != target.name:
         fault = Fault.MISDIRECTED
-    turned_away = target.retry_after is not None
-    refused = turned_away or fault in (Fault.REFUSE, Fault.MISDIRECTED)
+    rejected = target.retry_after is not None
+    refused = rejected or fault in (Fault.REFUSE, Fault.MISDIRECTED)
     request_id = request.headers.get(wire.REQUEST, "")
     received = ReceivedRequest(
         id=request_id,
@@ -218,7 +218,7 @@
         ran=not refused,
         at=asyncio.get_running_loop().time(),
         retry_after=target.retry_after,
-        leaving=target.leaving,
+        draining=target.draining,
         born=target.born,
     )
     target.seen.append(received)
@@ -251,7 +251,7 @@
 
 def _own_headers(target: TargetStandin) -> dict[str, str]:
     """Returns the headers by which a target tells of itself in all answers."""
-    values = {wire.LIMIT: target.limit, wire.LEAVING: target.leaving}
+    values = {wire.LIMIT: target.limit, wire.DRAINING: target.draining}
     return {name: v for name, v in values.items() if v is not None}
 
 
--- a/copperloom/platform/standins/wire.py
+++ b/copperloom/platform/standins/wire.py
@@ -5,10 +5,10 @@
 """
 
 __all__ = [
+    "DRAINING",
     "HELPERS",
     "INSTANCE_ENVIRONMENT",
     "KEY",
-    "LEAVING",
     "LEFT",
     "LIMIT",
     "NOT_RUN",
@@ -41,8 +41,8 @@
 # instances together.
 LIMIT = "Server-Limit"
 # Response header of a target that is about to end.
-LEAVING = "Server-Leaving"
-# Response header of a target that turns requests away: for how many seconds.
+DRAINING = "Server-Leaving"
+# Response header of a target that rejects requests: for how many seconds.
 RETRY_AFTER = "Retry-After"
 # The call that reads rows of a table.
 READ_CALL = "rows-get"
