--- a/copperloom/decisions/placement.py
+++ b/copperloom/decisions/placement.py
@@ -33,8 +33,8 @@
 # first token and one for each further token.
 LONG_ITERATION_TOKENS = 4_000
 # Weight of such an iteration while decoding, relative to the one before the
-# first token, by the preset's objective. The trade-off is measured in
-# docs/design/decisions.md, "The two objectives".
+# first token, by the preset's objective (docs/design/decisions.md, "The two
+# objectives").
 DECODE_WEIGHT = {"first_token": 0.0, "slowdown": 0.1}
 # Cost, in prompt tokens, of the interference of a long prefill with one
 # decoding stream. Short answers suffer far more from it than a long request
