Answers: what an answer tells of its target is read once

Cause: three recorders took the same five arguments, two of them checked by themselves whose answer it was, the third left that to its caller; the status 503 and the length of logged texts stood three times; dropped notices left no line, and were dropped inside the registry while limits are dropped where rows are applied; a hold returned a result that nothing used. Change: an Answer (target, status, facts, time, whether it is the target's own) is read once, for requests and for orders; the recorders take it. Dropping notices stands beside dropping limits and is logged.

--- a/copperloom/decisions/backoff.py
+++ b/copperloom/decisions/backoff.py
@@ -26,7 +26,7 @@
 
 def hold(
     known: Backoff, incarnation: str, retry_after_s: float, now: float
-) -> bool:
+) -> None:
     """Records what a target asked for; of several holds the latest end counts.
 
     Args:
@@ -34,17 +34,12 @@
         incarnation: The target.
         retry_after_s: Seconds for which it must get no requests.
         now: Monotonic time of its answer.
-
-    Returns:
-        Whether its hold now ends later than before.
     """
     for name in [n for n, until in known.until.items() if until <= now]:
         del known.until[name]
-    until = now + retry_after_s
-    if until <= max(now, known.until.get(incarnation, now)):
-        return False
-    known.until[incarnation] = until
-    return True
+    until = max(now + retry_after_s, known.until.get(incarnation, now))
+    if until > now:
+        known.until[incarnation] = until
 
 
 def wait_s(known: Backoff, incarnation: str, now: float) -> float:
--- a/copperloom/decisions/registry.py
+++ b/copperloom/decisions/registry.py
@@ -21,6 +21,7 @@
     "find",
     "has_draining",
     "incarnation",
+    "incarnations",
     "is_draining",
     "is_usable",
     "note_draining",
@@ -121,9 +122,6 @@
         if old is None or entry.born_ms > old.born_ms:
             started.append(entry)
     reg.version = max(reg.version, version)
-    if reg.drain_notices.notices:
-        registered = {incarnation(e) for e in reg.entries.values()}
-        drain_notices.drop_oldest_gone(reg.drain_notices, registered)
     return started
 
 
@@ -213,6 +211,11 @@
     )
 
 
+def incarnations(reg: Registry) -> frozenset[str]:
+    """Returns the incarnations that are registered."""
+    return frozenset(incarnation(e) for e in reg.entries.values())
+
+
 def ready_incarnations(reg: Registry) -> frozenset[str]:
     """Returns the incarnations whose rows say that they are ready."""
     if reg.ready is None:
--- a/copperloom/ingress/draining_targets.py
+++ b/copperloom/ingress/draining_targets.py
@@ -1,81 +1,46 @@
 """Records the targets that say in their answers that they drain."""
 
-from copperloom import logs, routing
+from copperloom import logs
 from copperloom.decisions import registry
-from copperloom.ingress import exchange, reply_checks
+from copperloom.ingress import answers, exchange
 from copperloom.ingress.state import IngressState
-from copperloom.platform import headers
 
-__all__ = ["apply", "record", "record_answer"]
+__all__ = ["apply", "record_answer"]
 
-_MAX_LOGGED_TEXT = 60
 
-
-def record_answer(
-    ex: exchange.Exchange,
-    target: routing.TargetEntry,
-    status: int,
-    facts: headers.ReplyFacts,
-    now: float,
-) -> None:
-    """Records whether an answer to a request says that its target drains.
-
-    Args:
-        ex: The request.
-        target: The target that the request was sent to.
-        status: HTTP status of the answer.
-        facts: Values of its headers.
-        now: Monotonic time.
-    """
-    if facts.drains_text is None:
-        return
-    if not reply_checks.is_from_target(ex, status, facts):
-        _log_answer(ex, target, "not_from_target", facts)
-        return
-    record(ex, target, facts, now)
-
-
-def record(
-    ex: exchange.Exchange,
-    target: routing.TargetEntry,
-    facts: headers.ReplyFacts,
-    now: float,
-) -> None:
-    """Records whether a target itself says that it drains.
+def record_answer(ex: exchange.Exchange, answer: answers.Answer) -> None:
+    """Records whether an answer says that its target drains.
 
     Args:
         ex: The request on whose behalf the target was called.
-        target: The target.
-        facts: Values of its answer's headers.
-        now: Monotonic time.
+        answer: The answer, to the request or to an order.
     """
-    if not facts.drains:
-        if facts.drains_text is not None:
-            _log_answer(ex, target, "unreadable", facts)
+    facts = answer.facts
+    if facts.drains_text is None:
         return
     state = ex.state
-    incarnation = registry.incarnation(target)
-    if registry.note_draining(state.targets, incarnation, now, forwards=True):
-        _log_answer(ex, target, "drains", facts)
+    incarnation = registry.incarnation(answer.target)
+    result = "drains"
+    if not answer.is_own:
+        result = "not_from_target"
+    elif not facts.drains:
+        result = "unreadable"
+    elif registry.note_draining(
+        state.targets, incarnation, answer.at, forwards=True
+    ):
         state.digest_due.set()
         state.changed.set()
-
-
-def _log_answer(
-    ex: exchange.Exchange,
-    target: routing.TargetEntry,
-    result: str,
-    facts: headers.ReplyFacts,
-) -> None:
-    ex.state.metrics.drain_notices.labels(result).inc()
+    else:
+        return
+    state.metrics.drain_notices.labels(result).inc()
     logs.event(
         "drain_notice",
         request=ex.id,
-        target=registry.incarnation(target),
-        service=target.service,
+        target=incarnation,
+        service=answer.target.service,
         result=result,
-        text=facts.drains_text[:_MAX_LOGGED_TEXT],
-        row="draining" if target.draining else "ready",
+        text=answers.logged(facts.drains_text),
+        row="draining" if answer.target.draining else "ready",
     )
 
 
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -17,6 +17,7 @@
     registry,
 )
 from copperloom.ingress import (
+    answers,
     draining_targets,
     exchange,
     limited_targets,
@@ -55,8 +56,12 @@
 # Delay before a plan with draining targets is replaced, so that the shard owner
 # can receive the update first.
 _STALE_PLAN_DELAY_S = 0.01
-# A target that answers so has not completed the request.
-_UNAVAILABLE = 503
+# They record what a target says of itself, before its answer is checked.
+_ANSWER_RECORDERS = (
+    limited_targets.record_answer,
+    draining_targets.record_answer,
+    target_backoff.record_answer,
+)
 
 
 async def forward(ex: exchange.Exchange, nxt: exchange.Next) -> None:
@@ -217,19 +222,13 @@
             timeout_s=_head_timeout_s(ex, now),
             may_give_up=lambda: retry.may_give_up(ex),
         ) as reply:
-            facts = headers.read_reply(reply.headers)
-            answered_at = asyncio.get_running_loop().time()
-            if reply_checks.is_from_target(ex, reply.status, facts):
-                limited_targets.record_answer(ex, entry, facts, answered_at)
-            draining_targets.record_answer(
-                ex, entry, reply.status, facts, answered_at
-            )
-            target_backoff.record_answer(
-                ex, entry, reply.status, facts, answered_at
-            )
-            reply_checks.check(ex, reply.status, facts, answered_at)
-            await relay.relay(ex, reply, facts)
-        if reply.status != _UNAVAILABLE:
+            now = asyncio.get_running_loop().time()
+            answer = answers.read(ex, entry, reply, now)
+            for record in _ANSWER_RECORDERS:
+                record(ex, answer)
+            reply_checks.check(ex, answer)
+            await relay.relay(ex, reply, answer.facts)
+        if answer.status != answers.UNAVAILABLE:
             _record_success(ex, entry)
     except exception.TargetUnreachableError:
         ex.sends -= 1
--- a/copperloom/ingress/limited_targets.py
+++ b/copperloom/ingress/limited_targets.py
@@ -6,10 +6,9 @@
 
 import asyncio
 
-from copperloom import logs, routing
+from copperloom import logs
 from copperloom.decisions import limit_schedule, registry, target_limits
-from copperloom.ingress import exchange, limit_grants, target_room
-from copperloom.platform import headers
+from copperloom.ingress import answers, exchange, limit_grants, target_room
 
 __all__ = [
     "await_grant",
@@ -18,40 +17,30 @@
 
 # A target whose limit's owner is silent is left alone for this time.
 _SILENT_OWNER_S = 0.3
-_MAX_LOGGED_TEXT = 60
 
 
-def record_answer(
-    ex: exchange.Exchange,
-    target: routing.TargetEntry,
-    facts: headers.ReplyFacts,
-    now: float,
-) -> None:
-    """Records the limit that an answer names, or that it names none.
-
-    Args:
-        ex: The request.
-        target: The target that has answered.
-        facts: Values of the answer's headers.
-        now: Monotonic time at which they were received.
-    """
+def record_answer(ex: exchange.Exchange, answer: answers.Answer) -> None:
+    """Records the limit that an answer names, or that it names none."""
+    if not answer.is_own:
+        return
     limits = ex.state.limits
-    incarnation = registry.incarnation(target)
+    facts = answer.facts
+    incarnation = registry.incarnation(answer.target)
     changed = False
     if facts.limit_per_s is not None:
         changed = target_limits.record_named(
-            limits, incarnation, facts.limit_per_s, now
+            limits, incarnation, facts.limit_per_s, answer.at
         )
     elif facts.limit_text is not None:
         logs.event(
             "limit_unreadable",
             request=ex.id,
             target=incarnation,
-            limit=facts.limit_text[:_MAX_LOGGED_TEXT],
+            limit=answers.logged(facts.limit_text),
         )
     elif facts.sealed:
         changed = target_limits.record_not_named(
-            limits, incarnation, ex.attempt_at, now
+            limits, incarnation, ex.attempt_at, answer.at
         )
     if changed:
         limit_grants.log_change(ex.state, incarnation, request=ex.id)
--- a/copperloom/ingress/reply_checks.py
+++ b/copperloom/ingress/reply_checks.py
@@ -1,46 +1,15 @@
 """Checks whether a reply is the target's answer to the request."""
 
 from copperloom import exception
-from copperloom.ingress import exchange, retry, target_room
-from copperloom.platform import headers
+from copperloom.ingress import answers, exchange, retry, target_room
 
-__all__ = ["MISDIRECTED", "check", "is_from_target"]
+__all__ = ["check"]
 
-# Status of a target that was not meant.
-MISDIRECTED = 421
 _SERVER_ERROR = 500
 
 
-def is_from_target(
-    ex: exchange.Exchange, status: int, facts: headers.ReplyFacts
-) -> bool:
-    """Returns whether a reply may tell what its target says of itself.
-
-    A faulty target may send the answer to another request, and another target
-    may have got the address. Refusals and errors count like other answers.
-
-    Args:
-        ex: The request.
-        status: HTTP status of the reply.
-        facts: Values of its headers.
-    """
-    if status == MISDIRECTED or facts.encoded:
-        return False
-    if facts.request and facts.request != ex.id:
-        return False
-    return facts.sealed or facts.not_run
-
-
-def check(
-    ex: exchange.Exchange, status: int, facts: headers.ReplyFacts, now: float
-) -> None:
-    """Checks that a reply is the target's answer to this request.
-
-    Args:
-        ex: The request.
-        status: HTTP status of the reply.
-        facts: Values of its headers.
-        now: Monotonic time.
+def check(ex: exchange.Exchange, answer: answers.Answer) -> None:
+    """Checks that an answer is the target's to this request.
 
     Raises:
         copperloom.exception.TargetRefusedError: The target did not run it.
@@ -48,11 +17,12 @@
             this request, or a server error after which the request is sent
             to another target.
     """
+    status, facts = answer.status, answer.facts
     if facts.request and facts.request != ex.id:
         raise exception.StreamBrokenError(
             "target answered with the request id of another request"
         )
-    if facts.not_run or status == MISDIRECTED:
+    if facts.not_run or status == answers.MISDIRECTED:
         error = exception.TargetRefusedError(
             f"target did not run the request: status {status}"
         )
@@ -69,7 +39,7 @@
     if status < _SERVER_ERROR:
         return
     # The target's own error is a better answer than none.
-    if not facts.sealed or _is_sent_again(ex, now):
+    if not facts.sealed or _is_sent_again(ex, answer.at):
         raise exception.StreamBrokenError(
             f"target answered with a server error: status {status}"
         )
--- a/copperloom/ingress/reserve.py
+++ b/copperloom/ingress/reserve.py
@@ -12,13 +12,8 @@
 
 from copperloom import exception, logs
 from copperloom.decisions import plans, registry
-from copperloom.ingress import (
-    draining_targets,
-    exchange,
-    reply_checks,
-    sender,
-)
-from copperloom.platform import headers, orders
+from copperloom.ingress import answers, draining_targets, exchange, sender
+from copperloom.platform import orders
 
 __all__ = ["helpers_in_order", "hold_memory", "reservation_paths"]
 
@@ -132,10 +127,9 @@
             ) as reply,
         ):
             granted = orders.was_granted(reply.status)
-            if reply.status != reply_checks.MISDIRECTED:
-                facts = headers.read_reply(reply.headers)
-                now = asyncio.get_running_loop().time()
-                draining_targets.record(ex, entry, facts, now)
+            now = asyncio.get_running_loop().time()
+            answer = answers.read_to_order(entry, reply, now)
+            draining_targets.record_answer(ex, answer)
     except (exception.CopperloomError, TimeoutError) as error:
         logs.event(
             "order_failed", request=ex.id, target=target, error=str(error)
--- a/copperloom/ingress/updates.py
+++ b/copperloom/ingress/updates.py
@@ -7,6 +7,7 @@
 
 from copperloom import logs
 from copperloom.decisions import (
+    drain_notices,
     inflight_table,
     registry,
     rowlog,
@@ -105,16 +106,23 @@
     for name, entry in before.items():
         if entry is not None and name not in state.targets.entries:
             inflight_table.drop_target(state.inflight, name)
-    if state.limits.limits:
-        registered = {
-            registry.incarnation(e) for e in state.targets.entries.values()
-        }
-        target_limits.drop_gone(state.limits, frozenset(registered), now)
+    _drop_gone(state, now)
     _log_targets(state, before, source)
     state.targets_at = now
     _signal_change(state)
 
 
+def _drop_gone(state: IngressState, now: float) -> None:
+    """Drops what targets said of themselves long after they have gone."""
+    notices = state.targets.drain_notices
+    if not (state.limits.limits or notices.notices):
+        return
+    registered = registry.incarnations(state.targets)
+    target_limits.drop_gone(state.limits, registered, now)
+    for target in drain_notices.drop_oldest_gone(notices, registered):
+        logs.event("drain_notice_dropped", target=target)
+
+
 def _signal_change(state: IngressState) -> None:
     if state.table.version and state.targets.entries:
         state.routing_known.set()
