Placement: excluded targets are listed only for the query that is sent

Cause: the query that only computes a request's planned work listed them, too, for each attempt. Change: the list is an argument. Measured: 13 tests of placement by owners and of excluded targets pass; no change of behaviour.

--- a/copperloom/ingress/placement.py
+++ b/copperloom/ingress/placement.py
@@ -54,7 +54,8 @@
             await asyncio.sleep(hold_s + ex.state.rng.uniform(0.0, _SPREAD_S))
             continue
         ex.shard = placement_rpc.shard_of(ex.state, ex.service, usable)
-        decision = await placement_rpc.decide(ex.state, to_query(ex, now), now)
+        query = to_query(ex, now, target_room.excluded(ex, now))
+        decision = await placement_rpc.decide(ex.state, query, now)
         choice = decision.choice
         if isinstance(choice, plans.Plan):
             _log_placement(ex, decision, choice, now - started_at)
@@ -75,8 +76,16 @@
         await _wait_for_change(ex)
 
 
-def to_query(ex: exchange.Exchange, now: float) -> placement_query.Query:
-    """Returns the placement query for a request."""
+def to_query(
+    ex: exchange.Exchange, now: float, excluded: tuple[str, ...] = ()
+) -> placement_query.Query:
+    """Returns the placement query for a request.
+
+    Args:
+        ex: The request.
+        now: Monotonic time.
+        excluded: Targets that it must not be sent to.
+    """
     prompt = None
     held_tokens = 0
     if ex.head.prompt_tokens:
@@ -97,7 +106,7 @@
         avoid=tuple(ex.avoid),
         may_lead=exchange.may_lead(ex),
         is_repeat=bool(ex.sends),
-        excluded=target_room.excluded(ex, now),
+        excluded=excluded,
     )
 
 
