--- a/copperloom/cli/trace.py
+++ b/copperloom/cli/trace.py
@@ -147,27 +147,25 @@
 
     The latest line of each target counts.
     """
-    latest = {}
-    for outcome in matching:
-        event = _ANSWER_EVENTS.get(outcome.fields.get("outcome"))
-        said = [
-            line
-            for line in lines
-            if line.event == event
-            and line.fields.get("service") == outcome.fields.get("service")
-            and line.time <= until
-            and (
-                event not in _LOCAL_EVENTS
-                or line.fields.get("instance") == outcome.fields.get("instance")
-            )
-        ]
-        latest |= {
-            line.fields["target"]: line
-            for line in sorted(said, key=lambda line: line.time)
-        }
+    said = [
+        line
+        for line in sorted(lines, key=lambda line: line.time)
+        if line.time <= until and any(_explains(line, x) for x in matching)
+    ]
+    latest = {line.fields["target"]: line for line in said}
     return [line for line in latest.values() if line not in matching]
 
 
+def _explains(line: Line, outcome: Line) -> bool:
+    """Returns whether a line tells of an answer that led to a refusal."""
+    if line.event != _ANSWER_EVENTS.get(outcome.fields.get("outcome")):
+        return False
+    shared = ["service"]
+    if line.event in _LOCAL_EVENTS:
+        shared.append("instance")
+    return all(line.fields.get(f) == outcome.fields.get(f) for f in shared)
+
+
 def _next_starts(lines, instances, after: str) -> list[Line]:
     """Returns the first start after a time, as a list of at most one line.
 
