Reachability: failed attempts tell how many targets fail at one instance

Cause: the lines of one instance could not tell a partition between it and all targets from targets that ended. Change: each instance records the targets whose connections failed with no later attempt answered; attempt_failed has their number and the time since any target answered, the metrics have a gauge. No decision uses it yet.

--- a/copperloom/exception.py
+++ b/copperloom/exception.py
@@ -243,11 +243,20 @@
 
 
 class TargetUnreachableError(CopperloomError):
-    """The target accepted no connection, so nothing was sent."""
+    """The target accepted no connection, so nothing was sent.
+
+    Attributes:
+        is_silent: Whether there was no reply until a timeout.
+    """
 
     code = 4001
     status = 502
     retry_after_s = 0.5
+    is_silent = False
+
+    def __init__(self, message: str = "", *, is_silent: bool = False, **facts):
+        super().__init__(message, **facts)
+        self.is_silent = is_silent
 
 
 class TargetRefusedError(CopperloomError):
@@ -272,18 +281,26 @@
     Attributes:
         connection_lost: Whether the target's side ended the connection before
             the answer was complete.
+        is_silent: Whether it sent nothing until a timeout.
     """
 
     code = 4004
     status = 502
     run = Run.MAY_HAVE_RUN
     connection_lost = False
+    is_silent = False
 
     def __init__(
-        self, message: str = "", *, connection_lost: bool = False, **facts
+        self,
+        message: str = "",
+        *,
+        connection_lost: bool = False,
+        is_silent: bool = False,
+        **facts,
     ):
         super().__init__(message, **facts)
         self.connection_lost = connection_lost
+        self.is_silent = is_silent
 
 
 class PlatformDownError(CopperloomError):
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -14,6 +14,7 @@
     inflight_table,
     placement_query,
     plans,
+    reachability,
     registry,
 )
 from copperloom.ingress import (
@@ -33,6 +34,7 @@
     target_checks,
     target_room,
 )
+from copperloom.ingress.state import IngressState
 from copperloom.platform import headers
 
 __all__ = ["forward"]
@@ -138,6 +140,7 @@
     culprit = getattr(error, "target", "") or ex.plan.lead
     by_helper = culprit != ex.plan.lead
     ex.avoid.add(culprit)
+    _record_connection(ex, error, culprit, now)
     if by_helper:
         points = health.UNREACHABLE_PENALTY
     if not target_backoff.is_held(ex.state, culprit, now):
@@ -156,11 +159,42 @@
         error=str(error),
         sends=ex.sends,
         last_event=ex.last_event,
+        **_describe_reachability(ex.state, now),
     )
     target_checks.begin(ex, error, now)
     return by_helper
 
 
+def _record_connection(
+    ex, error: exception.CopperloomError, culprit: str, now: float
+) -> None:
+    """Records a failure to reach a target, unless the target answered."""
+    target = registry.find(ex.state.targets, culprit)
+    if target is None or not _is_unreached(error):
+        return
+    reachability.record_failure(
+        ex.state.reachability, target, now, is_silent=error.is_silent
+    )
+
+
+def _is_unreached(error: exception.CopperloomError) -> bool:
+    """Returns whether an attempt failed by its connection."""
+    if isinstance(error, exception.TargetUnreachableError):
+        return True
+    return isinstance(error, exception.StreamBrokenError) and (
+        error.connection_lost or error.is_silent
+    )
+
+
+def _describe_reachability(state: IngressState, now: float) -> dict:
+    """Returns log fields that tell a fault of a target from a partition."""
+    known = state.reachability
+    return {
+        "unreached_targets": len(known.failures),
+        "answered_ago_s": round(now - known.answered_at, 3),
+    }
+
+
 def _is_stale(ex: exchange.Exchange) -> bool:
     """Returns whether a target of the plan is gone, drains or is held.
 
@@ -223,6 +257,7 @@
             may_give_up=lambda: retry.may_give_up(ex),
         ) as reply:
             now = asyncio.get_running_loop().time()
+            reachability.record_answer(state.reachability, ex.attempt_at, now)
             answer = answers.read(ex, entry, reply, now)
             for record in _ANSWER_RECORDERS:
                 record(ex, answer)
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -158,7 +158,8 @@
     except TimeoutError as error:
         if retry.may_give_up(ex):
             raise exception.StreamBrokenError(
-                "target sent no more of its stream before the timeout"
+                "target sent no more of its stream before the timeout",
+                is_silent=True,
             ) from error
     return await content.readany()
 
--- a/copperloom/ingress/scrape.py
+++ b/copperloom/ingress/scrape.py
@@ -52,6 +52,11 @@
                 until > self.now for until in self.state.backoff.until.values()
             ),
         )
+        yield core.GaugeMetricFamily(
+            "copperloom_unreached_targets",
+            "Targets whose connections failed since the latest answer of any.",
+            value=len(self.state.reachability.failures),
+        )
         yield core.GaugeMetricFamily(
             "copperloom_quarantined_requests",
             "Requests that are refused since they crashed several targets.",
--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -186,7 +186,7 @@
         done, _ = await asyncio.wait({task}, timeout=timeout_s)
         if not done and may_give_up():
             raise exception.StreamBrokenError(
-                "target sent no answer before the timeout"
+                "target sent no answer before the timeout", is_silent=True
             )
         return await task
     finally:
@@ -208,7 +208,10 @@
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
     ) as error:
-        raise exception.TargetUnreachableError(_reason(error)) from error
+        is_silent = isinstance(error, TimeoutError)
+        raise exception.TargetUnreachableError(
+            _reason(error), is_silent=is_silent
+        ) from error
     except (aiohttp.ClientError, OSError) as error:
         raise _broken(error) from error
 
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -17,6 +17,7 @@
     health,
     inflight_table,
     members,
+    reachability,
     registry,
     rowlog,
     shards,
@@ -87,6 +88,7 @@
         sender: The HTTP client for targets.
         limits: The rate limits that targets name.
         backoff: The holds that targets have asked this instance for.
+        reachability: What attempts show about connections to targets.
         crashes: Evidence about requests that crashed their targets.
         quarantine_changed: Set when a quarantine has begun, changed or ended.
         quarantines_loaded: Set once the quarantines of earlier processes are
@@ -145,6 +147,7 @@
         self.sender = sender.Sender()
         self.limits = target_limits.TargetLimits()
         self.backoff = backoff.Backoff()
+        self.reachability = reachability.Reachability()
         self.crashes = crash_evidence.CrashLog()
         self.quarantine_changed = asyncio.Event()
         self.quarantines_loaded = asyncio.Event()
