--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -50,17 +50,20 @@
     """The HTTP client for targets.
 
     Attributes:
+        make_socket: Returns a socket for an address, as
+            `sockets.monitored_socket` does.
         session: Created on first use, inside the event loop.
     """
 
     def __init__(self):
+        self.make_socket = sockets.monitored_socket
         self.session: aiohttp.ClientSession | None = None
 
     def open(self) -> aiohttp.ClientSession:
         """Returns the session, and creates it on first use."""
         if self.session is None:
             self.session = aiohttp.ClientSession(
-                connector=_connector(),
+                connector=_connector(self.make_socket),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 skip_auto_headers=(
@@ -110,12 +113,12 @@
             )
 
 
-def _connector() -> aiohttp.TCPConnector:
+def _connector(make_socket) -> aiohttp.TCPConnector:
     connector = aiohttp.TCPConnector(
         limit=0,
         force_close=True,
         use_dns_cache=False,
-        socket_factory=sockets.monitored_socket,
+        socket_factory=make_socket,
     )
     # aiohttp has no public way to set the protocol class.
     connector._factory = functools.partial(_Protocol, loop=connector._loop)
@@ -222,19 +225,20 @@
         await client.session.close()
 
 
-async def is_listening(address: str) -> bool | None:
+async def is_listening(client: Sender, address: str) -> bool | None:
     """Returns whether a target accepts connections; None if that is unknown.
 
     A host refuses connections to a port on which no process listens. Silence
     may have other reasons, such as a network partition.
     """
     host, _, port = address.rpartition(":")
+    peer = (host, int(port))
     loop = asyncio.get_running_loop()
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-        sock.setblocking(False)
+    info = (socket.AF_INET, socket.SOCK_STREAM, 0, "", peer)
+    with client.make_socket(info) as sock:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.sock_connect(sock, (host, int(port)))
+                await loop.sock_connect(sock, peer)
         except ConnectionRefusedError:
             return False
         except OSError:
--- a/copperloom/ingress/target_checks.py
+++ b/copperloom/ingress/target_checks.py
@@ -135,7 +135,7 @@
     """Checks an address, or waits for the check that is in progress."""
     task = state.target_checks.get(address)
     if task is None:
-        task = asyncio.ensure_future(sender.is_listening(address))
+        task = asyncio.ensure_future(sender.is_listening(state.sender, address))
         state.target_checks[address] = task
         task.add_done_callback(lambda _: state.target_checks.pop(address))
     listening = await asyncio.shield(task)
--- a/copperloom/ingress/tests/fixtures.py
+++ b/copperloom/ingress/tests/fixtures.py
@@ -19,6 +19,7 @@
 from copperloom.ingress import server, state
 from copperloom.platform import settings
 from copperloom.platform.standins import crashes, wire
+from copperloom.platform.standins import links as links_standin
 from copperloom.platform.standins import store as store_standin
 from copperloom.platform.standins import target as target_standin
 
@@ -124,6 +125,8 @@
         session: The HTTP client of callers.
         targets: The targets by name.
         fronts: The instances.
+        links: Links between instances and targets, by number of the instance;
+            empty unless instances can be partitioned.
     """
 
     case: unittest.IsolatedAsyncioTestCase
@@ -131,6 +134,7 @@
     session: aiohttp.ClientSession
     targets: dict[str, target_standin.TargetStandin]
     fronts: list[front.FrontService]
+    links: list[links_standin.Links] = dataclasses.field(default_factory=list)
 
     async def add_target(self, name: str, service: str, **changes):
         """Starts a target and registers it."""
@@ -162,6 +166,18 @@
         self.fronts.append(service)
         return service
 
+    async def add_links(self) -> None:
+        """Lets all instances be partitioned from all targets."""
+        for service in self.fronts:
+            own = links_standin.Links()
+            for target in self.targets.values():
+                await own.add(target.address)
+            self.case.addCleanup(own.close)
+            self.links.append(own)
+            service.entry.sender.make_socket = links_standin.redirect_sockets(
+                own.addresses
+            )
+
     async def stop_fronts(self) -> None:
         """Stops all instances concurrently, since each one drains first."""
         await asyncio.gather(*(service.stop() for service in self.fronts))
