Relay: a partitioned instance has peers send its requests

Cause: an instance used only its own connections. One that was partitioned from all targets answered 503 after four failed attempts, or let requests hang, although other instances reached the same targets. Its failures also spread as penalties and as evidence against requests. Change: a failed connection begins a round of checks of other targets, of other services and data centres first. If none answers, the instance offers its requests to peers that reach targets (gRPC, one connection each, the body only after the peer has accepted). The peer places, sends and judges the request as its own, once, and returns the answer as it comes; errors keep their code and Retry-After. Failures that no later answer has confirmed are neither shared nor held against requests. Checks during the loss end it within a second or so, later if it comes and goes. If peers reach nothing either, requests are refused at once (3011). A few partitioned instances of a data centre report not ready. Digests carry one flag.

--- a/bench/frontsoak/checks.py
+++ b/bench/frontsoak/checks.py
@@ -22,6 +22,10 @@
 _MAX_RETRIES = 3
 _STABILITY_WINDOW_S = 3.0
 _LIMIT_WINDOW_S = 4.0
+# Instances that are partitioned from all targets serve at least so much of what
+# the others serve.
+_MIN_SERVED_SHARE = 2 / 3
+_MIN_COMPARED = 20
 
 
 def check(world: World) -> list[Finding]:
@@ -38,6 +42,7 @@
         found += _check_limit(world, period)
     found += drain_checks.check_draining(world)
     found += drain_checks.check_held(world)
+    found += _check_partitions(world)
     # A target behind a silenced link can't learn that its caller disconnected.
     busy = [n for n, t in world.targets.items() if t.running]
     busy = [n for n in busy if n not in world.silenced]
@@ -93,6 +98,48 @@
     return [Finding("LIMIT", f"{period}: {most} requests")]
 
 
+def _check_partitions(world: World) -> list[Finding]:
+    """Checks that callers of partitioned instances are served as others."""
+    found = []
+    for front in world.fronts:
+        for since, until in front.partitions:
+            span = (since + _STABILITY_WINDOW_S, until)
+            here = [
+                r for r in _calls_in(world, span) if r.front == front.number
+            ]
+            others = [
+                r
+                for r in _calls_in(world, span)
+                if not _overlaps(world.fronts[r.front].partitions, span)
+            ]
+            if min(len(here), len(others)) < _MIN_COMPARED:
+                continue
+            share, usual = _served_share(here), _served_share(others)
+            if share < _MIN_SERVED_SHARE * usual:
+                detail = f"{front.number} {since}: {share:.2f} of {usual:.2f}"
+                found.append(Finding("RECOVER", detail))
+    return found
+
+
+def _calls_in(world: World, span: tuple[float, float]) -> list[CallResult]:
+    """Returns the sound calls to undisturbed instances in a time."""
+    return [
+        r
+        for r in world.got
+        if span[0] <= r.started_at <= span[1]
+        and "crash" not in r.path
+        and _was_stable(world, r.front, r.started_at)
+    ]
+
+
+def _overlaps(periods, span: tuple[float, float]) -> bool:
+    return any(begin <= span[1] and end >= span[0] for begin, end in periods)
+
+
+def _served_share(results: list[CallResult]) -> float:
+    return sum(r.status == 200 and r.whole for r in results) / len(results)
+
+
 def _was_stable(world: World, front: int, at: float) -> bool:
     times = world.fronts[front].signalled_at
     return not any(at - _STABILITY_WINDOW_S <= t <= at for t in times)
--- a/bench/frontsoak/drain_checks.py
+++ b/bench/frontsoak/drain_checks.py
@@ -105,7 +105,13 @@
         and fault.until >= since - _LINK_S
         for fault in world.link_faults
     )
-    return disturbed or _was_interrupted(world, front, since, until)
+    partitioned = any(
+        begin <= until and end >= since - _LINK_S
+        for begin, end in world.fronts[front].partitions
+    )
+    return (
+        disturbed or partitioned or _was_interrupted(world, front, since, until)
+    )
 
 
 def _was_interrupted(
--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -5,7 +5,7 @@
 
 from bench.frontsoak.world import LimitPeriod, LinkFault, World
 from copperloom.ingress.tests import fixtures
-from copperloom.platform.standins import crashes
+from copperloom.platform.standins import crashes, links
 from copperloom.platform.standins import target as target_standin
 from copperloom.standins import proxy
 
@@ -34,6 +34,7 @@
 _MAX_ANNOUNCED_S = 5.0
 _MAX_RETRY_AFTER_S = 6.0
 _MAX_REJECTING_S = 3.0
+_MAX_PARTITION_S = 6.0
 _MALFORMED_TIMES = ("", "-1", "nan", "9" * 30)
 
 
@@ -233,6 +234,31 @@
     world.register(name)
 
 
+async def _partition_some(world: World) -> None:
+    await _partition(world, world.rng.randint(1, len(world.fronts) - 1))
+
+
+async def _partition_all(world: World) -> None:
+    await _partition(world, len(world.fronts))
+
+
+async def _partition(world: World, count: int) -> None:
+    """Partitions some instances from all targets, a few times in a row."""
+    loop = asyncio.get_running_loop()
+    fronts = world.rng.sample(world.fronts, count)
+    fronts = [f for f in fronts if f.links.partition is None]
+    how = world.rng.choice(list(links.Partition))
+    for _ in range(world.rng.randint(1, 2)):
+        since = loop.time()
+        for front in fronts:
+            await front.links.cut(how)
+        await asyncio.sleep(world.rng.uniform(0.3, _MAX_PARTITION_S))
+        for front in fronts:
+            await front.links.heal()
+            front.partitions.append((since, loop.time()))
+        await asyncio.sleep(world.rng.uniform(0.0, 1.0))
+
+
 async def _corrupt_rows(world: World) -> None:
     malformed = (b"\xff", {"state": "ready"}, {"service": 1, "address": []})
     for number, row in enumerate(malformed):
@@ -273,6 +299,9 @@
     _reject,
     _reject_service,
     _drain_target,
+    _partition_some,
+    _partition_some,
+    _partition_all,
     _corrupt_rows,
     _change_routes,
 )
--- a/bench/frontsoak/processes.py
+++ b/bench/frontsoak/processes.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 
-from copperloom.platform.standins import wire
+from copperloom.platform.standins import links, redirected_start, wire
 from copperloom.standins import proxy
 
 __all__ = ["GRACE_S", "Front", "keep"]
@@ -32,7 +32,11 @@
         ports: Ports that it listens on.
         address: IP:port for callers.
         table_link: Proxy between the instance and the table service.
+        links: Links between the instance and the targets.
+        partitions: Monotonic times at which it was partitioned from all
+            targets, and at which that ended.
         path: File with the settings that it gets from the platform.
+        redirects: File with the addresses of the links.
         log: File with its output.
         process: The process; None before the first start.
         disrupted_at: Monotonic times at which it was killed, paused or resumed.
@@ -49,7 +53,10 @@
         self.ports = tuple(_free_port(ip) for _ in range(3))
         self.address = f"{ip}:{self.ports[0]}"
         self.table_link: proxy.Pair | None = None
+        self.links = links.Links()
+        self.partitions: list[tuple[float, float]] = []
         self.path = pathlib.Path(folder) / f"front-{number}.json"
+        self.redirects = pathlib.Path(folder) / f"links-{number}.json"
         self.log = (pathlib.Path(folder) / f"front-{number}.log").open("ab")
         self.process: asyncio.subprocess.Process | None = None
         self.disrupted_at: list[float] = []
@@ -62,13 +69,18 @@
         self.signalled_at.append(now)
         self.started_at.append(now)
         self.path.write_text(json.dumps(self._settings()))
+        self.redirects.write_text(json.dumps(self.links.addresses()))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "copperloom.daemons.start",
+            "copperloom.platform.standins.redirected_start",
             f"--settings={_SETTINGS}",
             cwd=_ROOT,
-            env=os.environ | {wire.INSTANCE_ENVIRONMENT: str(self.path)},
+            env=os.environ
+            | {
+                wire.INSTANCE_ENVIRONMENT: str(self.path),
+                redirected_start.ENVIRONMENT: str(self.redirects),
+            },
             stdout=self.log,
             stderr=self.log,
         )
--- a/bench/frontsoak/world.py
+++ b/bench/frontsoak/world.py
@@ -159,6 +159,8 @@
     for number in range(sizes.fronts):
         front = processes.Front(number, seed, folder)
         front.table_link = await _link(world, world.store.address)
+        for link in world.links.values():
+            await front.links.add(link.listen)
         world.fronts.append(front)
         await front.start()
     async with asyncio.timeout(_READY_TIMEOUT_S):
@@ -180,13 +182,17 @@
 
 
 def _close_link(world: World, name: str) -> None:
-    """Makes a proxy refuse connections, as the host of a dead process."""
+    """Makes proxies refuse connections, as the host of a dead process."""
     world.link_listeners[name].close()
     proxy.reset(world.links[name])
+    for front in world.fronts:
+        front.links.end_target(world.links[name].listen)
 
 
 async def _reopen_link(world: World, name: str) -> None:
     world.link_listeners[name] = await proxy.open_pair(world.links[name])
+    for front in world.fronts:
+        await front.links.start_target(world.links[name].listen)
     world.register(name)
 
 
@@ -206,6 +212,7 @@
     """Ends the instances, the proxies, the targets and the table service."""
     for front in world.fronts:
         await front.end()
+        front.links.close()
     for listener in (*world.listeners, *world.link_listeners.values()):
         listener.close()
     links = [*world.links.values(), *(f.table_link for f in world.fronts)]
--- a/copperloom/cli/trace.py
+++ b/copperloom/cli/trace.py
@@ -211,6 +211,9 @@
     sends = int(fields.get("sends", "0"))
     if not sends:
         return "not sent to any target"
+    peer = fields.get("relayed_to")
+    if peer:
+        return f"sent {sends} times, last by {peer}, as no target was reached"
     first = fields.get("first_s")
     tail = f", first event after {first} s" if first else ""
     gap = fields.get("pause_s")
--- a/copperloom/daemons/front.py
+++ b/copperloom/daemons/front.py
@@ -29,7 +29,9 @@
     gossip,
     mechanisms,
     quarantine_rows,
+    reachability_checks,
     registration,
+    relayed_requests,
     sender,
     server,
     stopping,
@@ -132,7 +134,9 @@
         state.listening_since = asyncio.get_running_loop().time()
         state.hold_until = state.listening_since + START_HOLD_S
         self.gossip = await gossip.open_gossip(state)
-        self.calls = await catalog.serve(state)
+        self.calls = await catalog.serve(
+            state, relayed_requests.make_service(state)
+        )
         self.listeners = await server.listen(
             state, self.metrics_address, self.callers
         )
@@ -141,6 +145,7 @@
             ("targets", lambda: table_watch.watch_targets(state)),
             ("gossip", lambda: gossip.run(self.gossip)),
             ("members", lambda: registration.join(self.gossip)),
+            ("reachability", lambda: reachability_checks.run(state)),
             ("quarantines", lambda: quarantine_rows.run(state)),
         ):
             self.add_future(_keep_running(name, loop))
--- a/copperloom/decisions/members.py
+++ b/copperloom/decisions/members.py
@@ -73,6 +73,9 @@
         busy: Utilisation of the targets of its data centre, by service; sent
             by owners only.
         busy_at: Monotonic time at which `busy` was received.
+        reaches_none: Whether it reaches no target.
+        relayed: Requests that this instance relays through it.
+        relay_refused_until: Monotonic time until which it is offered none.
     """
 
     instance: str
@@ -92,6 +95,9 @@
     suspect_until: float = -math.inf
     busy: dict[str, float] = dataclasses.field(default_factory=dict)
     busy_at: float = -math.inf
+    reaches_none: bool = False
+    relayed: int = 0
+    relay_refused_until: float = -math.inf
 
 
 def record_sent(member: Member, now: float) -> None:
--- /dev/null
+++ b/copperloom/decisions/peer_relay.py
@@ -0,0 +1,101 @@
+"""Which instance sends the requests of one that reaches no target.
+
+Answers a load of requests that come to instances partitioned from all targets,
+a few or most of the fleet, while others reach them.
+"""
+
+import dataclasses
+import enum
+import random
+from collections.abc import Iterable
+
+__all__ = ["Candidate", "Facts", "Refusal", "check_offer", "choose"]
+
+# An instance relays so many requests at the same time, by processor time.
+MAX_RELAYED_PER_CORE = 150
+# Cost of the network to another data centre, in requests in progress per core.
+REMOTE_COST = 4.0
+_SAMPLED = 3
+
+
+class Refusal(enum.StrEnum):
+    """Why an instance does not accept a request of a peer."""
+
+    DRAINING = "draining"
+    STALE = "stale"
+    PARTITIONED = "partitioned"
+    OVERLOADED = "overloaded"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Facts:
+    """What an instance knows of itself when it is offered a request.
+
+    Attributes:
+        draining: Whether it is stopping.
+        is_current: Whether its routes are not older than those by which the
+            request was admitted.
+        reaches_targets: Whether it reaches targets.
+        relayed: Requests of peers in progress.
+        cores: Its processor time, in cores.
+    """
+
+    draining: bool
+    is_current: bool
+    reaches_targets: bool
+    relayed: int
+    cores: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """Another instance that may take a request.
+
+    Attributes:
+        name: Its name.
+        is_local: Whether it is in the same data centre.
+        is_live: Whether it sent a message recently.
+        load: Its requests in progress, per core.
+    """
+
+    name: str
+    is_local: bool
+    is_live: bool
+    load: float
+
+
+def check_offer(facts: Facts) -> Refusal | None:
+    """Returns why an offered request is refused; None if it is accepted."""
+    if facts.draining:
+        return Refusal.DRAINING
+    if not facts.is_current:
+        return Refusal.STALE
+    if not facts.reaches_targets:
+        return Refusal.PARTITIONED
+    if facts.relayed >= MAX_RELAYED_PER_CORE * max(1.0, facts.cores):
+        return Refusal.OVERLOADED
+    return None
+
+
+def choose(
+    candidates: Iterable[Candidate], rng: random.Random
+) -> Candidate | None:
+    """Chooses the better one of some random candidates.
+
+    Instances that are partitioned at the same time know the same loads, so the
+    best one of all would get the requests of all of them. Those that were
+    silent lately are chosen only if there are no others.
+    """
+    candidates = list(candidates)
+    pool = [c for c in candidates if c.is_live] or candidates
+    if not pool:
+        return None
+    sampled = rng.sample(pool, min(_SAMPLED, len(pool)))
+    return min(sampled, key=_cost)
+
+
+def _cost(candidate: Candidate) -> float:
+    cost = candidate.load
+    if not candidate.is_local:
+        cost += REMOTE_COST
+    return cost
--- a/copperloom/exception.py
+++ b/copperloom/exception.py
@@ -38,6 +38,7 @@
     "StreamUnknownError",
     "TargetFailedError",
     "TargetRefusedError",
+    "TargetsUnreachableError",
     "TargetUnreachableError",
     "TargetsLimitedError",
     "TimeLimitPassedError",
@@ -242,6 +243,14 @@
     retry_after_s = 1.0
 
 
+class TargetsUnreachableError(CopperloomError):
+    """No target is reached, and no other instance takes the request."""
+
+    code = 3011
+    status = 503
+    retry_after_s = 1.0
+
+
 class TargetUnreachableError(CopperloomError):
     """The target accepted no connection, so nothing was sent.
 
--- a/copperloom/ingress/admit.py
+++ b/copperloom/ingress/admit.py
@@ -9,7 +9,13 @@
 from copperloom.decisions import budget, registry
 from copperloom.ingress import exchange, stopping
 
-__all__ = ["authorise", "await_start", "find_route", "read_body"]
+__all__ = [
+    "authorise",
+    "authorise_relayed",
+    "await_start",
+    "find_route",
+    "read_body",
+]
 
 _NOT_READY_RETRY_S = 1.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -68,6 +74,21 @@
 
 async def authorise(ex: exchange.Exchange, nxt: exchange.Next) -> None:
     """Sets the organisation of the request's key, and selects the service."""
+    _identify(ex)
+    now = asyncio.get_running_loop().time()
+    ex.service = _service(ex, now)
+    budget.record_request(ex.state.budget, ex.service, now)
+    await nxt(ex)
+
+
+async def authorise_relayed(ex: exchange.Exchange, nxt: exchange.Next) -> None:
+    """Does the same for a peer's request, which counts there already."""
+    _identify(ex)
+    ex.service = _service(ex, asyncio.get_running_loop().time())
+    await nxt(ex)
+
+
+def _identify(ex: exchange.Exchange) -> None:
     table = ex.state.table
     if table.keyed and not ex.route.public:
         organisation = table.organisations.get(ex.head.key)
@@ -78,10 +99,6 @@
         ex.organisation = organisation.name
         if organisation.priority is not None:
             ex.priority = organisation.priority
-    now = asyncio.get_running_loop().time()
-    ex.service = _service(ex, now)
-    budget.record_request(ex.state.budget, ex.service, now)
-    await nxt(ex)
 
 
 def _service(ex: exchange.Exchange, now: float) -> str:
--- a/copperloom/ingress/datagrams.py
+++ b/copperloom/ingress/datagrams.py
@@ -112,6 +112,7 @@
         limits: Rate limits that targets name.
         draining_targets: Incarnations of targets that said in their answers
             that they drain.
+        reaches_none: Whether it reaches no target.
     """
 
     sender: Announcement
@@ -132,6 +133,7 @@
     evidence_loaded: bool = False
     limits: list[wire_knowledge.WireLimit] = []
     draining_targets: list[str] = []
+    reaches_none: bool = False
 
 
 class PlacementRequest(msgspec.Struct, array_like=True, tag="q"):
--- a/copperloom/ingress/digests.py
+++ b/copperloom/ingress/digests.py
@@ -1,7 +1,7 @@
 """Builds the digests that an instance sends."""
 
 from copperloom import logs
-from copperloom.decisions import health, inflight_table
+from copperloom.decisions import health, inflight_table, reachability
 from copperloom.decisions.sharing import Occasion
 from copperloom.ingress import announcements, datagrams, knowledge
 from copperloom.ingress.state import (
@@ -35,8 +35,11 @@
     state.sequence += 1
     digest = _build_digest(state, now, announced)
     digest.requests_members = requests_members
+    digest.reaches_none = state.reachability.is_lost
     if is_large_fleet(state):
-        digest.failures = health.failures_to_report(state.health, now)
+        digest.failures = _confirmed(
+            state, health.failures_to_report(state.health, now)
+        )
     digest.busy = busy or {}
     knowledge.add(state, digest, now, occasion)
     data = datagrams.encode(digest)
@@ -67,10 +70,18 @@
         ],
         penalties={
             name: round(points, 1)
-            for name, points in health.penalties_to_share(
-                state.health, now
+            for name, points in _confirmed(
+                state, health.penalties_to_share(state.health, now)
             ).items()
         },
         announced=announced,
         fleet_size=fleet_size(state),
     )
+
+
+def _confirmed(
+    state: IngressState, penalties: dict[str, float]
+) -> dict[str, float]:
+    """Leaves out failures that may be the fault of this instance's network."""
+    unconfirmed = reachability.unconfirmed(state.reachability)
+    return {n: p for n, p in penalties.items() if n not in unconfirmed}
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -11,7 +11,16 @@
 from copperloom.ingress.state import IngressState
 from copperloom.platform import headers
 
-__all__ = ["Exchange", "Filter", "Next", "content_digest", "engine"]
+__all__ = [
+    "Exchange",
+    "Filter",
+    "Next",
+    "begin_stream",
+    "content_digest",
+    "engine",
+    "may_lead",
+    "record_event",
+]
 
 # Time limit of requests that state none; their route may set a lower one.
 _DEFAULT_TIME_LIMIT_S = 60.0
@@ -48,8 +57,15 @@
         sent_to: Targets of earlier attempts.
         retry_granted: Whether the next retry is already taken from the budget.
         avoid: Targets that are avoided in further placements.
+        abandon: Set when the wait for an answer should end; None if there is
+            no such wait, or if the request may run only once.
+        relayed_by: Name of the peer that relays it here, "" if it came from
+            its caller.
+        relayed_to: Name of the peer that it was relayed to last, "" if none.
         run: Whether it has run, as far as is known.
+        new_stream: Returns a response that is sent while it is received.
         response: The response, once begun.
+        error: The error that ended it; None without one.
         reservation: Name of the memory reserved for it, "" without any.
         first_at: Time of the first event, or of a plain answer.
         last_at: Time of the last event.
@@ -88,8 +104,13 @@
         self.sent_to: set[str] = set()
         self.retry_granted = False
         self.avoid: set[str] = set()
+        self.abandon: asyncio.Future | None = None
+        self.relayed_by = ""
+        self.relayed_to = ""
         self.run = exception.Run.NOT_RUN
+        self.new_stream: Callable = web.StreamResponse
         self.response: web.StreamResponse | None = None
+        self.error: exception.CopperloomError | None = None
         self.first_at: float | None = None
         self.last_at = now
         self.reservation = ""
@@ -117,6 +138,26 @@
     return ex.digest
 
 
+async def begin_stream(
+    ex: Exchange, status: int, reason: str | None, headers
+) -> None:
+    """Begins a response that is sent while it is received."""
+    response = ex.new_stream(status=status, reason=reason, headers=headers)
+    if ex.state.draining:
+        response.force_close()
+    ex.response = response
+    await response.prepare(ex.http)
+
+
+def record_event(ex: Exchange, now: float) -> None:
+    """Records the time of an event that goes to the caller."""
+    if ex.first_at is None:
+        ex.first_at = now
+    else:
+        ex.longest_gap_s = max(ex.longest_gap_s, now - ex.last_at)
+    ex.last_at = now
+
+
 def may_lead(ex: Exchange) -> tuple[str, ...] | None:
     """Returns the targets that may be the lead engine; None allows all.
 
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -22,8 +22,10 @@
     draining_targets,
     exchange,
     limited_targets,
+    peer_relay,
     placement,
     quarantines,
+    reachability_checks,
     relay,
     reply_checks,
     reserve,
@@ -48,6 +50,8 @@
 SHORT_PRIORITY = 1
 LONG_PRIORITY = 6
 _REFUSED_RETRY_S = 0.15
+# Time beyond the predicted one after which an answer is late.
+_LATE_S = 0.5
 # Memory is freed only as long answers end, about once a second, so a quick
 # retry would fail again.
 _MEMORY_WAIT_S = 0.25
@@ -69,7 +73,7 @@
 async def forward(ex: exchange.Exchange, nxt: exchange.Next) -> None:
     """Sends the request to its targets and relays the answer."""
     unreachable = 0
-    while True:
+    while not await _relay_if_lost(ex):
         await _place(ex)
         try:
             async with reserve.hold_memory(ex):
@@ -99,6 +103,24 @@
     await nxt(ex)
 
 
+async def _relay_if_lost(ex: exchange.Exchange) -> bool:
+    """Relays a request if no target is reached from here; else returns False.
+
+    Raises:
+        copperloom.exception.TargetsUnreachableError: No peer takes it either.
+    """
+    state = ex.state
+    await reachability_checks.settle(state)
+    if not state.reachability.is_lost:
+        return False
+    if not reachability_checks.is_partitioned(
+        state, asyncio.get_running_loop().time()
+    ):
+        raise peer_relay.unreachable_error(ex)
+    await peer_relay.relay(ex)
+    return True
+
+
 async def _place(ex: exchange.Exchange) -> None:
     """Sets a plan whose lead engine may be sent the request now.
 
@@ -172,8 +194,8 @@
     target = registry.find(ex.state.targets, culprit)
     if target is None or not _is_unreached(error):
         return
-    reachability.record_failure(
-        ex.state.reachability, target, now, is_silent=error.is_silent
+    reachability_checks.record_failure(
+        ex.state, target, now, is_silent=error.is_silent
     )
 
 
@@ -245,6 +267,10 @@
     is_first = entry.name not in ex.sent_to
     ex.sent_to.add(entry.name)
     ex.run = exception.Run.MAY_HAVE_RUN
+    loop = asyncio.get_running_loop()
+    silence = loop.call_later(_expected_s(ex, now), _check_silence, ex)
+    if ex.route.repeatable:
+        ex.abandon = loop.create_future()
     try:
         async with sender.send(
             state.sender,
@@ -255,7 +281,10 @@
             ex.body,
             timeout_s=_head_timeout_s(ex, now),
             may_give_up=lambda: retry.may_give_up(ex),
+            abandon=ex.abandon,
         ) as reply:
+            silence.cancel()
+            ex.abandon = None
             now = asyncio.get_running_loop().time()
             reachability.record_answer(state.reachability, ex.attempt_at, now)
             answer = answers.read(ex, entry, reply, now)
@@ -275,10 +304,27 @@
         ex.run = run_before
         raise
     finally:
+        silence.cancel()
+        ex.abandon = None
         inflight_table.end(state.inflight, ex.id)
         state.changed.set()
 
 
+def _expected_s(ex: exchange.Exchange, now: float) -> float:
+    """Returns the seconds after which an attempt without answer is late."""
+    if not ex.head.prompt_tokens:
+        return _LATE_S + ex.route.target_latency_s
+    predicted_s = ex.plan.first_token_s - (now - ex.arrived)
+    return _LATE_S + max(0.0, predicted_s)
+
+
+def _check_silence(ex: exchange.Exchange) -> None:
+    """Checks targets if none has answered since an attempt began."""
+    if ex.state.reachability.answered_at < ex.attempt_at:
+        now = asyncio.get_running_loop().time()
+        reachability_checks.begin(ex.state, now)
+
+
 def _head_timeout_s(ex: exchange.Exchange, now: float) -> float | None:
     """Returns the timeout for an answer's head in seconds, or None for none.
 
--- a/copperloom/ingress/gossip.py
+++ b/copperloom/ingress/gossip.py
@@ -333,6 +333,7 @@
     member.data_centre = digest.sender.data_centre
     member.cores = digest.sender.cores
     member.draining = digest.draining
+    member.reaches_none = digest.reaches_none
     member.table_unreachable = digest.table_unreachable
     member.routes_version = digest.routes_version
     member.targets_version = digest.targets_version
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -90,6 +90,18 @@
             ["result"],
             registry=self.registry,
         )
+        self.reachability_checks = prometheus_client.Counter(
+            "copperloom_reachability_checks",
+            "Checks whether a target answers, after failed connections.",
+            ["result"],
+            registry=self.registry,
+        )
+        self.relayed = prometheus_client.Counter(
+            "copperloom_relayed_requests",
+            "Requests offered to peers (sent) or by peers (received).",
+            ["direction", "result"],
+            registry=self.registry,
+        )
         self.table_failures = prometheus_client.Counter(
             "copperloom_store_failures",
             "Failed calls to the platform's table service, by table.",
--- a/copperloom/ingress/outcome.py
+++ b/copperloom/ingress/outcome.py
@@ -67,6 +67,7 @@
     """Responds with an error, or aborts a stream that has begun."""
     ex.outcome = type(error).__name__.removesuffix("Error")
     ex.reason = str(error)
+    ex.error = error
     if ex.response is not None:
         # Without the last chunk, clients treat the stream as incomplete.
         if ex.http.transport is not None:
@@ -128,6 +129,10 @@
         fields["reason"] = ex.reason
     if ex.digest:
         fields["digest"] = ex.digest.hex()
+    if ex.relayed_by:
+        fields["relayed_by"] = ex.relayed_by
+    if ex.relayed_to:
+        fields["relayed_to"] = ex.relayed_to
     if ex.plan is not None:
         fields["target"] = ex.plan.lead
         fields["helpers"] = len(ex.plan.helpers)
--- /dev/null
+++ b/copperloom/ingress/reachability_checks.py
@@ -0,0 +1,253 @@
+"""Finds out whether this instance is partitioned from all targets.
+
+A failed connection begins a round of checks of other targets. If none of them
+answers either, requests go to peers (see `peer_relay`) until checks are
+answered again. Nothing that was observed meanwhile is held against targets or
+requests.
+"""
+
+import asyncio
+import contextlib
+
+from copperloom import exception, logs, routing
+from copperloom.decisions import reachability, readiness
+from copperloom.ingress import sender
+from copperloom.ingress.state import (
+    IngressState,
+    Member,
+    is_large_fleet,
+    live_members,
+)
+from copperloom.platform import headers
+
+__all__ = [
+    "begin",
+    "confirm",
+    "is_partitioned",
+    "is_withdrawn",
+    "peers_in_reach",
+    "record_failure",
+    "run",
+    "settle",
+]
+
+# A check is a request that targets answer without delay.
+CHECK_TIMEOUT_S = 0.35
+# The first target of a round has this time before others are checked as well.
+HEAD_START_S = 0.1
+# Interval between rounds, if the previous one was answered.
+MIN_INTERVAL_S = 0.2
+# A request waits for a round of checks this long at most.
+SETTLE_S = HEAD_START_S + CHECK_TIMEOUT_S + 0.05
+# Interval between checks while no target is reached; shorter once one answers.
+RETRY_S = 0.4
+CONFIRM_S = 0.1
+
+
+def record_failure(
+    state: IngressState,
+    target: routing.TargetEntry,
+    now: float,
+    *,
+    is_silent: bool,
+) -> None:
+    """Records that a connection to a target failed, and begins checks."""
+    reachability.record_failure(
+        state.reachability, target, now, is_silent=is_silent
+    )
+    begin(state, now)
+
+
+def begin(state: IngressState, now: float) -> None:
+    """Begins a round of checks unless the previous one has just ended."""
+    if now - state.reachability.checked_at >= MIN_INTERVAL_S:
+        _start_round(state)
+
+
+def _start_round(state: IngressState) -> None:
+    known = state.reachability
+    if known.is_checking or known.is_lost or len(state.targets.entries) < 2:
+        return
+    known.is_checking = True
+    state.reachability_settled.clear()
+    state.reachability_due.set()
+
+
+async def run(state: IngressState) -> None:
+    """Runs the checks that are due, until cancelled."""
+    known = state.reachability
+    while True:
+        if known.is_lost:
+            await _await_regain(state)
+        await state.reachability_due.wait()
+        state.reachability_due.clear()
+        try:
+            await _run_round(state)
+        finally:
+            known.is_checking = False
+            known.checked_at = asyncio.get_running_loop().time()
+            state.reachability_settled.set()
+
+
+async def settle(state: IngressState) -> None:
+    """Waits for the round of checks in progress, if there is one."""
+    if state.reachability.is_checking:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_S):
+                await state.reachability_settled.wait()
+
+
+async def confirm(state: IngressState) -> bool:
+    """Returns whether recent failures are the faults of targets.
+
+    They are not while this instance is partitioned from all targets.
+    """
+    if state.reachability.failures:
+        _start_round(state)
+    await settle(state)
+    return not is_partitioned(state, asyncio.get_running_loop().time())
+
+
+def peers_in_reach(state: IngressState, now: float) -> list[Member]:
+    """Lists the peers that may reach targets.
+
+    In a large fleet an instance does not hear from most of them.
+    """
+    if is_large_fleet(state):
+        peers = [m for m in state.members.values() if not m.draining]
+    else:
+        peers = live_members(state, now)
+    return [m for m in peers if not m.reaches_none]
+
+
+def is_partitioned(state: IngressState, now: float) -> bool:
+    """Returns whether only the peers of this instance reach targets.
+
+    If they do not either, the targets have ended.
+    """
+    return state.reachability.is_lost and bool(peers_in_reach(state, now))
+
+
+def is_withdrawn(state: IngressState, now: float) -> bool:
+    """Returns whether this instance reports not ready, to help its callers."""
+    known = state.reachability
+    if not known.is_lost:
+        return False
+    own = state.settings.data_centre
+    local = [m for m in live_members(state, now) if m.data_centre == own]
+    lost = sum(m.reaches_none for m in local)
+    return readiness.is_withdrawn(
+        now - known.lost_at, len(local) - lost, lost + 1
+    )
+
+
+async def _run_round(state: IngressState) -> None:
+    """Checks some targets until one of them answers."""
+    known = state.reachability
+    loop = asyncio.get_running_loop()
+    chosen = reachability.choose_checked(
+        known, state.targets.entries.values(), state.rng
+    )
+    first = asyncio.ensure_future(_check(state, chosen[0]))
+    tasks = {first}
+    try:
+        await asyncio.wait(tasks, timeout=HEAD_START_S)
+        if not (first.done() and first.result()):
+            tasks |= {
+                asyncio.ensure_future(_check(state, t)) for t in chosen[1:]
+            }
+        answered = await _is_any_answered(tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+    entries = state.targets.entries.values()
+    if not answered and reachability.reaches_none(known, entries, loop.time()):
+        _begin_loss(state, loop.time())
+
+
+async def _is_any_answered(tasks: set[asyncio.Task]) -> bool:
+    pending = tasks
+    while pending:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        if any(task.result() for task in done):
+            return True
+    return False
+
+
+async def _check(state: IngressState, target: routing.TargetEntry) -> bool:
+    """Returns whether a target answers; anything that it answers will do."""
+    loop = asyncio.get_running_loop()
+    begun_at = loop.time()
+    spec = state.table.services.get(target.service)
+    path = spec.check_path if spec is not None else routing.DEFAULT_CHECK_PATH
+    try:
+        async with sender.send(
+            state.sender,
+            target.address,
+            "GET",
+            path,
+            headers.for_check(target.name),
+            b"",
+            timeout_s=CHECK_TIMEOUT_S,
+        ):
+            reachability.record_answer(
+                state.reachability, begun_at, loop.time()
+            )
+            answered = True
+    except (
+        exception.TargetUnreachableError,
+        exception.StreamBrokenError,
+    ) as error:
+        reachability.record_failure(
+            state.reachability, target, loop.time(), is_silent=error.is_silent
+        )
+        answered = False
+    state.metrics.reachability_checks.labels(
+        "answered" if answered else "failed"
+    ).inc()
+    return answered
+
+
+def _begin_loss(state: IngressState, now: float) -> None:
+    known = state.reachability
+    reachability.begin_loss(known, now)
+    for name in known.failures:
+        state.health.pop(name, None)
+    logs.event(
+        "reachability_lost",
+        targets=",".join(sorted(known.failures)),
+        silent=reachability.is_silent(known),
+        answered_ago_s=round(now - known.answered_at, 3),
+        peers_in_reach=len(peers_in_reach(state, now)),
+    )
+    state.digest_due.set()
+    state.changed.set()
+    if reachability.is_silent(known):
+        _abandon_silent_attempts(state)
+
+
+def _abandon_silent_attempts(state: IngressState) -> None:
+    """Ends the waits for answers that may be requested elsewhere."""
+    for ex in state.exchanges:
+        if ex.abandon is not None and not ex.abandon.done():
+            ex.abandon.set_result(None)
+
+
+async def _await_regain(state: IngressState) -> None:
+    known = state.reachability
+    loop = asyncio.get_running_loop()
+    while not reachability.is_regained(known, loop.time()):
+        (target,) = reachability.choose_checked(
+            known, state.targets.entries.values(), state.rng, 1
+        ) or (None,)
+        answered = target is not None and await _check(state, target)
+        reachability.record_check(known, loop.time(), answered=answered)
+        delay_s = CONFIRM_S if answered else RETRY_S
+        await asyncio.sleep(delay_s * state.rng.uniform(0.8, 1.2))
+    now = loop.time()
+    logs.event("reachability_regained", lost_s=round(now - known.lost_at, 3))
+    reachability.end_loss(known, now)
+    state.digest_due.set()
+    state.changed.set()
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -83,7 +83,7 @@
         else:
             decode_rate.record_gap(gaps, now - ex.last_at)
             _record_decode_rate(ex, gaps, now)
-        _record_event(ex, now)
+        exchange.record_event(ex, now)
         await _forward_events(ex, reply, complete)
     reply.check_complete()
     if splitter.rest:
@@ -96,14 +96,6 @@
     await ex.response.write_eof()
 
 
-def _record_event(ex: exchange.Exchange, now: float) -> None:
-    if ex.first_at is None:
-        ex.first_at = now
-    else:
-        ex.longest_gap_s = max(ex.longest_gap_s, now - ex.last_at)
-    ex.last_at = now
-
-
 def _record_decode_rate(
     ex: exchange.Exchange, gaps: decode_rate.RecentGaps, now: float
 ) -> None:
@@ -173,12 +165,9 @@
 
 
 async def _begin_response(ex: exchange.Exchange, reply: sender.Reply) -> None:
-    response = web.StreamResponse(
-        status=reply.status,
-        reason=reply.response.reason,
-        headers=headers.for_caller(reply.headers.items()),
+    await exchange.begin_stream(
+        ex,
+        reply.status,
+        reply.response.reason,
+        headers.for_caller(reply.headers.items()),
     )
-    if ex.state.draining:
-        response.force_close()
-    ex.response = response
-    await response.prepare(ex.http)
--- a/copperloom/ingress/reserve.py
+++ b/copperloom/ingress/reserve.py
@@ -12,7 +12,13 @@
 
 from copperloom import exception, logs
 from copperloom.decisions import plans, registry
-from copperloom.ingress import answers, draining_targets, exchange, sender
+from copperloom.ingress import (
+    answers,
+    draining_targets,
+    exchange,
+    reachability_checks,
+    sender,
+)
 from copperloom.platform import orders
 
 __all__ = ["helpers_in_order", "hold_memory", "reservation_paths"]
@@ -131,6 +137,8 @@
             answer = answers.read_to_order(entry, reply, now)
             draining_targets.record_answer(ex, answer)
     except (exception.CopperloomError, TimeoutError) as error:
+        now = asyncio.get_running_loop().time()
+        reachability_checks.begin(ex.state, now)
         logs.event(
             "order_failed", request=ex.id, target=target, error=str(error)
         )
--- a/copperloom/ingress/scrape.py
+++ b/copperloom/ingress/scrape.py
@@ -57,6 +57,11 @@
             "Targets whose connections failed since the latest answer of any.",
             value=len(self.state.reachability.failures),
         )
+        yield core.GaugeMetricFamily(
+            "copperloom_reaches_targets",
+            "Whether this instance reaches targets (1) or none of them (0).",
+            value=int(not self.state.reachability.is_lost),
+        )
         yield core.GaugeMetricFamily(
             "copperloom_quarantined_requests",
             "Requests that are refused since they crashed several targets.",
--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -136,6 +136,7 @@
     *,
     timeout_s: float | None = None,
     may_give_up: Callable[[], bool] = lambda: True,
+    abandon: asyncio.Future | None = None,
 ) -> AsyncIterator[Reply]:
     """Sends a request and yields its reply once the head is received.
 
@@ -152,6 +153,7 @@
             timeout.
         may_give_up: Called at the timeout; if it returns False, the wait
             continues.
+        abandon: Its result acts as the timeout.
 
     Raises:
         copperloom.exception.TargetUnreachableError: No connection was made,
@@ -170,7 +172,9 @@
         middlewares=(_classify,),
     )
     try:
-        async with await _head(pending, timeout_s, may_give_up) as resp:
+        async with await _head(
+            pending, timeout_s, may_give_up, abandon
+        ) as resp:
             # aiohttp clears the public `connection` once a short answer is
             # complete.
             yield Reply(resp.status, resp.headers, resp, resp._protocol)
@@ -178,7 +182,9 @@
         raise _broken(error) from error
 
 
-async def _head(pending, timeout_s, may_give_up) -> aiohttp.ClientResponse:
+async def _head(
+    pending, timeout_s, may_give_up, abandon
+) -> aiohttp.ClientResponse:
     """Waits for the head of an answer; may continue after the timeout."""
 
     async def wait():
@@ -186,8 +192,13 @@
 
     task = asyncio.ensure_future(wait())
     try:
-        done, _ = await asyncio.wait({task}, timeout=timeout_s)
-        if not done and may_give_up():
+        waits = {task} if abandon is None else {task, abandon}
+        await asyncio.wait(
+            waits,
+            timeout=timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not task.done() and may_give_up():
             raise exception.StreamBrokenError(
                 "target sent no answer before the timeout", is_silent=True
             )
--- a/copperloom/ingress/server.py
+++ b/copperloom/ingress/server.py
@@ -7,7 +7,13 @@
 from aiohttp import web
 
 from copperloom import chains, logs
-from copperloom.ingress import chain, exchange, scrape, views
+from copperloom.ingress import (
+    chain,
+    exchange,
+    reachability_checks,
+    scrape,
+    views,
+)
 from copperloom.ingress.state import IngressState
 
 __all__ = ["Listeners", "close", "close_callers", "is_ready", "listen"]
@@ -167,7 +173,11 @@
 
 def _readiness_handler(state: IngressState):
     async def handle(http: web.BaseRequest) -> web.Response:
-        return web.Response(status=200 if is_ready(state) else _UNAVAILABLE)
+        now = asyncio.get_running_loop().time()
+        is_in = is_ready(state) and not reachability_checks.is_withdrawn(
+            state, now
+        )
+        return web.Response(status=200 if is_in else _UNAVAILABLE)
 
     return handle
 
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -89,6 +89,11 @@
         limits: The rate limits that targets name.
         backoff: The holds that targets have asked this instance for.
         reachability: What attempts show about connections to targets.
+        reachability_due: Set when some targets should be checked.
+        reachability_settled: Set while no checks are due or in progress.
+        relayed: Number of requests of peers in progress.
+        relays_paused_until: Monotonic time until which no request is offered
+            to peers.
         crashes: Evidence about requests that crashed their targets.
         quarantine_changed: Set when a quarantine has begun, changed or ended.
         quarantines_loaded: Set once the quarantines of earlier processes are
@@ -148,6 +153,10 @@
         self.limits = target_limits.TargetLimits()
         self.backoff = backoff.Backoff()
         self.reachability = reachability.Reachability()
+        self.reachability_due = asyncio.Event()
+        self.reachability_settled = asyncio.Event()
+        self.relayed = 0
+        self.relays_paused_until = float("-inf")
         self.crashes = crash_evidence.CrashLog()
         self.quarantine_changed = asyncio.Event()
         self.quarantines_loaded = asyncio.Event()
--- a/copperloom/ingress/target_checks.py
+++ b/copperloom/ingress/target_checks.py
@@ -13,7 +13,12 @@
 
 from copperloom import exception, logs, routing
 from copperloom.decisions import crash_evidence, registry
-from copperloom.ingress import exchange, quarantines, sender
+from copperloom.ingress import (
+    exchange,
+    quarantines,
+    reachability_checks,
+    sender,
+)
 from copperloom.ingress.state import IngressState
 
 __all__ = ["begin", "confirm_restarts", "settle"]
@@ -112,7 +117,7 @@
         waited_s=now - suspicion.failed_at,
     )
     if listening is False:
-        _blame(state, suspicion, "refused")
+        await _blame_if_confirmed(state, suspicion)
         return
     state.suspicions.append(suspicion)
     task = asyncio.ensure_future(_recheck(state, suspicion))
@@ -127,10 +132,27 @@
             return
         if await _is_listening(state, suspicion.target.address) is False:
             state.suspicions.remove(suspicion)
-            _blame(state, suspicion, "refused")
+            await _blame_if_confirmed(state, suspicion)
             return
 
 
+async def _blame_if_confirmed(
+    state: IngressState, suspicion: Suspicion
+) -> None:
+    """Blames a request unless this instance is partitioned from all targets.
+
+    A partition may reset connections and refuse new ones as well.
+    """
+    if await reachability_checks.confirm(state):
+        _blame(state, suspicion, "refused")
+        return
+    logs.event(
+        "target_end_unconfirmed",
+        request=suspicion.request,
+        target=registry.incarnation(suspicion.target),
+    )
+
+
 async def _is_listening(state: IngressState, address: str) -> bool | None:
     """Checks an address, or waits for the check that is in progress."""
     task = state.target_checks.get(address)
--- a/copperloom/peers/catalog.py
+++ b/copperloom/peers/catalog.py
@@ -133,15 +133,20 @@
     return packed
 
 
-async def serve(state: IngressState) -> grpclib.server.Server | None:
-    """Starts the server for peers; returns None if no address is set for it."""
+async def serve(state: IngressState, *services) -> grpclib.server.Server | None:
+    """Starts the server for peers; returns None if no address is set for it.
+
+    Args:
+        state: The instance's state.
+        *services: Further services that peers may call.
+    """
     address = state.settings.peers_listen
     if not address:
         return None
     host, _, port = address.rpartition(":")
     listener = socket.create_server((host, int(port)))
     listener.setblocking(False)
-    server = grpclib.server.Server([_Catalog(state)])
+    server = grpclib.server.Server([_Catalog(state), *services])
     await server.start(sock=listener)
     return server
 
--- a/copperloom/peers/peers_grpc.py
+++ b/copperloom/peers/peers_grpc.py
@@ -114,3 +114,31 @@
             copperloom.peers.peers_pb2.CatalogRequest,
             copperloom.peers.peers_pb2.CatalogReply,
         )
+
+
+class RelayBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Forward(self, stream: 'grpclib.server.Stream[copperloom.peers.peers_pb2.RelayRequest, copperloom.peers.peers_pb2.RelayReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/copperloom.peers.Relay/Forward': grpclib.const.Handler(
+                self.Forward,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                copperloom.peers.peers_pb2.RelayRequest,
+                copperloom.peers.peers_pb2.RelayReply,
+            ),
+        }
+
+
+class RelayStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Forward = grpclib.client.StreamStreamMethod(
+            channel,
+            '/copperloom.peers.Relay/Forward',
+            copperloom.peers.peers_pb2.RelayRequest,
+            copperloom.peers.peers_pb2.RelayReply,
+        )
--- a/copperloom/platform/decoding.py
+++ b/copperloom/platform/decoding.py
@@ -26,6 +26,7 @@
 }
 _READY = "ready"
 _DRAINING = "draining"
+_REPORT_PATH = "/copperloom/report"
 
 
 class _Backend(msgspec.Struct):
@@ -72,6 +73,7 @@
 
 class _Service(msgspec.Struct):
     name: str
+    health_path: str = ""
     engine: _Engine | None = None
 
 
@@ -156,7 +158,8 @@
 def _service(raw: _Service) -> routing.ServiceSpec:
     spec = raw.engine
     if spec is None or spec.read_per_s <= 0 or spec.kv_tokens <= 0:
-        return routing.ServiceSpec(raw.name)
+        path = raw.health_path or routing.DEFAULT_CHECK_PATH
+        return routing.ServiceSpec(raw.name, check_path=path)
     engine = routing.EngineSpec(
         slots=max(1, spec.slots),
         kv_tokens=spec.kv_tokens,
@@ -172,7 +175,8 @@
             (d.delay_ms / _MS for d in spec.delays), default=math.inf
         ),
     )
-    return routing.ServiceSpec(raw.name, engine)
+    # Unlike the health check, a report needs no free slot.
+    return routing.ServiceSpec(raw.name, engine, check_path=_REPORT_PATH)
 
 
 def _key_holders(tenants: list[_Tenant]) -> dict[str, routing.KeyHolder]:
--- a/copperloom/platform/headers.py
+++ b/copperloom/platform/headers.py
@@ -16,6 +16,7 @@
     "RequestHead",
     "TargetHeaders",
     "for_caller",
+    "for_check",
     "for_order",
     "for_target",
     "read_head",
@@ -220,6 +221,11 @@
     return {_EXPECT_INSTANCE: target, "Content-Type": "application/json"}
 
 
+def for_check(target: str) -> dict[str, str]:
+    """Builds the headers of a check whether a target answers."""
+    return {_EXPECT_INSTANCE: target}
+
+
 def for_caller(
     given: Iterable[tuple[str, str]],
 ) -> multidict.CIMultiDict[str]:
--- a/copperloom/platform/standins/links.py
+++ b/copperloom/platform/standins/links.py
@@ -44,6 +44,7 @@
         pairs: Proxies by address (IP:port) of the target.
         listeners: Their listeners; none for a target that has ended or whose
             connections are refused.
+        ended: Addresses of targets that have ended.
         fillers: Sockets that fill the accept queues of silent listeners.
         partition: The partition in force; None for none.
     """
@@ -51,6 +52,7 @@
     def __init__(self):
         self.pairs: dict[str, proxy.Pair] = {}
         self.listeners: dict[str, asyncio.Server | socket.socket] = {}
+        self.ended: set[str] = set()
         self.fillers: list[socket.socket] = []
         self.partition: Partition | None = None
 
@@ -86,16 +88,19 @@
         for address, pair in self.pairs.items():
             pair.faults = proxy.PairFaults()
             self._close(address)
-            await self._listen(address)
+            if address not in self.ended:
+                await self._listen(address)
 
-    async def end_target(self, address: str) -> None:
+    def end_target(self, address: str) -> None:
         """Refuses connections to a target that has ended."""
+        self.ended.add(address)
         if self.partition is not Partition.DROP:
             self._close(address)
         proxy.reset(self.pairs[address])
 
     async def start_target(self, address: str) -> None:
         """Accepts connections to a target that has started again."""
+        self.ended.discard(address)
         if self.partition in (None, Partition.HANG, Partition.RESET):
             self._close(address)
             await self._listen(address)
@@ -151,9 +156,10 @@
         addresses: Returns the addresses (IP:port) of the proxies by address
             of the target.
     """
+    open_socket = sockets.monitored_socket
 
     def make_socket(info) -> socket.socket:
-        given = sockets.monitored_socket(info)
+        given = open_socket(info)
         redirected = _RedirectedSocket(fileno=given.detach())
         redirected.setblocking(False)
         redirected.addresses = addresses()
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -200,6 +200,8 @@
 
 async def _handle(target, request) -> web.StreamResponse:
     body = await request.read()
+    if request.method == "GET" and request.path in wire.CHECK_PATHS:
+        return web.Response(headers=_own_headers(target))
     if request.path == "/copperloom/order":
         return _handle_order(target, msgspec.json.decode(body))
     expected = request.headers.get(wire.TARGET, target.name)
--- a/copperloom/platform/standins/wire.py
+++ b/copperloom/platform/standins/wire.py
@@ -5,6 +5,7 @@
 """
 
 __all__ = [
+    "CHECK_PATHS",
     "DRAINING",
     "HELPERS",
     "INSTANCE_ENVIRONMENT",
@@ -46,6 +47,8 @@
 RETRY_AFTER = "Retry-After"
 # The call that reads rows of a table.
 READ_CALL = "rows-get"
+# Paths of checks whether a target answers, by the kind of service.
+CHECK_PATHS = ("/h", "/copperloom/report")
 # The environment variable that holds the path of the settings file.
 INSTANCE_ENVIRONMENT = "COPPERLOOM_SETTINGS"
 
--- a/copperloom/routing.py
+++ b/copperloom/routing.py
@@ -10,6 +10,7 @@
 import random
 
 __all__ = [
+    "DEFAULT_CHECK_PATH",
     "Backend",
     "EngineSpec",
     "KeyHolder",
@@ -24,6 +25,9 @@
     "match",
 ]
 
+# Path of checks of a service that states none; any answer to it will do.
+DEFAULT_CHECK_PATH = "/"
+
 
 class RouteKind(enum.StrEnum):
     """How a request on a route may be retried."""
@@ -128,10 +132,12 @@
     Attributes:
         name: Unique name.
         engine: Performance of its model engines; None for a plain service.
+        check_path: Path of a GET request that targets answer.
     """
 
     name: str
     engine: EngineSpec | None = None
+    check_path: str = DEFAULT_CHECK_PATH
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
