Sockets: connections outlast two seconds of silence

Cause: TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count. With 1200 ms, a target that fell silent for a second or so lost long answers, streams between events, and the table service its feeds. Change: 3500 ms and three probes. Silence that begins just before a probe is outlasted for 2 s; a dead connection is noticed within 4.5 s. Partitions are found by checks within a second, so callers don't wait for this. Measured: test_silent_connection_lives_on fails before and passes now.

--- a/copperloom/utils/sockets.py
+++ b/copperloom/utils/sockets.py
@@ -5,10 +5,11 @@
 __all__ = ["monitored_socket"]
 
 # Maximum time for which sent data may stay unacknowledged. By default the
-# kernel retransmits for minutes while callers wait.
-_USER_TIMEOUT_MS = 1200
+# kernel retransmits for minutes while callers wait. It also decides when probes
+# give up, so it has to outlast a silence that begins between two probes.
+_USER_TIMEOUT_MS = 3500
 # Keep-alive probes: idle time in s, interval in s, number of probes.
-_KEEPALIVE_PROBES = (1, 1, 2)
+_KEEPALIVE_PROBES = (1, 1, 3)
 
 
 def monitored_socket(info) -> socket.socket:
