Target checks: lines of ended targets tell the parts of the prompt

Cause: the lines of a crash had only the digest of the whole request, so that requests that share a part of their prompt could not be told. Change: the adapter decodes the ids of the parts that requests may share, each in one form and a bounded number; target_ended names them. No decision uses them yet.

--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -19,6 +19,7 @@
     "content_digest",
     "engine",
     "may_lead",
+    "prompt_parts",
     "record_event",
 ]
 
@@ -169,6 +170,11 @@
     return tuple(ex.sent_to)
 
 
+def prompt_parts(ex: Exchange) -> tuple[str, ...]:
+    """Returns the ids of the parts of its prompt that others may share."""
+    return headers.read_prompt_parts(ex.http.headers)
+
+
 def engine(ex: Exchange) -> routing.EngineSpec | None:
     """Returns the engine parameters of the service; None if it is plain."""
     spec = ex.state.table.services.get(ex.service)
--- a/copperloom/ingress/target_checks.py
+++ b/copperloom/ingress/target_checks.py
@@ -40,6 +40,7 @@
     Attributes:
         request: Id of the request.
         digest: Digest of the request.
+        parts: Ids of the parts of its prompt that others may share.
         target: The target.
         begun_at: Monotonic time at which the attempt began.
         first_event_at: Monotonic time of its first event; None if none came.
@@ -48,6 +49,7 @@
 
     request: str
     digest: bytes
+    parts: tuple[str, ...]
     target: routing.TargetEntry
     begun_at: float
     first_event_at: float | None
@@ -71,6 +73,7 @@
         suspicion = Suspicion(
             request=ex.id,
             digest=exchange.content_digest(ex),
+            parts=exchange.prompt_parts(ex),
             target=entry,
             begun_at=ex.attempt_at,
             first_event_at=ex.attempt_first_at,
@@ -198,6 +201,7 @@
         "target_ended",
         request=suspicion.request,
         digest=suspicion.digest.hex(),
+        parts=",".join(suspicion.parts),
         target=incarnation,
         proof=proof,
         ended_earlier=earlier,
--- a/copperloom/platform/headers.py
+++ b/copperloom/platform/headers.py
@@ -20,6 +20,7 @@
     "for_order",
     "for_target",
     "read_head",
+    "read_prompt_parts",
     "read_reply",
 ]
 
@@ -32,6 +33,7 @@
 _PRIORITY = "Copperloom-Request-Priority"
 _TOKEN_COUNTS = "Copperloom-Token-Counts"
 _LENGTH_HINT = "Copperloom-Length-Hint"
+_PROMPT_PARTS = "copperloom-prompt-prefix"
 _SEAL = "Copperloom-Response-Seal"
 _NOT_EXECUTED = "Copperloom-Not-Executed"
 _LOAD = "Copperloom-Instance-Load"
@@ -75,6 +77,9 @@
 _DECIMAL = re.compile(r"\d+\.?\d*|\.\d+", re.ASCII)
 # Higher limits are of no consequence.
 _MAX_LIMIT_PER_S = 1_000_000.0
+_PART_ID = re.compile(r"[0-9a-f]{1,64}", re.ASCII)
+# Further parts of a prompt are not told apart.
+_MAX_PROMPT_PARTS = 64
 # Longer times are malformed: they would take the target out for good.
 _MAX_RETRY_AFTER_S = 3600.0
 
@@ -185,6 +190,19 @@
     )
 
 
+def read_prompt_parts(headers: Mapping[str, str]) -> tuple[str, ...]:
+    """Parses the parts of a prompt that other requests may share.
+
+    Returns:
+        Their ids in order, each once, in lower case and without leading
+        zeros; malformed entries and the request's own last part are left out.
+    """
+    entries = (_all_values(headers, _PROMPT_PARTS) or "").split(",")
+    ids = [e.partition(":")[0].strip().lower() for e in entries[:-1]]
+    valid = [i.lstrip("0") or "0" for i in ids if _PART_ID.fullmatch(i)]
+    return tuple(dict.fromkeys(valid))[:_MAX_PROMPT_PARTS]
+
+
 def for_target(
     given: Iterable[tuple[str, str]], added: TargetHeaders
 ) -> multidict.CIMultiDict[str]:
