--- /dev/null
+++ b/copperloom/ingress/tests/test_prompt_parts.py
@@ -0,0 +1,169 @@
+"""Tests that a part of prompts that crashes its targets is quarantined."""
+
+import asyncio
+import itertools
+import unittest
+
+from copperloom.ingress.tests import fixtures
+from copperloom.platform import catalog
+from copperloom.platform.standins import crashes, wire
+
+_GUILTY = "bad1"
+# A sound part that all requests of the route share.
+_SHARED = "5c1e"
+_STABILITY_WINDOW_S = 3.0
+_CRASHES = 5
+# Requests with the part that may still reach targets after the window.
+_MAX_SENDS = 3
+_INTERVAL_S = 0.03
+_MEASURED_S = 3.0
+# Sound requests begin at least so often, relative to the time before.
+_MIN_SHARE = 0.5
+# Result code of requests that are refused for a part of their prompts.
+_CODE = "3012"
+_names = itertools.count(1)
+
+
+def parts_header(*parts: str) -> dict[str, str]:
+    """Returns the header of a prompt with these parts and one of its own."""
+    own = f"f{next(_names):x}"
+    return {wire.PARTS: ",".join(f"{p}:100" for p in (*parts, own))}
+
+
+async def start(case, **sizes) -> fixtures.System:
+    """Starts a system whose targets crash as they begin to write on a part."""
+    system = await fixtures.start_system(
+        case, **({"engines": 8, "plain": 1, "fronts": 3} | sizes)
+    )
+    for target in system.targets.values():
+        target.crashes_on = lambda r: crashes.has_part(r, _GUILTY)
+        target.restart_after_s = 0.5
+        target.renamed = True
+        target.pause_s = 0.02
+    return system
+
+
+def received(system) -> list[float]:
+    """Returns when targets received requests with the part."""
+    return sorted(
+        r.at
+        for t in system.targets.values()
+        for r in t.seen
+        if crashes.has_part(r, _GUILTY)
+    )
+
+
+def crashed_at(system) -> list[float]:
+    """Returns when targets crashed."""
+    return sorted(r.at for t in system.targets.values() for r in t.crashed_by)
+
+
+async def call(system, *parts: str, number: int = 0) -> fixtures.Answer:
+    """Sends a stream with a prompt of these parts; no two are alike."""
+    return await fixtures.call(
+        system,
+        "/chat/x",
+        prompt=4000,
+        number=number,
+        body=f"body {next(_names)}".encode(),
+        headers=parts_header(*parts),
+    )
+
+
+async def call_often(
+    system, seconds: float, *prompts: tuple[str, ...]
+) -> dict[tuple[str, ...], list[fixtures.Answer]]:
+    """Sends streams with these prompts to all instances in turn."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    tasks = {prompt: [] for prompt in prompts}
+    for turn in itertools.count():
+        if loop.time() >= end:
+            break
+        prompt = prompts[turn % len(prompts)]
+        number = turn // len(prompts) % len(system.fronts)
+        sent = call(system, *prompt, number=number)
+        tasks[prompt].append(asyncio.ensure_future(sent))
+        await asyncio.sleep(_INTERVAL_S)
+    return {p: await asyncio.gather(*sent) for p, sent in tasks.items()}
+
+
+def share(answers: list[fixtures.Answer]) -> float:
+    """Returns the share of the answers that are whole successes."""
+    return sum(a.status == 200 and a.complete for a in answers) / len(answers)
+
+
+class CrashingPartTest(unittest.IsolatedAsyncioTestCase):
+    async def _check(self, guilty: tuple[str, ...], **sizes) -> None:
+        system = await start(self, **sizes)
+        sound = (_SHARED, "abc1")
+        before = await call_often(system, 1.0, sound)
+        begin = asyncio.ensure_future(
+            call_often(system, 2 * _STABILITY_WINDOW_S + 1.0, sound, guilty)
+        )
+        await fixtures.until(lambda: len(crashed_at(system)) >= _CRASHES)
+        await begin
+        answers = await call_often(system, _MEASURED_S, sound, guilty)
+        fifth = crashed_at(system)[_CRASHES - 1]
+        late = [t for t in received(system) if t > fifth + _STABILITY_WINDOW_S]
+        self.assertLessEqual(len(late), _MAX_SENDS)
+        least = _MIN_SHARE * share(before[sound])
+        self.assertGreaterEqual(share(answers[sound]), least)
+        for answer in answers[guilty]:
+            if answer.status == 503:
+                self.assertGreaterEqual(
+                    float(answer.headers["Retry-After"]), 1.0
+                )
+
+    async def test_first_part(self):
+        """Guards against requests that differ but for the first part."""
+        await self._check((_GUILTY, _SHARED))
+
+    async def test_middle_part(self):
+        """Guards against a sound first part that hides the guilty one."""
+        await self._check((_SHARED, _GUILTY, "abc2"))
+
+
+class SpreadTest(unittest.IsolatedAsyncioTestCase):
+    async def _crash_until_known(self, system) -> None:
+        while len(crashed_at(system)) < _CRASHES:
+            number = len(crashed_at(system)) % len(system.fronts)
+            await call(system, _SHARED, _GUILTY, number=number)
+            if len(received(system)) > 2 * _CRASHES:
+                break
+            answer = await call(system, _SHARED, _GUILTY, number=number)
+            if answer.status == 503:
+                break
+        await call(system, _SHARED, "abc1")
+
+    async def test_instance_that_starts_knows_the_part(self):
+        """Guards against crashes through an instance that has just started."""
+        system = await start(self, fronts=2)
+        await self._crash_until_known(system)
+        service = await system.add_front()
+        await fixtures.until(service.entry.peers_synced.is_set)
+        sent = len(received(system))
+        answer = await call(system, _SHARED, _GUILTY, number=2)
+        self.assertEqual(answer.headers.get("Copperloom-Error"), _CODE)
+        self.assertEqual(len(received(system)), sent)
+
+    async def test_part_is_known_after_the_loss_of_all_instances(self):
+        """Guards against crashes after a restart of the whole system."""
+        system = await start(self, fronts=2)
+        await self._crash_until_known(system)
+        table = catalog.QUARANTINE_TABLE
+        await fixtures.until(lambda: system.store.rows.get(table))
+        await system.stop_fronts()
+        lost, system.fronts[:] = list(system.fronts), []
+        for service in lost:
+            await system.start_front(service.entry.settings)
+        await fixtures.until(
+            lambda: all(
+                f.entry.quarantines_loaded.is_set() for f in system.fronts
+            ),
+            limit_s=_STABILITY_WINDOW_S,
+        )
+        sent = len(received(system))
+        answer = await call(system, _SHARED, _GUILTY)
+        self.assertEqual(answer.headers.get("Copperloom-Error"), _CODE)
+        self.assertEqual(len(received(system)), sent)
--- a/copperloom/platform/standins/crashes.py
+++ b/copperloom/platform/standins/crashes.py
@@ -8,7 +8,7 @@
 
 from copperloom.platform.standins import wire
 
-__all__ = ["crash", "crash_under", "reset", "restart"]
+__all__ = ["crash", "crash_under", "has_part", "reset", "restart"]
 
 # Exceeds the time until the reset of its connection cancels a handler.
 _CANCELLED_S = 0.1
@@ -59,6 +59,15 @@
     target.on_restart(target)
 
 
+def has_part(received, part: str) -> bool:
+    """Returns whether a request's prompt has a part; its last one is its own.
+
+    Ids are compared as they are written.
+    """
+    entries = received.headers.get(wire.PARTS, "").split(",")
+    return part in [e.partition(":")[0] for e in entries[:-1]]
+
+
 async def crash_under(target, request, received) -> None:
     """Crashes after the head of a stream, or before a plain answer."""
     if wire.TOKENS in request.headers:
--- a/copperloom/platform/standins/wire.py
+++ b/copperloom/platform/standins/wire.py
@@ -14,6 +14,7 @@
     "LIMIT",
     "NOT_RUN",
     "ORGANISATION",
+    "PARTS",
     "READ_CALL",
     "REQUEST",
     "RETRY_AFTER",
@@ -25,12 +26,13 @@
 ]
 
 # Request headers: the request id, the time until the caller's deadline in
-# milliseconds, the API key, the token counts of prompt and answer, and the
-# headers that the system adds for the target.
+# milliseconds, the API key, the token counts of prompt and answer, the parts of
+# the prompt, and the headers that the system adds for the target.
 REQUEST = "Copperloom-Request-Id"
 LEFT = "Copperloom-Request-Deadline"
 KEY = "Copperloom-Key"
 TOKENS = "Copperloom-Token-Counts"
+PARTS = "Copperloom-Prompt-Prefix"
 ORGANISATION = "Copperloom-Tenant"
 TARGET = "Copperloom-Expect-Instance"
 HELPERS = "Copperloom-Helpers"
