--- a/copperloom/decisions/crash_evidence.py
+++ b/copperloom/decisions/crash_evidence.py
@@ -35,6 +35,8 @@
 # A target that ends later than this after the first event of an answer did not
 # end because it began to run the request.
 BEGIN_S = 0.5
+# A target that starts again has registered within this time.
+RESTART_S = 10.0
 # Time for which evidence is kept, from the latest change or crash.
 WEAK_KEPT_S = 600.0
 SUFFICIENT_KEPT_S = 3600.0
@@ -136,7 +138,9 @@
 ) -> list[bytes]:
     """Voids evidence against requests if a target has not ended after all.
 
-    A target behind a network partition may refuse connections meanwhile.
+    A target behind a network partition may refuse connections meanwhile. Soon
+    after its end the answer may come from a later start whose registration is
+    not known yet.
 
     Args:
         log: The log.
@@ -147,7 +151,8 @@
     Returns:
         Digests of the requests concerned.
     """
-    if not had_ended(log, incarnation, begun_at):
+    ended_at = log.ended.get(incarnation, begun_at)
+    if begun_at - ended_at <= RESTART_S:
         return []
     del log.ended[incarnation]
     concerned = [
--- a/copperloom/ingress/target_checks.py
+++ b/copperloom/ingress/target_checks.py
@@ -28,8 +28,6 @@
 # Delays of further checks of a target that still listens: it may be about to
 # end. The last one is too long for a retry to wait for it.
 _RECHECK_S = (0.15, 0.6)
-# A target that crashed registers its restart within this time.
-_RESTART_S = 10.0
 _RESULTS = {True: "listening", False: "ended", None: "unknown"}
 
 
@@ -181,7 +179,7 @@
         is_other = registry.incarnation(successor) != registry.incarnation(
             target
         )
-        if now - suspicion.failed_at > _RESTART_S:
+        if now - suspicion.failed_at > crash_evidence.RESTART_S:
             state.suspicions.remove(suspicion)
         elif is_other:
             state.suspicions.remove(suspicion)
