Quarantine: parts of prompts that crash their targets

Cause: evidence went by the digest of the whole request. Requests that share only a part of their prompt never repeat, so nothing that an instance learnt of one kept the next from a target. Change: evidence goes by the part as well, with the same merge, sharing, rows and trials. The parts in most crashes explain these; parts in the same crashes stay suspects together, and a prompt is refused (3012) only if it holds all of them. An answer that a target began to write after a crash clears its parts of that crash. A failed attempt is not repeated if two crashes speak against its parts.

--- a/copperloom/cli/trace.py
+++ b/copperloom/cli/trace.py
@@ -36,7 +36,7 @@
     "quarantine_trial",
     "target_ended",
 )
-_QUARANTINED = "RequestQuarantined"
+_QUARANTINED = ("PartQuarantined", "RequestQuarantined")
 # Events that tell what targets said, by the outcome that follows from it.
 _ANSWER_EVENTS = {
     "TargetsBackingOff": "backoff_requested",
@@ -128,7 +128,7 @@
     digests = {
         line.fields.get("digest")
         for line in matching
-        if line.fields.get("outcome") == _QUARANTINED
+        if line.fields.get("outcome") in _QUARANTINED
     }
     return [
         line
--- a/copperloom/decisions/crash_evidence.py
+++ b/copperloom/decisions/crash_evidence.py
@@ -1,23 +1,26 @@
-"""Evidence about requests that crash the targets that run them.
+"""Evidence about requests, and parts of prompts, that crash targets.
 
 Instances share which targets have crashed as they began to run which request,
-identified by a digest of its content. Evidence may come late, repeatedly and in
-any order: the result of all merges is the same, so that instances need not
-agree on it.
+identified by a digest of its content, and as they began to write on which part
+of its prompt. Evidence may come late, repeatedly and in any order: the result
+of all merges is the same, so that instances need not agree on it.
 
 Other requests at a target that crashes are blamed as well. One completed run,
-here or at another instance, voids the evidence before it.
+here or at another instance, voids the evidence before it. What was written on a
+part after a crash voids that crash's evidence against the part.
 """
 
 import dataclasses
 import math
+from collections.abc import Iterable
 
-from copperloom.decisions import sharing
+from copperloom.decisions import request_digest, sharing
 from copperloom.decisions.sharing import Occasion, Sharing
 
 __all__ = [
     "CrashLog",
     "Evidence",
+    "entries",
     "expire",
     "expires_at",
     "had_ended",
@@ -27,6 +30,7 @@
     "record_answer",
     "record_completion",
     "record_crash",
+    "record_written",
     "to_share",
 ]
 
@@ -41,21 +45,22 @@
 WEAK_KEPT_S = 600.0
 SUFFICIENT_KEPT_S = 3600.0
 MAX_REQUESTS = 500
-# Entries per request; the latest ones are kept.
-MAX_CRASHES = 8
-MAX_VOID = 20
+MAX_PARTS = 2000
+# Entries per request or part; the latest ones are kept.
+MAX_CRASHES = 16
+MAX_VOID = 40
 MAX_ENDED = 300
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Evidence:
-    """What is known about a request whose targets crashed.
+    """What is known about a request or part under which targets crashed.
 
     Attributes:
         crashes: Monotonic times at which targets crashed as they began to run
             it, by incarnation of the target.
         trials: Monotonic times at which trials began, by name of the trial.
-        void: Crashes and trials that no longer count, since the request
+        void: Crashes and trials that no longer count, since a request
             completed afterwards or the target has not ended.
         sharing: When this changed and was passed on.
     """
@@ -67,10 +72,14 @@
 
 
 class CrashLog:
-    """Evidence about requests, and the targets that ended.
+    """Evidence about requests and parts, and the targets that ended.
 
     Attributes:
         requests: Evidence by digest of the request, the latest change last.
+        parts: Evidence by digest of the part, the latest change last.
+        changes: Number of changes of evidence about parts.
+        culprits: Cache of `quarantine`, with the number of changes that it
+            belongs to.
         ended: Monotonic times at which targets ended, by incarnation.
         trial_at: Monotonic time of the latest trial of any request.
         sufficient_changes: Number of changes of evidence that suffices, or did
@@ -79,11 +88,19 @@
 
     def __init__(self):
         self.requests: dict[bytes, Evidence] = {}
+        self.parts: dict[bytes, Evidence] = {}
+        self.changes = 0
+        self.culprits: dict[int, tuple] = {}
         self.ended: dict[str, float] = {}
         self.trial_at = float("-inf")
         self.sufficient_changes = 0
 
 
+def entries(log: CrashLog, digest: bytes) -> dict[bytes, Evidence]:
+    """Returns the evidence of the kind of a digest, of requests or parts."""
+    return log.parts if request_digest.is_part(digest) else log.requests
+
+
 def is_sufficient(evidence: Evidence) -> bool:
     """Returns whether evidence suffices to quarantine a request."""
     return len(evidence.crashes) >= MIN_CRASHES
@@ -126,11 +143,41 @@
     Returns:
         Whether any evidence became void.
     """
-    known = log.requests.get(digest)
+    return _void_before(log, digest, math.inf, now)
+
+
+def record_written(
+    log: CrashLog, digests: Iterable[bytes], begun_at: float, now: float
+) -> list[bytes]:
+    """Voids evidence about the parts of a prompt that a target has written on.
+
+    Args:
+        log: The log.
+        digests: The parts.
+        begun_at: Monotonic time at which the target began to write; crashes
+            after that may still be the fault of a part.
+        now: Monotonic time.
+
+    Returns:
+        Digests of the parts whose evidence became void.
+    """
+    return [d for d in digests if _void_before(log, d, begun_at, now)]
+
+
+def _void_before(
+    log: CrashLog, digest: bytes, until: float, now: float
+) -> bool:
+    known = entries(log, digest).get(digest)
     if known is None or not known.crashes:
         return False
-    void = Evidence(void=known.crashes | known.trials)
-    return merge(log, digest, void, now, forwards=True)
+    void = {
+        name: at
+        for name, at in (known.crashes | known.trials).items()
+        if at < until
+    }
+    if not void:
+        return False
+    return merge(log, digest, Evidence(void=void), now, forwards=True)
 
 
 def record_answer(
@@ -157,11 +204,11 @@
     del log.ended[incarnation]
     concerned = [
         digest
-        for digest, known in log.requests.items()
+        for digest, known in (log.requests | log.parts).items()
         if incarnation in known.crashes
     ]
     for digest in concerned:
-        crashed_at = log.requests[digest].crashes[incarnation]
+        crashed_at = entries(log, digest)[digest].crashes[incarnation]
         void = Evidence(void={incarnation: crashed_at})
         merge(log, digest, void, now, forwards=True)
     return concerned
@@ -190,7 +237,8 @@
     for incarnation, crashed_at in reported.crashes.items():
         _record_end(log, incarnation, crashed_at)
     log.trial_at = max(log.trial_at, *reported.trials.values(), -math.inf)
-    known = log.requests.get(digest, Evidence())
+    by_digest = entries(log, digest)
+    known = by_digest.get(digest, Evidence())
     void = _earliest(known.void, reported.void)
     crashes = _earliest(known.crashes, reported.crashes)
     trials = _earliest(known.trials, reported.trials)
@@ -202,10 +250,12 @@
     )
     if _names(merged) == _names(known) or expires_at(merged) <= now:
         return False
-    log.requests.pop(digest, None)
-    log.requests[digest] = merged
+    by_digest.pop(digest, None)
+    by_digest[digest] = merged
+    log.changes += 1
     log.sufficient_changes += is_sufficient(merged) or is_sufficient(known)
-    _drop_excess(log)
+    _drop_excess(log.requests, MAX_REQUESTS)
+    _drop_excess(log.parts, MAX_PARTS)
     return True
 
 
@@ -246,20 +296,36 @@
         del log.ended[next(iter(log.ended))]
 
 
-def _drop_excess(log: CrashLog) -> None:
-    """Drops the evidence that changed least recently, the weak one first."""
-    if len(log.requests) <= MAX_REQUESTS:
+def _drop_excess(by_digest: dict[bytes, Evidence], limit: int) -> None:
+    """Drops the evidence that changed least recently, the weak one first.
+
+    Evidence of a single crash is the weakest.
+    """
+    if len(by_digest) <= limit:
         return
-    weak = (d for d, e in log.requests.items() if not is_sufficient(e))
-    del log.requests[next(weak, next(iter(log.requests)))]
+    for is_weak in (
+        lambda e: len(e.crashes) < 2,
+        lambda e: not is_sufficient(e),
+    ):
+        weak = next((d for d, e in by_digest.items() if is_weak(e)), None)
+        if weak is not None:
+            del by_digest[weak]
+            return
+    del by_digest[next(iter(by_digest))]
 
 
 def expire(log: CrashLog, now: float) -> list[bytes]:
-    """Drops evidence whose time has passed; returns the requests concerned."""
-    dropped = [d for d, e in log.requests.items() if expires_at(e) <= now]
-    for digest in dropped:
-        del log.requests[digest]
-    return dropped
+    """Drops evidence whose time has passed; returns the digests concerned."""
+    dropped = [
+        (by_digest, digest)
+        for by_digest in (log.requests, log.parts)
+        for digest, known in by_digest.items()
+        if expires_at(known) <= now
+    ]
+    for by_digest, digest in dropped:
+        del by_digest[digest]
+    log.changes += len(dropped)
+    return [digest for _, digest in dropped]
 
 
 def expires_at(known: Evidence) -> float:
@@ -272,24 +338,30 @@
 def to_share(
     log: CrashLog, now: float, limit: int, occasion: Occasion
 ) -> dict[bytes, Evidence]:
-    """Selects the evidence for a message, the latest change first.
+    """Selects the evidence for a message.
+
+    Sufficient evidence comes first, and of that the latest change.
 
     Args:
         log: The log, in which the evidence is marked as passed on.
         now: Monotonic time.
-        limit: Maximum number of requests.
+        limit: Maximum number of requests and parts.
         occasion: The kind of message.
     """
     due = [
-        digest
-        for digest, known in reversed(log.requests.items())
+        (is_sufficient(known), known.sharing.changed_at, digest)
+        for by_digest in (log.requests, log.parts)
+        for digest, known in reversed(by_digest.items())
         if sharing.is_due(
             known.sharing, now, occasion, lasts=is_sufficient(known)
         )
     ]
-    for digest in due[:limit]:
-        known = log.requests[digest]
-        log.requests[digest] = dataclasses.replace(
+    due.sort(key=lambda item: item[:2], reverse=True)
+    selected = {}
+    for _, _, digest in due[:limit]:
+        by_digest = entries(log, digest)
+        known = by_digest[digest]
+        selected[digest] = by_digest[digest] = dataclasses.replace(
             known, sharing=sharing.mark_shared(known.sharing, now, occasion)
         )
-    return {digest: log.requests[digest] for digest in due[:limit]}
+    return selected
--- a/copperloom/decisions/quarantine.py
+++ b/copperloom/decisions/quarantine.py
@@ -1,4 +1,4 @@
-"""Quarantine of requests that crash the targets that run them.
+"""Quarantine of requests, and parts of prompts, that crash targets.
 
 A caller repeats a failed request under a new id at any instance. A request
 that crashes its targets would so end one target after another, together with
@@ -9,14 +9,30 @@
 progress at several of them. So a quarantine has an end, after which a single
 instance sends the request as a trial. The number of trials is bounded, since
 each one may crash a target.
+
+A request with a crashing part shares its other parts with sound requests, and
+sound requests at the same targets are blamed for their parts. The crashing part
+is in all crashes and was never written on since. Parts in the same crashes stay
+suspects together: only a request that holds all of them is refused, so that
+others may show that some are sound.
 """
 
 import dataclasses
 
 from copperloom.decisions import crash_evidence
 
-__all__ = ["Quarantine", "all_found", "begin_trial", "find", "is_trial_due"]
-
+__all__ = [
+    "Quarantine",
+    "all_found",
+    "begin_trial",
+    "find",
+    "find_parts",
+    "is_trial_due",
+]
+
+# A request whose attempt has failed is not sent again if it holds all suspects
+# of so many crashes.
+REPEAT_CRASHES = 2
 # Duration of a quarantine from the latest crash, by number of trials so far.
 # After the last trial it lasts until the evidence expires.
 HOLDS_S = (2.0, 15.0, 300.0)
@@ -47,9 +63,13 @@
 
 def find(log: crash_evidence.CrashLog, digest: bytes) -> Quarantine | None:
     """Returns the quarantine of a request; None if it has none."""
-    known = log.requests.get(digest)
+    known = crash_evidence.entries(log, digest).get(digest)
     if known is None or not crash_evidence.is_sufficient(known):
         return None
+    return _describe(known)
+
+
+def _describe(known: crash_evidence.Evidence) -> Quarantine:
     trials = tuple(known.trials)
     if len(trials) < len(HOLDS_S):
         until = max(known.crashes.values()) + HOLDS_S[len(trials)]
@@ -59,13 +79,65 @@
     return Quarantine(known.crashes, until, trials)
 
 
+def find_parts(
+    log: crash_evidence.CrashLog,
+    parts: frozenset[bytes],
+    *,
+    least: int = crash_evidence.MIN_CRASHES,
+) -> tuple[frozenset[bytes], Quarantine] | None:
+    """Returns the quarantine of parts of a prompt; None if it has none.
+
+    Args:
+        log: The log.
+        parts: Digests of the parts that other requests may share.
+        least: Crashes that suffice.
+
+    Returns:
+        The suspects, which the prompt holds all, and their quarantine.
+    """
+    for suspects in _culprits(log, least):
+        if suspects <= parts:
+            known = [log.parts[digest] for digest in suspects]
+            tried = max(known, key=lambda e: len(e.trials))
+            return suspects, _describe(tried)
+    return None
+
+
+def _culprits(
+    log: crash_evidence.CrashLog, least: int
+) -> tuple[frozenset[bytes], ...]:
+    """Returns the parts that explain the crashes, suspects of one set each.
+
+    The parts in most crashes come first and explain these crashes; the other
+    parts are judged by the rest.
+    """
+    changes, found = log.culprits.get(least, (None, ()))
+    if changes == log.changes:
+        return found
+    left = {
+        digest: frozenset(known.crashes)
+        for digest, known in log.parts.items()
+        if len(known.crashes) >= least
+    }
+    groups = []
+    while left:
+        crashes = max(left.values(), key=lambda c: (len(c), sorted(c)))
+        if len(crashes) < least:
+            break
+        groups.append(frozenset(d for d, c in left.items() if c == crashes))
+        left = {d: c - crashes for d, c in left.items() if c != crashes}
+    log.culprits[least] = (log.changes, tuple(groups))
+    return tuple(groups)
+
+
 def _last_trial_at(known: crash_evidence.Evidence) -> float:
     return max(known.trials.values(), default=float("-inf"))
 
 
 def all_found(log: crash_evidence.CrashLog) -> dict[bytes, Quarantine]:
-    """Returns all quarantines by the digest of the request."""
-    found = {digest: find(log, digest) for digest in log.requests}
+    """Returns all quarantines by the digest of the request or part."""
+    suspects = frozenset().union(*_culprits(log, crash_evidence.MIN_CRASHES))
+    found = {digest: find(log, digest) for digest in (*log.requests, *suspects)}
     return {digest: f for digest, f in found.items() if f is not None}
 
 
--- a/copperloom/decisions/request_digest.py
+++ b/copperloom/decisions/request_digest.py
@@ -1,4 +1,4 @@
-"""Identifies requests that repeat an earlier one.
+"""Identifies requests that repeat an earlier one, and parts of prompts.
 
 A caller that repeats a request gives it a new id and may send it to any
 instance, so all instances have to derive the same identity from its content.
@@ -6,9 +6,11 @@
 
 import hashlib
 
-__all__ = ["DIGEST_BYTES", "request_digest"]
+__all__ = ["DIGEST_BYTES", "is_part", "part_digest", "request_digest"]
 
 DIGEST_BYTES = 12
+# The kinds of digests differ in length.
+_PART_BYTES = 9
 # Separates the parts; it occurs in none of those that precede the body.
 _SEPARATOR = b"\n"
 
@@ -34,3 +36,13 @@
         digest.update(part.encode(errors="surrogateescape") + _SEPARATOR)
     digest.update(body)
     return digest.digest()
+
+
+def part_digest(part: str) -> bytes:
+    """Returns the digest of a part of prompts, given its id in one form."""
+    return hashlib.blake2b(part.encode(), digest_size=_PART_BYTES).digest()
+
+
+def is_part(digest: bytes) -> bool:
+    """Returns whether a digest is one of a part of prompts."""
+    return len(digest) == _PART_BYTES
--- a/copperloom/exception.py
+++ b/copperloom/exception.py
@@ -26,6 +26,7 @@
     "OrderRefusedError",
     "OverloadedError",
     "PeerUnavailableError",
+    "PartQuarantinedError",
     "PlatformDownError",
     "PlatformUnknownError",
     "PromptTooLargeError",
@@ -219,6 +220,14 @@
     retry_after_s = 2.0
 
 
+class PartQuarantinedError(CopperloomError):
+    """A part of the prompt has crashed targets and is not sent for a time."""
+
+    code = 3012
+    status = 503
+    retry_after_s = 2.0
+
+
 class TargetsLimitedError(CopperloomError):
     """All targets are at the rate limits that they name."""
 
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -19,6 +19,7 @@
     "content_digest",
     "engine",
     "may_lead",
+    "part_digests",
     "prompt_parts",
     "record_event",
 ]
@@ -48,6 +49,10 @@
         body: The complete body.
         digest: Identity shared with repeats, see `content_digest`; empty until
             it is needed.
+        parts: Digests of the parts of its prompt that others may share; None
+            until they are needed.
+        quarantined_as: Digest of the request or of a part of its prompt by
+            which it was refused, empty if it was not.
         table_version: Version of the routes under which it was admitted.
         plan: Its current placement.
         placed_at: Time of the current placement.
@@ -95,6 +100,8 @@
         self.priority = 0
         self.body = b""
         self.digest = b""
+        self.parts: frozenset[bytes] | None = None
+        self.quarantined_as = b""
         self.table_version = 0
         self.plan: plans.Plan | None = None
         self.placed_at = now
@@ -175,6 +182,13 @@
     return headers.read_prompt_parts(ex.http.headers)
 
 
+def part_digests(ex: Exchange) -> frozenset[bytes]:
+    """Returns the digests of these parts, computed on first use."""
+    if ex.parts is None:
+        ex.parts = frozenset(map(request_digest.part_digest, prompt_parts(ex)))
+    return ex.parts
+
+
 def engine(ex: Exchange) -> routing.EngineSpec | None:
     """Returns the engine parameters of the service; None if it is plain."""
     spec = ex.state.table.services.get(ex.service)
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -50,6 +50,7 @@
 SHORT_PRIORITY = 1
 LONG_PRIORITY = 6
 _REFUSED_RETRY_S = 0.15
+_FIRST_ERROR_STATUS = 300
 # Time beyond the predicted one after which an answer is late.
 _LATE_S = 0.5
 # Memory is freed only as long answers end, about once a second, so a quick
@@ -293,7 +294,7 @@
             reply_checks.check(ex, answer)
             await relay.relay(ex, reply, answer.facts)
         if answer.status != answers.UNAVAILABLE:
-            _record_success(ex, entry)
+            _record_success(ex, entry, answer.status)
     except exception.TargetUnreachableError:
         ex.sends -= 1
         if is_first:
@@ -338,12 +339,16 @@
     return (ex.deadline - now) * _PLAIN_TIMEOUT_SHARE
 
 
-def _record_success(ex: exchange.Exchange, entry: routing.TargetEntry) -> None:
+def _record_success(
+    ex: exchange.Exchange, entry: routing.TargetEntry, status: int
+) -> None:
     now = asyncio.get_running_loop().time()
     target_health = ex.state.health.get(entry.name)
     if target_health is not None and not ex.slow:
         health.record_success(target_health, now)
-    quarantines.record_completion(ex, entry, now)
+    quarantines.record_completion(
+        ex, entry, now, is_success=status < _FIRST_ERROR_STATUS
+    )
     ex.state.metrics.attempts.labels("answered").inc()
 
 
--- a/copperloom/ingress/knowledge.py
+++ b/copperloom/ingress/knowledge.py
@@ -25,8 +25,8 @@
 
 __all__ = ["add", "apply"]
 
-# Requests, limits and notices that fit into one message.
-_MAX_REQUESTS = 40
+# Requests and parts, limits and notices that fit into one message.
+_MAX_REQUESTS = 60
 _MAX_LIMITS = 60
 _MAX_NOTICES = 200
 
@@ -55,6 +55,9 @@
         wire_knowledge.encode_evidence(request, known, now)
         for request, known in evidence.items()
     ]
+    if len(evidence) == _MAX_REQUESTS:
+        # The rest follows in the next message.
+        state.digest_due.set()
     digest.evidence_loaded = state.quarantines_loaded.is_set()
     limits = target_limits.to_share(state.limits, now, _MAX_LIMITS, occasion)
     digest.limits = [
--- a/copperloom/ingress/outcome.py
+++ b/copperloom/ingress/outcome.py
@@ -127,8 +127,8 @@
     }
     if ex.reason:
         fields["reason"] = ex.reason
-    if ex.digest:
-        fields["digest"] = ex.digest.hex()
+    if ex.quarantined_as or ex.digest:
+        fields["digest"] = (ex.quarantined_as or ex.digest).hex()
     if ex.relayed_by:
         fields["relayed_by"] = ex.relayed_by
     if ex.relayed_to:
--- a/copperloom/ingress/quarantines.py
+++ b/copperloom/ingress/quarantines.py
@@ -1,4 +1,6 @@
-"""Refuses quarantined requests, and records the evidence against them."""
+"""Refuses quarantined requests and prompts, and records the evidence."""
+
+from collections.abc import Iterable
 
 from copperloom import exception, logs, routing
 from copperloom.decisions import (
@@ -6,6 +8,7 @@
     members,
     quarantine,
     registry,
+    request_digest,
     shards,
 )
 from copperloom.ingress import exchange
@@ -17,6 +20,7 @@
     "rank",
     "record_completion",
     "record_crash",
+    "record_written",
 ]
 
 _MIN_RETRY_AFTER_S = 1.0
@@ -34,21 +38,26 @@
 
     Raises:
         copperloom.exception.RequestQuarantinedError: It must not be sent now.
+        copperloom.exception.PartQuarantinedError: A part of its prompt must
+            not be sent now.
     """
+    if ex.state.crashes.requests:
+        _check_request(ex, now, is_sent=is_sent)
+    if ex.state.crashes.parts:
+        _check_parts(ex, now, is_sent=is_sent)
+
+
+def _check_request(ex: exchange.Exchange, now: float, *, is_sent: bool) -> None:
     log = ex.state.crashes
-    if not log.requests:
-        return
     digest = exchange.content_digest(ex)
     found = quarantine.find(log, digest)
     if found is None:
         return
-    # A trial is a single attempt.
-    if not ex.sends and quarantine.is_trial_due(
-        log, found, rank(ex.state, now), now
-    ):
+    if _is_trial_due(ex, found, now):
         if is_sent:
-            _begin_trial(ex, digest, now)
+            _begin_trial(ex, [digest], now)
         return
+    ex.quarantined_as = digest
     raise exception.RequestQuarantinedError(
         f"retry later: {len(found.crashes)} targets crashed as they began to "
         "run this request",
@@ -57,6 +66,38 @@
     )
 
 
+def _check_parts(ex: exchange.Exchange, now: float, *, is_sent: bool) -> None:
+    """Refuses a prompt that holds all parts suspected of some crashes."""
+    log = ex.state.crashes
+    least = crash_evidence.MIN_CRASHES
+    if ex.sends:
+        least = quarantine.REPEAT_CRASHES
+    found = quarantine.find_parts(log, exchange.part_digests(ex), least=least)
+    if found is None:
+        return
+    suspects, held = found
+    if _is_trial_due(ex, held, now):
+        if is_sent:
+            _begin_trial(ex, suspects, now)
+        return
+    ex.quarantined_as = min(suspects)
+    raise exception.PartQuarantinedError(
+        f"retry later: {len(held.crashes)} targets crashed as they began to "
+        "write on a part of this prompt",
+        run=ex.run,
+        retry_after_s=max(_MIN_RETRY_AFTER_S, held.until - now),
+    )
+
+
+def _is_trial_due(
+    ex: exchange.Exchange, found: quarantine.Quarantine, now: float
+) -> bool:
+    """Returns whether a request may be sent as a trial, a single attempt."""
+    return not ex.sends and quarantine.is_trial_due(
+        ex.state.crashes, found, rank(ex.state, now), now
+    )
+
+
 def rank(state: IngressState, now: float) -> int:
     """Returns the position of this instance among those that may try.
 
@@ -69,45 +110,91 @@
     return shards.rank(_RANK_KEY, instances).index(own)
 
 
-def _begin_trial(ex: exchange.Exchange, digest: bytes, now: float) -> None:
+def _begin_trial(
+    ex: exchange.Exchange, digests: Iterable[bytes], now: float
+) -> None:
+    """Records one trial of a request, or of all suspected parts of a prompt."""
+    log = ex.state.crashes
     trial = ex.state.next_name()
-    quarantine.begin_trial(ex.state.crashes, digest, trial, now)
+    for digest in digests:
+        quarantine.begin_trial(log, digest, trial, now)
+        logs.event(
+            "quarantine_trial",
+            request=ex.id,
+            digest=digest.hex(),
+            trials=len(crash_evidence.entries(log, digest)[digest].trials),
+        )
     ex.state.digest_due.set()
     ex.state.quarantine_changed.set()
-    logs.event(
-        "quarantine_trial",
-        request=ex.id,
-        digest=digest.hex(),
-        trials=len(ex.state.crashes.requests[digest].trials),
-    )
 
 
 def record_crash(
     state: IngressState,
     request: str,
-    digest: bytes,
+    digests: Iterable[bytes],
     target: routing.TargetEntry,
     crashed_at: float,
 ) -> None:
-    """Records that a target crashed as it began to run a request."""
+    """Records that a target crashed as it began to run a request.
+
+    Args:
+        state: The instance's state.
+        request: Id of the request.
+        digests: Digests of the request and of the parts of its prompt.
+        target: The target.
+        crashed_at: Monotonic time.
+    """
     incarnation = registry.incarnation(target)
-    if crash_evidence.record_crash(
-        state.crashes, digest, incarnation, crashed_at
+    for digest in digests:
+        if crash_evidence.record_crash(
+            state.crashes, digest, incarnation, crashed_at
+        ):
+            _log_evidence(
+                state, digest, crashed_at, request=request, target=incarnation
+            )
+            # Instances that do not know of it would send repeats to targets.
+            state.digest_due.set()
+
+
+def record_written(ex: exchange.Exchange, now: float) -> None:
+    """Records that a target still writes after the begin of its answer."""
+    if not ex.state.crashes.parts:
+        return
+    begun_at = ex.attempt_first_at
+    if not crash_evidence.is_at_begin(begun_at, now):
+        _void_parts(ex, begun_at, now)
+
+
+def _void_parts(ex: exchange.Exchange, begun_at: float, now: float) -> None:
+    for digest in crash_evidence.record_written(
+        ex.state.crashes, exchange.part_digests(ex), begun_at, now
     ):
         _log_evidence(
-            state, digest, crashed_at, request=request, target=incarnation
+            ex.state, digest, now, request=ex.id, written_by=ex.plan.lead
         )
-        # Instances that do not know of it would send a repeat to a target.
-        state.digest_due.set()
+        ex.state.digest_due.set()
 
 
 def record_completion(
-    ex: exchange.Exchange, target: routing.TargetEntry, now: float
+    ex: exchange.Exchange,
+    target: routing.TargetEntry,
+    now: float,
+    *,
+    is_success: bool,
 ) -> None:
-    """Records that a target has completed a request."""
+    """Records that a target has completed a request.
+
+    Args:
+        ex: The request.
+        target: The target.
+        now: Monotonic time.
+        is_success: Whether it wrote an answer instead of an error.
+    """
     log = ex.state.crashes
-    if not log.requests:
+    if not (log.requests or log.parts):
         return
+    if is_success:
+        _void_parts(ex, ex.attempt_first_at or ex.attempt_at, now)
     incarnation = registry.incarnation(target)
     concerned = crash_evidence.record_answer(
         log, incarnation, ex.attempt_at, now
@@ -155,13 +242,20 @@
 def _log_evidence(
     state: IngressState, digest: bytes, now: float, **source
 ) -> None:
-    """Logs what is known about a request after a change, and has it saved."""
-    known = state.crashes.requests[digest]
+    """Logs what is known after a change, and has it saved.
+
+    A crash blames many parts, so those with a single one are not logged.
+    """
+    known = crash_evidence.entries(state.crashes, digest)[digest]
     state.quarantine_changed.set()
+    is_part = request_digest.is_part(digest)
+    if is_part and len(known.crashes) < quarantine.REPEAT_CRASHES:
+        return
     found = quarantine.find(state.crashes, digest)
     logs.event(
         "crash_evidence",
         digest=digest.hex(),
+        kind="part" if is_part else "request",
         crashes=",".join(known.crashes),
         ages_s=",".join(f"{now - at:.3f}" for at in known.crashes.values()),
         void=len(known.void),
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -6,7 +6,7 @@
 
 from copperloom import exception, logs
 from copperloom.decisions import decode_rate, health, inflight_table, timeouts
-from copperloom.ingress import events, exchange, retry, sender
+from copperloom.ingress import events, exchange, quarantines, retry, sender
 from copperloom.platform import headers
 
 __all__ = ["first_event_timeout_s", "relay"]
@@ -84,6 +84,7 @@
             decode_rate.record_gap(gaps, now - ex.last_at)
             _record_decode_rate(ex, gaps, now)
         exchange.record_event(ex, now)
+        quarantines.record_written(ex, now)
         await _forward_events(ex, reply, complete)
     reply.check_complete()
     if splitter.rest:
--- a/copperloom/ingress/scrape.py
+++ b/copperloom/ingress/scrape.py
@@ -4,7 +4,7 @@
 from prometheus_client import core, registry
 
 from copperloom import logs
-from copperloom.decisions import budget, members, quarantine
+from copperloom.decisions import budget, members, quarantine, request_digest
 from copperloom.ingress import views
 from copperloom.ingress.state import IngressState, live_members
 
@@ -31,6 +31,10 @@
         self.state = state
         self.now = now
 
+    def _quarantined(self, *, is_part: bool) -> int:
+        found = quarantine.all_found(self.state.crashes)
+        return sum(request_digest.is_part(d) is is_part for d in found)
+
     def collect(self):
         """Yields the metrics."""
         yield from _versions(self.state, self.now)
@@ -65,7 +69,12 @@
         yield core.GaugeMetricFamily(
             "copperloom_quarantined_requests",
             "Requests that are refused since they crashed several targets.",
-            value=len(quarantine.all_found(self.state.crashes)),
+            value=self._quarantined(is_part=False),
+        )
+        yield core.GaugeMetricFamily(
+            "copperloom_quarantined_parts",
+            "Parts of prompts that are suspected of several crashes.",
+            value=self._quarantined(is_part=True),
         )
         yield core.CounterMetricFamily(
             "copperloom_log_lines_dropped",
--- a/copperloom/ingress/target_checks.py
+++ b/copperloom/ingress/target_checks.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 
 from copperloom import exception, logs, routing
-from copperloom.decisions import crash_evidence, registry
+from copperloom.decisions import crash_evidence, registry, request_digest
 from copperloom.ingress import (
     exchange,
     quarantines,
@@ -38,7 +38,8 @@
     Attributes:
         request: Id of the request.
         digest: Digest of the request.
-        parts: Ids of the parts of its prompt that others may share.
+        parts: Ids of the parts of its prompt that others may share; none if
+            the target only helps with a prefill.
         target: The target.
         begun_at: Monotonic time at which the attempt began.
         first_event_at: Monotonic time of its first event; None if none came.
@@ -71,7 +72,7 @@
         suspicion = Suspicion(
             request=ex.id,
             digest=exchange.content_digest(ex),
-            parts=exchange.prompt_parts(ex),
+            parts=exchange.prompt_parts(ex) if name == ex.plan.lead else (),
             target=entry,
             begun_at=ex.attempt_at,
             first_event_at=ex.attempt_first_at,
@@ -209,7 +210,10 @@
         quarantines.record_crash(
             state,
             suspicion.request,
-            suspicion.digest,
+            (
+                suspicion.digest,
+                *map(request_digest.part_digest, suspicion.parts),
+            ),
             suspicion.target,
             suspicion.failed_at,
         )
--- a/copperloom/ingress/tests/test_fleet_quarantine.py
+++ b/copperloom/ingress/tests/test_fleet_quarantine.py
@@ -39,7 +39,7 @@
     """Records a crash of a target that only this instance has observed."""
     target = routing.TargetEntry(f"t{number}", "plain", "127.0.0.1:9", "a", 8)
     now = asyncio.get_running_loop().time()
-    quarantines.record_crash(service.entry, "request", _DIGEST, target, now)
+    quarantines.record_crash(service.entry, "request", (_DIGEST,), target, now)
 
 
 def _knows(service) -> bool:
--- a/copperloom/ingress/tests/test_prompt_parts.py
+++ b/copperloom/ingress/tests/test_prompt_parts.py
@@ -4,9 +4,11 @@
 import itertools
 import unittest
 
+from copperloom.decisions import request_digest
 from copperloom.ingress.tests import fixtures
 from copperloom.platform import catalog
 from copperloom.platform.standins import crashes, wire
+from copperloom.platform.standins import target as target_standin
 
 _GUILTY = "bad1"
 # A sound part that all requests of the route share.
@@ -167,3 +169,31 @@
         answer = await call(system, _SHARED, _GUILTY)
         self.assertEqual(answer.headers.get("Copperloom-Error"), _CODE)
         self.assertEqual(len(received(system)), sent)
+
+
+class SoundPartTest(unittest.IsolatedAsyncioTestCase):
+    async def test_shared_part_after_many_targets_died_at_once(self):
+        """Guards against refusing a whole route after a loss of power."""
+        system = await start(self)
+        sound = (_SHARED, "abc1")
+        calls = asyncio.ensure_future(call_often(system, 3.0, sound))
+        await asyncio.sleep(1.0)
+        for number in range(5):
+            crashes.crash(system.targets[f"engine-{number}"])
+        await calls
+        answers = await call_often(system, 1.0, sound)
+        self.assertGreater(share(answers[sound]), 0.9)
+
+    async def test_error_is_no_proof_that_a_part_is_sound(self):
+        """Guards against an answer that a target did not write on a part."""
+        system = await start(self, engines=2, fronts=1)
+        await call(system, _SHARED, _GUILTY)
+        entry = system.fronts[0].entry
+        await fixtures.until(lambda: entry.crashes.parts)
+        await asyncio.sleep(1.0)
+        for target in system.targets.values():
+            target.crashes_on = lambda r: False
+            target.always = target_standin.Fault.FAIL
+        await call(system, _GUILTY)
+        digest = request_digest.part_digest(_GUILTY)
+        self.assertTrue(entry.crashes.parts[digest].crashes)
