--- a/bench/frontsoak/processes.py
+++ b/bench/frontsoak/processes.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 
-from copperloom.platform.standins import links, redirected_start, wire
+from copperloom.platform.standins import disturbed_start, links, wire
 from copperloom.standins import proxy
 
 __all__ = ["GRACE_S", "Front", "keep"]
@@ -37,6 +37,8 @@
             targets, and at which that ended.
         path: File with the settings that it gets from the platform.
         redirects: File with the addresses of the links.
+        read_cost_ms: Delay of its event loop for each request that it reads,
+            in milliseconds.
         log: File with its output.
         process: The process; None before the first start.
         disrupted_at: Monotonic times at which it was killed, paused or resumed.
@@ -54,6 +56,7 @@
         self.address = f"{ip}:{self.ports[0]}"
         self.table_link: proxy.Pair | None = None
         self.links = links.Links()
+        self.read_cost_ms = 0.0
         self.partitions: list[tuple[float, float]] = []
         self.path = pathlib.Path(folder) / f"front-{number}.json"
         self.redirects = pathlib.Path(folder) / f"links-{number}.json"
@@ -73,13 +76,14 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "copperloom.platform.standins.redirected_start",
+            "copperloom.platform.standins.disturbed_start",
             f"--settings={_SETTINGS}",
             cwd=_ROOT,
             env=os.environ
             | {
                 wire.INSTANCE_ENVIRONMENT: str(self.path),
-                redirected_start.ENVIRONMENT: str(self.redirects),
+                disturbed_start.REDIRECTS_ENVIRONMENT: str(self.redirects),
+                disturbed_start.READ_COST_ENVIRONMENT: str(self.read_cost_ms),
             },
             stdout=self.log,
             stderr=self.log,
--- a/bench/frontsoak/world.py
+++ b/bench/frontsoak/world.py
@@ -32,6 +32,8 @@
         fronts: Number of instances.
         targets: Number of targets of each of the two services.
         callers: Number of callers.
+        read_cost_ms: Delay of the first instance's event loop for each request
+            that it reads, in milliseconds.
         seconds: Duration, in seconds.
     """
 
@@ -39,6 +41,7 @@
     targets: int = 3
     callers: int = 9
     seconds: float = 8.0
+    read_cost_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -161,6 +164,8 @@
         front.table_link = await _link(world, world.store.address)
         for link in world.links.values():
             await front.links.add(link.listen)
+        if not world.fronts:
+            front.read_cost_ms = sizes.read_cost_ms
         world.fronts.append(front)
         await front.start()
     async with asyncio.timeout(_READY_TIMEOUT_S):
