Load shedding: an instance reads no more than it can serve

Cause: the event loop accepted and read every connection. An instance that got most new connections spent its time on reading, and all requests waited until their callers left. If a queue of unread connections stands for 0.3 s and moves too slowly, new and expired ones are closed unread; a burst may wait longer. Few descriptors or much memory of bodies close them as well. Meanwhile answers on kept connections close these, and offers of partitioned peers are refused. The instance stays ready: the balancer would only move on to the next one.

--- a/copperloom/decisions/peer_relay.py
+++ b/copperloom/decisions/peer_relay.py
@@ -36,6 +36,7 @@
         is_current: Whether its routes are not older than those by which the
             request was admitted.
         reaches_targets: Whether it reaches targets.
+        is_shedding: Whether it closes new connections unread.
         relayed: Requests of peers in progress.
         cores: Its processor time, in cores.
     """
@@ -43,6 +44,7 @@
     draining: bool
     is_current: bool
     reaches_targets: bool
+    is_shedding: bool
     relayed: int
     cores: float
 
@@ -72,7 +74,9 @@
         return Refusal.STALE
     if not facts.reaches_targets:
         return Refusal.PARTITIONED
-    if facts.relayed >= MAX_RELAYED_PER_CORE * max(1.0, facts.cores):
+    if facts.is_shedding or facts.relayed >= MAX_RELAYED_PER_CORE * max(
+        1.0, facts.cores
+    ):
         return Refusal.OVERLOADED
     return None
 
--- a/copperloom/decisions/tests/test_peer_relay.py
+++ b/copperloom/decisions/tests/test_peer_relay.py
@@ -7,7 +7,12 @@
 from copperloom.decisions import peer_relay, readiness
 
 _FREE = peer_relay.Facts(
-    draining=False, is_current=True, reaches_targets=True, relayed=0, cores=1.0
+    draining=False,
+    is_current=True,
+    reaches_targets=True,
+    is_shedding=False,
+    relayed=0,
+    cores=1.0,
 )
 
 
@@ -64,6 +69,7 @@
             ({"is_current": False}, refusal.STALE),
             ({"reaches_targets": False}, refusal.PARTITIONED),
             ({"relayed": 10_000}, refusal.OVERLOADED),
+            ({"is_shedding": True}, refusal.OVERLOADED),
         ):
             self.assertEqual(self._check(**changes), reason)
 
--- /dev/null
+++ b/copperloom/ingress/connection_gate.py
@@ -0,0 +1,173 @@
+"""Admits callers' connections one by one, or closes them unread.
+
+An event loop reads all connections that have data in one iteration, however
+long that takes. The gate lets it read a new connection only once it has run the
+work that the previous one caused, so that work in progress goes on meanwhile.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import resource
+
+from aiohttp import web
+
+from copperloom import logs
+from copperloom.decisions import load_shedding
+from copperloom.ingress.state import IngressState
+
+__all__ = ["Gate", "close"]
+
+_LOG_INTERVAL_S = 1.0
+# Descriptors for files, and share of the others that callers' connections may
+# leave open; requests to targets and peers need the rest.
+_RESERVED_DESCRIPTORS = 200
+_DESCRIPTOR_SHARE = 0.8
+# Share of the memory that bodies of requests in progress may take.
+_BODY_SHARE = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pending:
+    transport: asyncio.Transport
+    since: float
+
+
+class Gate:
+    """Creates the protocols of callers' connections.
+
+    Attributes:
+        state: The instance's state.
+        server: aiohttp's server, which gets the admitted connections.
+        pending: Connections that wait to be read, the oldest first.
+        standing_since: Monotonic time since which some wait; None if none do.
+        admitted_at: Monotonic time of the latest admission; None once its work
+            has run.
+        pace_s: Time between two admissions, in seconds, if any is waiting.
+        shed_at: Monotonic time at which a connection was last closed unread.
+        shed: Number of connections closed unread since the latest log line.
+        logged_at: Monotonic time of that line.
+        max_descriptors: Descriptors that may be open.
+        max_body_bytes: Memory that bodies may take, in bytes.
+    """
+
+    def __init__(self, state: IngressState, server: web.Server):
+        self.state = state
+        self.server = server
+        self.pending: collections.deque[_Pending] = collections.deque()
+        self.standing_since: float | None = None
+        self.admitted_at: float | None = None
+        self.pace_s = 0.0
+        self.shed_at = float("-inf")
+        self.shed = 0
+        self.logged_at = float("-inf")
+        self.max_descriptors = _max_descriptors(state)
+        self.max_body_bytes = int(state.settings.memory_bytes * _BODY_SHARE)
+
+    def __call__(self) -> asyncio.Protocol:
+        """Returns the protocol of a new connection."""
+        return _Arrival(self)
+
+
+class _Arrival(asyncio.Protocol):
+    """The protocol of a connection until it is admitted."""
+
+    def __init__(self, gate: Gate):
+        self.gate = gate
+
+    def connection_made(self, transport) -> None:
+        _arrive(self.gate, transport, asyncio.get_running_loop().time())
+
+
+def close(gate: Gate) -> None:
+    """Closes all connections that have not been read."""
+    for waiting in gate.pending:
+        waiting.transport.abort()
+    gate.pending.clear()
+
+
+def _max_descriptors(state: IngressState) -> int:
+    limit = state.settings.max_descriptors
+    if not limit:
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return int((limit - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE)
+
+
+def _arrive(gate: Gate, transport: asyncio.Transport, now: float) -> None:
+    # The lowest free number is given to each new descriptor.
+    used = transport.get_extra_info("socket").fileno()
+    load = load_shedding.Load(
+        pending=len(gate.pending),
+        standing_s=_standing_s(gate, now),
+        pace_s=gate.pace_s,
+        descriptors_left=gate.max_descriptors - used,
+        body_bytes_left=gate.max_body_bytes - gate.state.body_bytes,
+    )
+    if not load_shedding.accepts(load, is_shedding=gate.state.is_shedding):
+        _shed(gate, transport, now)
+    elif gate.admitted_at is None:
+        _admit(gate, transport, now)
+    else:
+        transport.pause_reading()
+        if gate.standing_since is None:
+            gate.standing_since = now
+        gate.pending.append(_Pending(transport, now))
+
+
+def _standing_s(gate: Gate, now: float) -> float:
+    return 0.0 if gate.standing_since is None else now - gate.standing_since
+
+
+def _admit(gate: Gate, transport: asyncio.Transport, now: float) -> None:
+    handler = gate.server()
+    transport.set_protocol(handler)
+    handler.connection_made(transport)
+    transport.resume_reading()
+    gate.admitted_at = now
+    loop = asyncio.get_running_loop()
+    # The request is read in the next iteration, and handled in the one after.
+    loop.call_soon(loop.call_soon, _continue, gate)
+
+
+def _continue(gate: Gate) -> None:
+    """Admits the next connection that has not waited too long."""
+    now = asyncio.get_running_loop().time()
+    gate.pace_s = load_shedding.smooth(gate.pace_s, now - gate.admitted_at)
+    gate.admitted_at = None
+    if gate.state.is_shedding and load_shedding.is_over(gate.shed_at, now):
+        gate.state.is_shedding = False
+        _log(gate, now)
+    while gate.pending:
+        waiting = gate.pending.popleft()
+        if waiting.transport.is_closing():
+            continue
+        waited_s = now - waiting.since
+        if not load_shedding.is_expired(waited_s, _standing_s(gate, now)):
+            _admit(gate, waiting.transport, now)
+            return
+        _shed(gate, waiting.transport, now)
+    gate.standing_since = None
+
+
+def _shed(gate: Gate, transport: asyncio.Transport, now: float) -> None:
+    transport.abort()
+    gate.shed += 1
+    gate.shed_at = now
+    gate.state.is_shedding = True
+    gate.state.metrics.shed_connections.inc()
+    if now - gate.logged_at >= _LOG_INTERVAL_S:
+        _log(gate, now)
+
+
+def _log(gate: Gate, now: float) -> None:
+    logs.event(
+        "connections_shed",
+        connections=gate.shed,
+        pending=len(gate.pending),
+        pace_s=round(gate.pace_s, 4),
+        body_bytes=gate.state.body_bytes,
+        active=gate.state.active,
+        shedding=gate.state.is_shedding,
+    )
+    gate.shed = 0
+    gate.logged_at = now
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -47,6 +47,7 @@
         organisation: Owner of its key, "" on public routes.
         priority: Its priority; 0 is the highest.
         body: The complete body.
+        body_bytes: Bytes of the body that were received.
         digest: Identity shared with repeats, see `content_digest`; empty until
             it is needed.
         parts: Digests of the parts of its prompt that others may share; None
@@ -99,6 +100,7 @@
         self.organisation = ""
         self.priority = 0
         self.body = b""
+        self.body_bytes = 0
         self.digest = b""
         self.parts: frozenset[bytes] | None = None
         self.quarantined_as = b""
@@ -151,7 +153,7 @@
 ) -> None:
     """Begins a response that is sent while it is received."""
     response = ex.new_stream(status=status, reason=reason, headers=headers)
-    if ex.state.draining:
+    if ex.state.draining or ex.state.is_shedding:
         response.force_close()
     ex.response = response
     await response.prepare(ex.http)
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -102,6 +102,11 @@
             ["direction", "result"],
             registry=self.registry,
         )
+        self.shed_connections = prometheus_client.Counter(
+            "copperloom_shed_connections",
+            "Connections of callers that were closed unread.",
+            registry=self.registry,
+        )
         self.table_failures = prometheus_client.Counter(
             "copperloom_store_failures",
             "Failed calls to the platform's table service, by table.",
--- a/copperloom/ingress/relayed_requests.py
+++ b/copperloom/ingress/relayed_requests.py
@@ -133,6 +133,7 @@
             draining=state.draining,
             is_current=state.table.version >= offer.routes_version,
             reaches_targets=not state.reachability.is_lost,
+            is_shedding=state.is_shedding,
             relayed=state.relayed,
             cores=state.settings.cores,
         )
--- a/copperloom/ingress/server.py
+++ b/copperloom/ingress/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 
 import msgspec
 from aiohttp import web
@@ -9,6 +10,7 @@
 from copperloom import chains, logs
 from copperloom.ingress import (
     chain,
+    connection_gate,
     exchange,
     reachability_checks,
     scrape,
@@ -37,11 +39,13 @@
         callers: aiohttp's server for callers.
         sockets: The listening servers by purpose.
         busy: Callers' connections with a request in progress.
+        gate: Admits callers' connections.
     """
 
     def __init__(self):
         self.busy: set = set()
         self.callers: web.Server | None = None
+        self.gate: connection_gate.Gate | None = None
         self.sockets: dict[str, asyncio.Server] = {}
 
 
@@ -85,8 +89,9 @@
         if address:
             server = web.Server(handler, access_log=None)
             own.sockets[name] = await _open(address, server)
+    own.gate = connection_gate.Gate(state, own.callers)
     own.sockets["callers"] = await _open(
-        state.settings.callers_listen, own.callers, callers
+        state.settings.callers_listen, own.gate, callers
     )
     return own
 
@@ -102,6 +107,7 @@
     server = own.sockets.pop("callers", None)
     if server is not None:
         server.close()
+        connection_gate.close(own.gate)
     for _ in range(_READ_ITERATIONS):
         # Lets the requests that have already arrived start.
         await asyncio.sleep(0)
@@ -124,7 +130,7 @@
 
 async def _open(
     address: str,
-    server: web.Server,
+    server: Callable[[], asyncio.Protocol],
     listening_socket: socket.socket | None = None,
 ) -> asyncio.Server:
     loop = asyncio.get_running_loop()
@@ -160,9 +166,9 @@
         ex.response = web.Response(status=_UNAVAILABLE)
     if ex.response.prepared:
         return
-    if ex.state.draining:
-        # Makes the caller reconnect to another instance before this
-        # connection is closed.
+    if ex.state.draining or ex.state.is_shedding:
+        # Makes the caller reconnect, to an instance with less load or before
+        # this connection is closed.
         ex.response.force_close()
     try:
         await ex.response.prepare(ex.http)
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -107,6 +107,9 @@
         routing_known: Set once routes and targets are known.
         hold_until: Monotonic time until which requests are held while routes
             and targets are not known yet.
+        body_bytes: Memory that bodies of requests in progress take, in bytes.
+        is_shedding: Whether new connections are closed unread, as there are
+            more than can be served.
         draining: Whether this instance is stopping.
         drain_until: Monotonic time that bounds the deadlines of requests on a
             stopping instance; inf unless it is stopping.
@@ -169,6 +172,8 @@
         self.background: set[asyncio.Task] = set()
         self.routing_known = asyncio.Event()
         self.hold_until = float("-inf")
+        self.body_bytes = 0
+        self.is_shedding = False
         self.draining = False
         self.drain_until = math.inf
         self.active = 0
--- a/copperloom/platform/settings.py
+++ b/copperloom/platform/settings.py
@@ -15,6 +15,8 @@
 _MEGABIT_BYTES = 125_000.0
 # Default: 100 Mbit/s.
 _LINK_BYTES_S = 12_500_000.0
+_MEGABYTE_BYTES = 1_000_000.0
+_MEMORY_BYTES = 1_000_000_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +45,9 @@
         reservation_max_s: Maximum lifetime of a reservation at an engine, in
             seconds.
         link_bytes_s: Bandwidth of this instance's link, in bytes per second.
+        max_descriptors: Descriptors that this instance may open; 0 for the
+            limit of the process.
+        memory_bytes: Memory available to this instance, in bytes.
         cores: Processor time available to this instance, in cores.
         is_first_start: Whether the whole system starts for the first time.
     """
@@ -64,6 +69,8 @@
     free_s: float
     reservation_max_s: float
     link_bytes_s: float = _LINK_BYTES_S
+    max_descriptors: int = 0
+    memory_bytes: float = _MEMORY_BYTES
     cores: float = 1.0
     is_first_start: bool = False
 
@@ -91,6 +98,8 @@
 class _Limits(msgspec.Struct):
     # Megabits per second; 0 if not specified.
     link_mbps: float = 0.0
+    max_fds: int = 0
+    memory_mb: float = 0.0
     # Share of a core, and the speed of that core as a multiple of a
     # reference core.
     cpu_share: float = 1.0
@@ -140,6 +149,8 @@
         free_s=bounds.free_ms / _MS,
         reservation_max_s=bounds.hold_max_ms / _MS,
         link_bytes_s=doc.limits.link_mbps * _MEGABIT_BYTES or _LINK_BYTES_S,
+        max_descriptors=doc.limits.max_fds,
+        memory_bytes=doc.limits.memory_mb * _MEGABYTE_BYTES or _MEMORY_BYTES,
         cores=round(doc.limits.cpu_share * doc.limits.cores, 3),
         is_first_start=doc.bootstrap,
     )
