Tests: streams without length or chunks

The stand-in ends such streams with their connection, cleanly or by a reset, whole or inside an event. They were handled already: one that ends inside an event is resumed, or broken off where it may not be; callers get chunks and keep their connection; HEAD and 204 have no body.

--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -20,6 +20,8 @@
 
 _PARTIAL_EVENT_BYTES = 16
 _SHUTDOWN_S = 0.1
+# Time until the bytes of an answer have left.
+_FLUSH_S = 0.05
 
 
 class Fault(enum.Enum):
@@ -35,6 +37,8 @@
     TRUNCATE = "truncate"
     RESET_UNFRAMED = "reset_unframed"
     UNFRAMED = "unframed"
+    UNFRAMED_HALF = "unframed_half"
+    NO_CONTENT = "no_content"
     NOT_HTTP = "not_http"
     MUTE = "mute"
     RESET = "reset"
@@ -277,8 +281,16 @@
     if wire.TOKENS in request.headers:
         return await _send_stream(target, request, headers, fault)
     await asyncio.sleep(target.pause_s)
+    return await _send_plain(target, request, headers, request_id, fault)
+
+
+async def _send_plain(
+    target, request, headers, request_id, fault
+) -> web.StreamResponse:
     if fault is Fault.FAIL:
         return web.Response(status=500, headers=headers, body=b"failed")
+    if fault is Fault.NO_CONTENT:
+        return web.Response(status=204, headers=headers)
     body = f"{target.name} did {request_id}".encode()
     if fault in _RAW_FAULTS:
         await _write_raw(request, headers, body, fault)
@@ -304,7 +316,7 @@
         transport.write(b"\x00\x01garbage\r\n\r\n")
     else:
         transport.write(head + body)
-    await asyncio.sleep(0.05)
+    await asyncio.sleep(_FLUSH_S)
     if fault is Fault.RESET_UNFRAMED:
         crashes.reset(request.transport)
     else:
@@ -316,8 +328,10 @@
         return web.Response(status=500, headers=headers, body=b"failed")
     response = web.StreamResponse(headers=headers)
     response.content_type = "text/event-stream"
-    await response.prepare(request)
     first = int(request.headers.get("Last-Event-Id") or 0) + 1
+    if fault in _UNFRAMED_STREAMS:
+        return await _send_unframed(target, request, response, first, fault)
+    await response.prepare(request)
     for number in range(first, target.events + 1):
         await asyncio.sleep(target.pause_s)
         event = f"id: {number}\ndata: piece {number}\n\n".encode()
@@ -332,6 +346,31 @@
     return response
 
 
+# Faults of streams that have neither a length nor chunks.
+_UNFRAMED_STREAMS = (Fault.UNFRAMED, Fault.UNFRAMED_HALF, Fault.RESET_UNFRAMED)
+
+
+async def _send_unframed(target, request, response, first, fault):
+    """Sends a stream that ends with its connection, or breaks off."""
+    lines = [f"{k}: {v}" for k, v in response.headers.items()]
+    transport = request.transport
+    transport.write("\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode())
+    for number in range(first, target.events + 1):
+        await asyncio.sleep(target.pause_s)
+        event = f"id: {number}\ndata: piece {number}\n\n".encode()
+        is_broken = fault is not Fault.UNFRAMED
+        if is_broken and number - first == target.break_after:
+            transport.write(event[:_PARTIAL_EVENT_BYTES])
+            break
+        transport.write(event)
+    await asyncio.sleep(_FLUSH_S)
+    if fault is Fault.RESET_UNFRAMED:
+        crashes.reset(transport)
+    else:
+        transport.close()
+    return response
+
+
 def _handle_order(target: TargetStandin, order: dict) -> web.Response:
     name = order.get("id", "")
     headers = _own_headers(target)
