Quarantine: a sound part is tried at once, and weak evidence is kept

Change: whole requests that suffice for a quarantine explain their crashes. The first trial of parts comes at once, a trial that was not run is withdrawn, and one without a result counts for 5 s. Rows are kept for parts from two crashes on.

--- a/copperloom/decisions/quarantine.py
+++ b/copperloom/decisions/quarantine.py
@@ -19,7 +19,7 @@
 
 import dataclasses
 
-from copperloom.decisions import crash_evidence
+from copperloom.decisions import crash_evidence, request_digest
 
 __all__ = [
     "Quarantine",
@@ -28,6 +28,8 @@
     "find",
     "find_parts",
     "is_trial_due",
+    "to_keep",
+    "withdraw_trial",
 ]
 
 # A request whose attempt has failed is not sent again if it holds all suspects
@@ -36,6 +38,9 @@
 # Duration of a quarantine from the latest crash, by number of trials so far.
 # After the last trial it lasts until the evidence expires.
 HOLDS_S = (2.0, 15.0, 300.0)
+# The same for parts of prompts. Sound requests may share a suspected part, so
+# the first trial comes at once.
+PART_HOLDS_S = (0.0, 2.0, 15.0, 300.0)
 # Instances may begin a trial in an order that all share, one after another, so
 # that each learns of an earlier trial first.
 TRIAL_STAGGER_S = 0.5
@@ -44,6 +49,7 @@
 TRIAL_GAP_S = 0.5
 # A trial without a result is taken to have failed for another reason.
 TRIAL_TIMEOUT_S = 15.0
+PART_TRIAL_TIMEOUT_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,11 +60,13 @@
         crashes: Monotonic times of the crashes, by incarnation of the target.
         until: Monotonic time at which it ends, by a trial if any is left.
         trials: Names of the trials begun.
+        trials_left: Number of trials that may follow.
     """
 
     crashes: dict[str, float]
     until: float
     trials: tuple[str, ...]
+    trials_left: int
 
 
 def find(log: crash_evidence.CrashLog, digest: bytes) -> Quarantine | None:
@@ -66,17 +74,24 @@
     known = crash_evidence.entries(log, digest).get(digest)
     if known is None or not crash_evidence.is_sufficient(known):
         return None
-    return _describe(known)
+    if request_digest.is_part(digest):
+        return _describe(known, PART_HOLDS_S, PART_TRIAL_TIMEOUT_S)
+    return _describe(known, HOLDS_S, TRIAL_TIMEOUT_S)
 
 
-def _describe(known: crash_evidence.Evidence) -> Quarantine:
+def _describe(
+    known: crash_evidence.Evidence,
+    holds_s: tuple[float, ...],
+    trial_timeout_s: float,
+) -> Quarantine:
     trials = tuple(known.trials)
-    if len(trials) < len(HOLDS_S):
-        until = max(known.crashes.values()) + HOLDS_S[len(trials)]
-        until = max(until, _last_trial_at(known) + TRIAL_TIMEOUT_S)
+    if len(trials) < len(holds_s):
+        until = max(known.crashes.values()) + holds_s[len(trials)]
+        until = max(until, _last_trial_at(known) + trial_timeout_s)
     else:
         until = crash_evidence.expires_at(known)
-    return Quarantine(known.crashes, until, trials)
+    left = len(holds_s) - len(trials)
+    return Quarantine(known.crashes, until, trials, max(0, left))
 
 
 def find_parts(
@@ -99,7 +114,9 @@
         if suspects <= parts:
             known = [log.parts[digest] for digest in suspects]
             tried = max(known, key=lambda e: len(e.trials))
-            return suspects, _describe(tried)
+            return suspects, _describe(
+                tried, PART_HOLDS_S, PART_TRIAL_TIMEOUT_S
+            )
     return None
 
 
@@ -108,14 +125,21 @@
 ) -> tuple[frozenset[bytes], ...]:
     """Returns the parts that explain the crashes, suspects of one set each.
 
-    The parts in most crashes come first and explain these crashes; the other
-    parts are judged by the rest.
+    Requests that crash targets by themselves explain their crashes. Of parts,
+    those in most crashes come first and explain these; the other parts are
+    judged by the rest.
     """
     changes, found = log.culprits.get(least, (None, ()))
     if changes == log.changes:
         return found
+    explained = {
+        name
+        for known in log.requests.values()
+        if crash_evidence.is_sufficient(known)
+        for name in known.crashes
+    }
     left = {
-        digest: frozenset(known.crashes)
+        digest: frozenset(known.crashes) - explained
         for digest, known in log.parts.items()
         if len(known.crashes) >= least
     }
@@ -152,7 +176,7 @@
         rank: Position of the instance in the order of instances.
         now: Monotonic time.
     """
-    if len(found.trials) >= len(HOLDS_S) or now < log.trial_at + TRIAL_GAP_S:
+    if not found.trials_left or now < log.trial_at + TRIAL_GAP_S:
         return False
     return now >= found.until + rank * TRIAL_STAGGER_S
 
@@ -163,3 +187,31 @@
     """Records that this instance begins a trial under a unique name."""
     evidence = crash_evidence.Evidence(trials={trial: now})
     crash_evidence.merge(log, digest, evidence, now, forwards=True)
+
+
+def withdraw_trial(
+    log: crash_evidence.CrashLog, digest: bytes, trial: str, now: float
+) -> None:
+    """Records that a trial has not run, so that another one may begin."""
+    known = crash_evidence.entries(log, digest).get(digest)
+    if known is None or trial not in known.trials:
+        return
+    evidence = crash_evidence.Evidence(void={trial: known.trials[trial]})
+    crash_evidence.merge(log, digest, evidence, now, forwards=True)
+
+
+def to_keep(
+    log: crash_evidence.CrashLog,
+) -> dict[bytes, crash_evidence.Evidence]:
+    """Returns the evidence that should survive the loss of all instances.
+
+    That against parts is kept before it suffices: no later request repeats one
+    that has crashed targets.
+    """
+    suspects = frozenset().union(*_culprits(log, REPEAT_CRASHES))
+    kept = {
+        digest: known
+        for digest, known in log.requests.items()
+        if crash_evidence.is_sufficient(known)
+    }
+    return kept | {digest: log.parts[digest] for digest in suspects}
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -54,6 +54,8 @@
             until they are needed.
         quarantined_as: Digest of the request or of a part of its prompt by
             which it was refused, empty if it was not.
+        trial: Name of the trial that it is, and the digests that are tried; ""
+            if it is none.
         table_version: Version of the routes under which it was admitted.
         plan: Its current placement.
         placed_at: Time of the current placement.
@@ -104,6 +106,7 @@
         self.digest = b""
         self.parts: frozenset[bytes] | None = None
         self.quarantined_as = b""
+        self.trial: tuple[str, tuple[bytes, ...]] = ("", ())
         self.table_version = 0
         self.plan: plans.Plan | None = None
         self.placed_at = now
--- a/copperloom/ingress/quarantine_rows.py
+++ b/copperloom/ingress/quarantine_rows.py
@@ -108,9 +108,9 @@
     """
     wanted = {
         digest: catalog.QuarantineRow(
-            digest, sorted(found.crashes), sorted(found.trials)
+            digest, sorted(known.crashes), sorted(known.trials)
         )
-        for digest, found in quarantine.all_found(state.crashes).items()
+        for digest, known in quarantine.to_keep(state.crashes).items()
     }
     is_keeper = quarantines.rank(state, asyncio.get_running_loop().time()) == 0
     for digest in [d for d, row in wanted.items() if written.get(d) != row]:
--- a/copperloom/ingress/quarantines.py
+++ b/copperloom/ingress/quarantines.py
@@ -21,6 +21,7 @@
     "record_completion",
     "record_crash",
     "record_written",
+    "withdraw_trial",
 ]
 
 _MIN_RETRY_AFTER_S = 1.0
@@ -116,7 +117,8 @@
     """Records one trial of a request, or of all suspected parts of a prompt."""
     log = ex.state.crashes
     trial = ex.state.next_name()
-    for digest in digests:
+    ex.trial = (trial, tuple(digests))
+    for digest in ex.trial[1]:
         quarantine.begin_trial(log, digest, trial, now)
         logs.event(
             "quarantine_trial",
@@ -128,6 +130,15 @@
     ex.state.quarantine_changed.set()
 
 
+def withdraw_trial(ex: exchange.Exchange, now: float) -> None:
+    """Withdraws the trial of a request that a target has not run."""
+    trial, digests = ex.trial
+    for digest in digests:
+        quarantine.withdraw_trial(ex.state.crashes, digest, trial, now)
+        ex.state.digest_due.set()
+    ex.trial = ("", ())
+
+
 def record_crash(
     state: IngressState,
     request: str,
