Relay: an instance with too many callers still takes some requests

Cause: an instance that closed connections unread refused all offers, and a request refused by all peers paused further offers. Change: such an instance takes few relayed requests at a time; offers pause only if all peers are partitioned.

--- a/copperloom/decisions/peer_relay.py
+++ b/copperloom/decisions/peer_relay.py
@@ -13,6 +13,9 @@
 
 # An instance relays so many requests at the same time, by processor time.
 MAX_RELAYED_PER_CORE = 150
+# The same for an instance with more callers than it can serve, which must not
+# be the only one to serve any.
+MAX_RELAYED_SHEDDING_PER_CORE = 16
 # Cost of the network to another data centre, in requests in progress per core.
 REMOTE_COST = 4.0
 _SAMPLED = 3
@@ -74,9 +77,10 @@
         return Refusal.STALE
     if not facts.reaches_targets:
         return Refusal.PARTITIONED
-    if facts.is_shedding or facts.relayed >= MAX_RELAYED_PER_CORE * max(
-        1.0, facts.cores
-    ):
+    per_core = MAX_RELAYED_PER_CORE
+    if facts.is_shedding:
+        per_core = MAX_RELAYED_SHEDDING_PER_CORE
+    if facts.relayed >= per_core * max(1.0, facts.cores):
         return Refusal.OVERLOADED
     return None
 
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -71,6 +71,7 @@
         relayed_by: Name of the peer that relays it here, "" if it came from
             its caller.
         relayed_to: Name of the peer that it was relayed to last, "" if none.
+        relay_refusals: Why peers did not accept it.
         run: Whether it has run, as far as is known.
         new_stream: Returns a response that is sent while it is received.
         response: The response, once begun.
@@ -120,6 +121,7 @@
         self.abandon: asyncio.Future | None = None
         self.relayed_by = ""
         self.relayed_to = ""
+        self.relay_refusals: set[str] = set()
         self.run = exception.Run.NOT_RUN
         self.new_stream: Callable = web.StreamResponse
         self.response: web.StreamResponse | None = None
--- a/copperloom/ingress/peer_relay.py
+++ b/copperloom/ingress/peer_relay.py
@@ -35,8 +35,10 @@
 MAX_OFFERS = 6
 # A peer that did not accept a request is offered no others for this time, and
 # for the longer one if it is silent or partitioned as well.
-REFUSED_S = 0.3
+REFUSED_S = 0.1
 SILENT_S = 1.0
+# Requests are refused at once for this time if all peers are partitioned.
+PAUSE_S = 0.3
 _BODY_CHUNK_BYTES = 64 * 1024
 _MS = 1000.0
 _EVENT_STREAM = "text/event-stream"
@@ -74,8 +76,9 @@
             _log(ex, member, "broken", error=str(error))
             if not ex.route.repeatable or not retry.take_retry(ex):
                 raise
-    # Later requests would only repeat the same offers.
-    state.relays_paused_until = _now() + REFUSED_S
+    if ex.relay_refusals == {peer_relay.Refusal.PARTITIONED}:
+        # Later requests would only repeat the same offers.
+        state.relays_paused_until = _now() + PAUSE_S
     raise unreachable_error(ex)
 
 
@@ -172,6 +175,7 @@
     if refusal:
         is_lost = refusal == peer_relay.Refusal.PARTITIONED
         member.relay_refused_until = now + (SILENT_S if is_lost else REFUSED_S)
+        ex.relay_refusals.add(refusal)
     _log(ex, member, refusal or "accepted")
     return not refusal
 
