--- a/copperloom/ingress/tests/test_partition.py
+++ b/copperloom/ingress/tests/test_partition.py
@@ -4,7 +4,7 @@
 import dataclasses
 import unittest
 
-from copperloom.ingress.tests import fixtures
+from copperloom.ingress.tests import fixtures, fleets
 from copperloom.platform.standins import links
 
 _STABILITY_WINDOW_S = 3.0
@@ -134,3 +134,27 @@
             self, links.Partition.REFUSE, cut=(0, 1, 2), fronts=4
         )
         await self._check_served(system, (0, 1, 2), (3,))
+
+
+class LargeFleetTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_whole_data_centre_is_partitioned(self):
+        """Guards against instances that know only peers that are cut as well.
+
+        In a large fleet they hear from the owners of their data centre only.
+        """
+        system = await fleets.start_fleet(
+            self, fleets.DATA_CENTRES, engines=3, plain=3
+        )
+        await system.add_links()
+        await serve_all(self, system)
+        cut = [
+            number
+            for number, service in enumerate(system.fronts)
+            if service.entry.settings.data_centre == fleets.DATA_CENTRES[0]
+        ]
+        for number in cut:
+            await system.links[number].cut(links.Partition.REFUSE)
+        await call_kinds(system, cut, 1.0)
+        await asyncio.sleep(_STABILITY_WINDOW_S)
+        answers = await call_kinds(system, cut, 1.0)
+        self.assertGreaterEqual(served(answers), _MIN_SERVED_SHARE)
