Reachability: answers contradict silence

Cause: by design only; targets with too much work let checks wait as well, and an instance could take that for a partition. Change: silent failures count only if nothing was received from any target since, parts of streams included. Refused and reset connections count as before, as open connections may live on.

--- a/copperloom/decisions/reachability.py
+++ b/copperloom/decisions/reachability.py
@@ -66,7 +66,8 @@
     """What the attempts of one instance show.
 
     Attributes:
-        answered_at: Monotonic time of the latest answer of any target.
+        answered_at: Monotonic time of the latest answer, or part of one, of any
+            target.
         failures: Failures after which no later attempt was answered, by name
             of the target.
         is_checking: Whether targets are being checked after a failure.
@@ -183,11 +184,11 @@
         now: Monotonic time.
     """
     targets = list(targets)
+    since = _counts_since(known, now)
     failed = [
         t
         for t in targets
-        if t.name in known.failures
-        and now - known.failures[t.name].at <= FRESH_S
+        if t.name in known.failures and known.failures[t.name].at >= since
     ]
     return len(targets) > 1 and all(
         len({key(t) for t in failed})
@@ -200,6 +201,18 @@
     )
 
 
+def _counts_since(known: Reachability, now: float) -> float:
+    """Returns the monotonic time from which failures count.
+
+    A network that loses packets does so on all connections. Targets that have
+    too much work let new requests wait as well, but answer others.
+    """
+    fresh_since = now - FRESH_S
+    if is_silent(known):
+        return max(fresh_since, known.answered_at)
+    return fresh_since
+
+
 def is_silent(known: Reachability) -> bool:
     """Returns whether connections fail by silence.
 
--- a/copperloom/decisions/tests/test_reachability.py
+++ b/copperloom/decisions/tests/test_reachability.py
@@ -73,6 +73,23 @@
         reachability.record_answer(known, NOW - 1, NOW + 2)
         self.assertEqual(len(reachability.unconfirmed(known)), 3)
 
+    def test_busy_targets_are_no_partition(self):
+        """Guards against relaying when targets let new requests wait."""
+        targets = _targets(6)
+        known = reachability.Reachability()
+        _fail(known, targets[:4], is_silent=True)
+        self.assertTrue(reachability.reaches_none(known, targets, NOW + 0.5))
+        reachability.record_answer(known, NOW - 3, NOW + 0.2)
+        self.assertFalse(reachability.reaches_none(known, targets, NOW + 0.5))
+
+    def test_answers_on_open_connections_do_not_hide_refusals(self):
+        """Guards against a partition that refuses only new connections."""
+        targets = _targets(6)
+        known = reachability.Reachability()
+        _fail(known, targets[:4])
+        reachability.record_answer(known, NOW - 3, NOW + 0.2)
+        self.assertTrue(reachability.reaches_none(known, targets, NOW + 0.5))
+
     def test_silence_is_told_from_refusal(self):
         known = reachability.Reachability()
         _fail(known, _targets(2), is_silent=True)
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -84,6 +84,7 @@
             decode_rate.record_gap(gaps, now - ex.last_at)
             _record_decode_rate(ex, gaps, now)
         exchange.record_event(ex, now)
+        ex.state.reachability.answered_at = now
         quarantines.record_written(ex, now)
         await _forward_events(ex, reply, complete)
     reply.check_complete()
