Quarantine: a trial that a target rejects counts as one

Change: only a trial that reached no target is withdrawn. Measured: test_part_quarantine, test_quarantine and test_prompt_parts pass.

--- a/copperloom/decisions/quarantine.py
+++ b/copperloom/decisions/quarantine.py
@@ -192,7 +192,7 @@
 def withdraw_trial(
     log: crash_evidence.CrashLog, digest: bytes, trial: str, now: float
 ) -> None:
-    """Records that a trial has not run, so that another one may begin."""
+    """Records that a trial has reached no target, so that another may begin."""
     known = crash_evidence.entries(log, digest).get(digest)
     if known is None or trial not in known.trials:
         return
--- a/copperloom/decisions/tests/test_part_quarantine.py
+++ b/copperloom/decisions/tests/test_part_quarantine.py
@@ -103,7 +103,7 @@
         _write(log, "shared", begun_at=now + 0.1)
         self.assertFalse(_is_held(log, "shared", "x"))
 
-    def test_trial_that_has_not_run_is_no_trial(self):
+    def test_trial_that_reached_no_target_is_no_trial(self):
         """Guards against a long wait after a trial that found no target."""
         log = crash_evidence.CrashLog()
         for _ in range(3):
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -299,10 +299,11 @@
         ex.sends -= 1
         if is_first:
             ex.sent_to.discard(entry.name)
-        _record_not_run(ex, run_before)
+        ex.run = run_before
+        quarantines.withdraw_trial(ex, asyncio.get_running_loop().time())
         raise
     except exception.TargetRefusedError:
-        _record_not_run(ex, run_before)
+        ex.run = run_before
         raise
     finally:
         silence.cancel()
@@ -311,11 +312,6 @@
         state.changed.set()
 
 
-def _record_not_run(ex: exchange.Exchange, run_before: exception.Run) -> None:
-    ex.run = run_before
-    quarantines.withdraw_trial(ex, asyncio.get_running_loop().time())
-
-
 def _expected_s(ex: exchange.Exchange, now: float) -> float:
     """Returns the seconds after which an attempt without answer is late."""
     if not ex.head.prompt_tokens:
--- a/copperloom/ingress/quarantines.py
+++ b/copperloom/ingress/quarantines.py
@@ -131,7 +131,7 @@
 
 
 def withdraw_trial(ex: exchange.Exchange, now: float) -> None:
-    """Withdraws the trial of a request that a target has not run."""
+    """Withdraws the trial of a request that has reached no target."""
     trial, digests = ex.trial
     for digest in digests:
         quarantine.withdraw_trial(ex.state.crashes, digest, trial, now)
