--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+from bench.frontsoak import callers
 from bench.frontsoak.world import LimitPeriod, LinkFault, World
 from copperloom.ingress.tests import fixtures
 from copperloom.platform.standins import crashes, links
@@ -20,6 +21,8 @@
     target_standin.Fault.MUTE,
     target_standin.Fault.BREAK,
     target_standin.Fault.HALF_EVENT,
+    target_standin.Fault.UNFRAMED,
+    target_standin.Fault.UNFRAMED_HALF,
 )
 _DELAYED = ({"delay_s": 0.05}, {"delay_s": 0.3})
 _SILENT = (
@@ -35,6 +38,8 @@
 _MAX_RETRY_AFTER_S = 6.0
 _MAX_REJECTING_S = 3.0
 _MAX_PARTITION_S = 6.0
+_MAX_FLOOD_PER_S = 120.0
+_MAX_FLOOD_S = 2.0
 _MALFORMED_TIMES = ("", "-1", "nan", "9" * 30)
 
 
@@ -259,6 +264,17 @@
         await asyncio.sleep(world.rng.uniform(0.0, 1.0))
 
 
+async def _flood(world: World) -> None:
+    """Has most new connections go to one instance, then to another."""
+    for front in world.rng.sample(world.fronts, 2):
+        await callers.flood(
+            world,
+            front,
+            world.rng.uniform(50.0, _MAX_FLOOD_PER_S),
+            world.rng.uniform(0.5, _MAX_FLOOD_S),
+        )
+
+
 async def _corrupt_rows(world: World) -> None:
     malformed = (b"\xff", {"state": "ready"}, {"service": 1, "address": []})
     for number, row in enumerate(malformed):
@@ -302,6 +318,7 @@
     _partition_some,
     _partition_some,
     _partition_all,
+    _flood,
     _corrupt_rows,
     _change_routes,
 )
--- a/bench/frontsoak/main.py
+++ b/bench/frontsoak/main.py
@@ -58,6 +58,9 @@
                 asyncio.ensure_future(callers.repeat_crashing(run, session, n))
                 for n in range(_CRASHING_REQUESTS)
             ]
+            call_tasks.append(
+                asyncio.ensure_future(callers.send_crashing_part(run, session))
+            )
             restart_tasks = [
                 asyncio.ensure_future(processes.keep(f)) for f in run.fronts
             ]
--- a/bench/frontsoak/world.py
+++ b/bench/frontsoak/world.py
@@ -6,11 +6,13 @@
 
 from bench.frontsoak import processes
 from copperloom.ingress.tests import fixtures
+from copperloom.platform.standins import crashes
 from copperloom.platform.standins import store as store_standin
 from copperloom.platform.standins import target as target_standin
 from copperloom.standins import proxy
 
 __all__ = [
+    "CRASHING_PART",
     "CallResult",
     "LimitPeriod",
     "LinkFault",
@@ -20,6 +22,8 @@
     "open_world",
 ]
 
+# A part of prompts that crashes the targets that begin to write on it.
+CRASHING_PART = "bad1"
 _READY_TIMEOUT_S = 40.0
 _POLL_S = 0.05
 
@@ -177,7 +181,10 @@
 
 async def _add_target(world: World, name: str) -> None:
     target = await target_standin.serve(name)
-    target.crashes_on = lambda request: request.body in world.crashing
+    target.crashes_on = lambda request: (
+        request.body in world.crashing
+        or crashes.has_part(request, CRASHING_PART)
+    )
     target.on_crash = lambda _: _close_link(world, name)
     target.on_restart = lambda _: _start(world, _reopen_link(world, name))
     world.targets[name] = target
