Relay: a peer that has left is no internal fault

Change: a failed message to the peer that relays a request counts as its leaving (it was logged as a fault), and a round of checks without targets ends. Measured: test_peer_relay passes.

--- a/copperloom/ingress/reachability_checks.py
+++ b/copperloom/ingress/reachability_checks.py
@@ -148,6 +148,8 @@
     chosen = reachability.choose_checked(
         known, state.targets.entries.values(), state.rng
     )
+    if not chosen:
+        return
     first = asyncio.ensure_future(_check(state, chosen[0]))
     tasks = {first}
     try:
--- a/copperloom/ingress/relayed_requests.py
+++ b/copperloom/ingress/relayed_requests.py
@@ -13,7 +13,12 @@
 from copperloom.decisions import peer_relay as relay_decisions
 from copperloom.ingress import chain, exchange, peer_relay
 from copperloom.ingress.state import IngressState
-from copperloom.peers import peers_grpc, peers_pb2, relay_messages
+from copperloom.peers import (
+    peers_grpc,
+    peers_pb2,
+    relay_messages,
+    relay_stream,
+)
 from copperloom.platform.headers import read_head
 
 __all__ = ["make_service"]
@@ -55,9 +60,16 @@
         self.lock = asyncio.Lock()
 
     async def send(self, **part) -> None:
-        """Sends a message; waits until the peer has read earlier ones."""
+        """Sends a message; waits until the peer has read earlier ones.
+
+        Raises:
+            ConnectionResetError: The peer has left.
+        """
         async with self.lock:
-            await self.stream.send_message(peers_pb2.RelayReply(**part))
+            try:
+                await self.stream.send_message(peers_pb2.RelayReply(**part))
+            except relay_stream.ERRORS as error:
+                raise ConnectionResetError("peer has left") from error
 
     async def send_data(self, data: bytes) -> None:
         """Sends a part of the body."""
@@ -163,9 +175,10 @@
         await chains.run(chain.RELAYED_REQUESTS, ex)
     finally:
         progress.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
+        with contextlib.suppress(asyncio.CancelledError, ConnectionError):
             await progress
-    await _send_end(ex, peer)
+    if ex.response is not None:
+        await _send_end(ex, peer)
 
 
 async def _read_body(stream) -> bytes | None:
--- a/copperloom/ingress/tests/test_peer_relay.py
+++ b/copperloom/ingress/tests/test_peer_relay.py
@@ -203,7 +203,7 @@
         await fixtures.until(lambda: _running(system) >= 8)
         await system.links[0].cut(Partition.RESET)
         for listener in list(system.links[0].listeners):
-            system.links[0]._close(listener)
+            system.links[0].refuse(listener)
         for target in system.targets.values():
             target.pause_s = 0.0
         await asyncio.gather(*calls)
--- a/copperloom/platform/standins/links.py
+++ b/copperloom/platform/standins/links.py
@@ -75,7 +75,7 @@
                 pair.faults = proxy.PairFaults(refuse=True)
                 proxy.reset(pair)
             if how in (Partition.DROP, Partition.REFUSE):
-                self._close(address)
+                self.refuse(address)
             if how is Partition.DROP:
                 self._drop_connections(address)
 
@@ -87,7 +87,7 @@
         self.fillers.clear()
         for address, pair in self.pairs.items():
             pair.faults = proxy.PairFaults()
-            self._close(address)
+            self.refuse(address)
             if address not in self.ended:
                 await self._listen(address)
 
@@ -95,14 +95,14 @@
         """Refuses connections to a target that has ended."""
         self.ended.add(address)
         if self.partition is not Partition.DROP:
-            self._close(address)
+            self.refuse(address)
         proxy.reset(self.pairs[address])
 
     async def start_target(self, address: str) -> None:
         """Accepts connections to a target that has started again."""
         self.ended.discard(address)
         if self.partition in (None, Partition.HANG, Partition.RESET):
-            self._close(address)
+            self.refuse(address)
             await self._listen(address)
 
     def close(self) -> None:
@@ -110,14 +110,15 @@
         for filler in self.fillers:
             filler.close()
         for address, pair in self.pairs.items():
-            self._close(address)
+            self.refuse(address)
             for task in list(pair.tasks):
                 task.cancel()
 
     async def _listen(self, address: str) -> None:
         self.listeners[address] = await proxy.open_pair(self.pairs[address])
 
-    def _close(self, address: str) -> None:
+    def refuse(self, address: str) -> None:
+        """Refuses new connections to a target."""
         listener = self.listeners.pop(address, None)
         if listener is not None:
             listener.close()
