Quarantine: repeated victims explain no crashes

Cause: whole requests that suffice for a quarantine explained their crashes, so that these no longer counted against parts. Sound requests that run beside a crashing part are sent again, are there at three crashes, and so hid the part. Change: whole requests and parts compete; what was at most crashes explains them. A request that crashes targets by itself ties with its parts, and only a prompt that holds all suspects is refused.

--- a/copperloom/decisions/quarantine.py
+++ b/copperloom/decisions/quarantine.py
@@ -96,7 +96,7 @@
 
 def find_parts(
     log: crash_evidence.CrashLog,
-    parts: frozenset[bytes],
+    held: frozenset[bytes],
     *,
     least: int = crash_evidence.MIN_CRASHES,
 ) -> tuple[frozenset[bytes], Quarantine] | None:
@@ -104,43 +104,39 @@
 
     Args:
         log: The log.
-        parts: Digests of the parts that other requests may share.
+        held: Digests of the parts that other requests may share, and of the
+            request itself.
         least: Crashes that suffice.
 
     Returns:
-        The suspects, which the prompt holds all, and their quarantine.
+        The suspected parts, of which the prompt holds all, and their
+        quarantine.
     """
     for suspects in _culprits(log, least):
-        if suspects <= parts:
-            known = [log.parts[digest] for digest in suspects]
+        parts = frozenset(filter(request_digest.is_part, suspects))
+        if parts and suspects <= held:
+            known = [log.parts[digest] for digest in parts]
             tried = max(known, key=lambda e: len(e.trials))
-            return suspects, _describe(
-                tried, PART_HOLDS_S, PART_TRIAL_TIMEOUT_S
-            )
+            return parts, _describe(tried, PART_HOLDS_S, PART_TRIAL_TIMEOUT_S)
     return None
 
 
 def _culprits(
     log: crash_evidence.CrashLog, least: int
 ) -> tuple[frozenset[bytes], ...]:
-    """Returns the parts that explain the crashes, suspects of one set each.
+    """Returns what explains the crashes, suspects of one set each.
 
-    Requests that crash targets by themselves explain their crashes. Of parts,
-    those in most crashes come first and explain these; the other parts are
-    judged by the rest.
+    Parts and whole requests in most crashes come first and explain these; the
+    others are judged by the rest. A whole request may crash targets by itself,
+    and a sound one that is sent again may be there at several crashes.
     """
     changes, found = log.culprits.get(least, (None, ()))
     if changes == log.changes:
         return found
-    explained = {
-        name
-        for known in log.requests.values()
-        if crash_evidence.is_sufficient(known)
-        for name in known.crashes
-    }
     left = {
-        digest: frozenset(known.crashes) - explained
-        for digest, known in log.parts.items()
+        digest: frozenset(known.crashes)
+        for by_digest in (log.parts, log.requests)
+        for digest, known in by_digest.items()
         if len(known.crashes) >= least
     }
     groups = []
@@ -154,13 +150,20 @@
     return tuple(groups)
 
 
+def _suspected_parts(
+    log: crash_evidence.CrashLog, least: int
+) -> frozenset[bytes]:
+    suspects = frozenset().union(*_culprits(log, least))
+    return frozenset(filter(request_digest.is_part, suspects))
+
+
 def _last_trial_at(known: crash_evidence.Evidence) -> float:
     return max(known.trials.values(), default=float("-inf"))
 
 
 def all_found(log: crash_evidence.CrashLog) -> dict[bytes, Quarantine]:
     """Returns all quarantines by the digest of the request or part."""
-    suspects = frozenset().union(*_culprits(log, crash_evidence.MIN_CRASHES))
+    suspects = _suspected_parts(log, crash_evidence.MIN_CRASHES)
     found = {digest: find(log, digest) for digest in (*log.requests, *suspects)}
     return {digest: f for digest, f in found.items() if f is not None}
 
@@ -208,7 +211,7 @@
     That against parts is kept before it suffices: no later request repeats one
     that has crashed targets.
     """
-    suspects = frozenset().union(*_culprits(log, REPEAT_CRASHES))
+    suspects = _suspected_parts(log, REPEAT_CRASHES)
     kept = {
         digest: known
         for digest, known in log.requests.items()
--- a/copperloom/decisions/tests/test_part_quarantine.py
+++ b/copperloom/decisions/tests/test_part_quarantine.py
@@ -88,6 +88,17 @@
                 crash_evidence.record_crash(log, digest, target, NOW)
         self.assertFalse(_is_held(log, "shared"))
 
+    def test_victims_that_are_sent_again_explain_nothing(self):
+        """Guards against sound repeats that hide the part beside them."""
+        log = crash_evidence.CrashLog()
+        for _ in range(4):
+            target = f"t{next(_targets)}"
+            for digest in (b"a sound victim", *_digests("bad", "shared")):
+                crash_evidence.record_crash(log, digest, target, NOW)
+        _crash(log, ("bad", "shared"))
+        _write(log, "shared", begun_at=NOW + 1)
+        self.assertTrue(_is_held(log, "bad"))
+
     def test_first_trial_comes_at_once(self):
         """Guards against refusing a route until a trial is due."""
         log = crash_evidence.CrashLog()
--- a/copperloom/ingress/quarantines.py
+++ b/copperloom/ingress/quarantines.py
@@ -73,20 +73,24 @@
     least = crash_evidence.MIN_CRASHES
     if ex.sends:
         least = quarantine.REPEAT_CRASHES
-    found = quarantine.find_parts(log, exchange.part_digests(ex), least=least)
+    parts = exchange.part_digests(ex)
+    if not parts:
+        return
+    held = parts | {exchange.content_digest(ex)}
+    found = quarantine.find_parts(log, held, least=least)
     if found is None:
         return
-    suspects, held = found
-    if _is_trial_due(ex, held, now):
+    suspects, in_force = found
+    if _is_trial_due(ex, in_force, now):
         if is_sent:
             _begin_trial(ex, suspects, now)
         return
     ex.quarantined_as = min(suspects)
     raise exception.PartQuarantinedError(
-        f"retry later: {len(held.crashes)} targets crashed as they began to "
-        "write on a part of this prompt",
+        f"retry later: {len(in_force.crashes)} targets crashed as they began "
+        "to write on a part of this prompt",
         run=ex.run,
-        retry_after_s=max(_MIN_RETRY_AFTER_S, held.until - now),
+        retry_after_s=max(_MIN_RETRY_AFTER_S, in_force.until - now),
     )
 
 
--- a/copperloom/ingress/tests/test_prompt_parts.py
+++ b/copperloom/ingress/tests/test_prompt_parts.py
@@ -126,6 +126,49 @@
         await self._check((_SHARED, _GUILTY, "abc2"))
 
 
+class VictimTest(unittest.IsolatedAsyncioTestCase):
+    async def _repeat(self, system, number: int) -> None:
+        """Sends a sound prompt until it is served, as callers do."""
+        request = {
+            "prompt": 4000,
+            "body": f"victim {number}".encode(),
+            "headers": parts_header(_SHARED, f"abc{number % 3}"),
+        }
+        for attempt in range(4):
+            answer = await fixtures.call(
+                system,
+                "/chat/x",
+                number=(number + attempt) % len(system.fronts),
+                **request,
+            )
+            if answer.status == 200 and answer.complete:
+                return
+            await asyncio.sleep(0.05)
+
+    async def test_victims_that_are_sent_again(self):
+        """Guards against sound repeats that hide the part beside them."""
+        system = await start(self, engines=10, fronts=4)
+        for target in system.targets.values():
+            target.pause_s = 0.1
+        loop = asyncio.get_running_loop()
+        end = loop.time() + 3 * _STABILITY_WINDOW_S
+        tasks = []
+        while loop.time() < end:
+            number = len(tasks)
+            sent = self._repeat(system, number)
+            if number % 10 == 0:
+                sent = call(
+                    system, _SHARED, _GUILTY, number=number % len(system.fronts)
+                )
+            tasks.append(asyncio.ensure_future(sent))
+            await asyncio.sleep(_INTERVAL_S)
+        await asyncio.gather(*tasks)
+        crashed = crashed_at(system)
+        fifth = crashed[_CRASHES - 1] if len(crashed) >= _CRASHES else end
+        late = [t for t in received(system) if t > fifth + _STABILITY_WINDOW_S]
+        self.assertLessEqual(len(late), _MAX_SENDS)
+
+
 class SpreadTest(unittest.IsolatedAsyncioTestCase):
     async def _crash_until_known(self, system) -> None:
         while len(crashed_at(system)) < _CRASHES:
