--- a/bench/frontsoak/drain_checks.py
+++ b/bench/frontsoak/drain_checks.py
@@ -1,5 +1,7 @@
 """Checks that targets which ask to be left alone get no more requests."""
 
+import re
+
 from bench.frontsoak.findings import Finding
 from bench.frontsoak.world import CallResult, World
 from copperloom.platform.standins.target import ReceivedRequest
@@ -15,13 +17,13 @@
 _GRACE_S = 0.5
 # Longest time that a disturbed link holds a request or an answer.
 _LINK_S = 2.0
-# Longest time in which an instance notices that a partition has ended.
-_REGAIN_S = 3.0
+_OFFERED = re.compile(r"event=request_offered request=(\S+) .*result=accepted")
 
 
 def check_draining(world: World) -> list[Finding]:
     """Returns the requests that were sent too late to a draining target."""
-    results = {result.id: result for result in world.got}
+    relayed = _sent_by_peers(world)
+    results = {r.id: r for r in world.got if r.id not in relayed}
     last = _last_receivers(world, results)
     found = []
     for name, target in world.targets.items():
@@ -71,14 +73,13 @@
 ) -> bool:
     if result.started_at <= told_at + _DRAIN_S:
         return False
-    if _was_partitioned(world, result.front, result.started_at, reached_at):
-        return False
     return not _was_interrupted(world, result.front, told_at, reached_at)
 
 
 def check_held(world: World) -> list[Finding]:
     """Returns the targets that got too many requests after rejecting one."""
-    fronts = {result.id: result.front for result in world.got}
+    relayed = _sent_by_peers(world)
+    fronts = {r.id: r.front for r in world.got if r.id not in relayed}
     found = []
     for name, target in world.targets.items():
         for refused in target.seen:
@@ -116,21 +117,21 @@
         and fault.until >= since - _LINK_S
         for fault in world.link_faults
     )
-    return (
-        disturbed
-        or _was_partitioned(world, front, since, until)
-        or _was_interrupted(world, front, since, until)
-    )
+    return disturbed or _was_interrupted(world, front, since, until)
 
 
-def _was_partitioned(
-    world: World, front: int, since: float, until: float
-) -> bool:
-    """Returns whether others may have sent the requests of an instance."""
-    return any(
-        begin <= until and end >= since - _REGAIN_S
-        for begin, end in world.fronts[front].partitions
-    )
+def _sent_by_peers(world: World) -> set[str]:
+    """Returns the requests that an instance sent for another one.
+
+    What their targets say or ask for concerns the instance that sent them.
+    """
+    offered = set()
+    for front in world.fronts:
+        lines = front.log_path.read_text(errors="replace").splitlines()
+        offered.update(
+            match[1] for match in map(_OFFERED.search, lines) if match
+        )
+    return offered
 
 
 def _was_interrupted(
--- a/bench/frontsoak/processes.py
+++ b/bench/frontsoak/processes.py
@@ -39,7 +39,8 @@
         redirects: File with the addresses of the links.
         read_cost_ms: Delay of its event loop for each request that it reads,
             in milliseconds.
-        log: File with its output.
+        log_path: Path of the file with its output.
+        log: That file.
         process: The process; None before the first start.
         disrupted_at: Monotonic times at which it was killed, paused or resumed.
         signalled_at: Monotonic times of all signals and starts.
@@ -60,7 +61,8 @@
         self.partitions: list[tuple[float, float]] = []
         self.path = pathlib.Path(folder) / f"front-{number}.json"
         self.redirects = pathlib.Path(folder) / f"links-{number}.json"
-        self.log = (pathlib.Path(folder) / f"front-{number}.log").open("ab")
+        self.log_path = pathlib.Path(folder) / f"front-{number}.log"
+        self.log = self.log_path.open("ab")
         self.process: asyncio.subprocess.Process | None = None
         self.disrupted_at: list[float] = []
         self.signalled_at: list[float] = []
