Quarantine: the log of evidence has a module of its own

Change: crash_log has the data and its merge; crash_evidence judges. entries() is of_kind(), the tests' crash_log() is log_of_crashes(), the tests' three copies of _find() are one. No decision changes.

--- a/copperloom/decisions/quarantine.py
+++ b/copperloom/decisions/quarantine.py
@@ -3,7 +3,7 @@
 A caller repeats a failed request under a new id at any instance. A request
 that crashes its targets would so end one target after another, together with
 all other work there. Each instance derives from the evidence alone whether a
-request is quarantined (see `crash_evidence`).
+request is quarantined (see `crash_log`).
 
 Many targets may also end together for another reason, with a popular request in
 progress at several of them. So a quarantine has an end, after which a single
@@ -19,7 +19,7 @@
 
 import dataclasses
 
-from copperloom.decisions import crash_evidence, request_digest
+from copperloom.decisions import crash_log, request_digest
 
 __all__ = [
     "Quarantine",
@@ -69,10 +69,10 @@
     trials_left: int
 
 
-def find(log: crash_evidence.CrashLog, digest: bytes) -> Quarantine | None:
+def find(log: crash_log.CrashLog, digest: bytes) -> Quarantine | None:
     """Returns the quarantine of a request; None if it has none."""
-    known = crash_evidence.entries(log, digest).get(digest)
-    if known is None or not crash_evidence.is_sufficient(known):
+    known = crash_log.of_kind(log, digest).get(digest)
+    if known is None or not crash_log.is_sufficient(known):
         return None
     if request_digest.is_part(digest):
         return _describe(known, PART_HOLDS_S, PART_TRIAL_TIMEOUT_S)
@@ -80,7 +80,7 @@
 
 
 def _describe(
-    known: crash_evidence.Evidence,
+    known: crash_log.Evidence,
     holds_s: tuple[float, ...],
     trial_timeout_s: float,
 ) -> Quarantine:
@@ -89,16 +89,16 @@
         until = max(known.crashes.values()) + holds_s[len(trials)]
         until = max(until, _last_trial_at(known) + trial_timeout_s)
     else:
-        until = crash_evidence.expires_at(known)
+        until = crash_log.expires_at(known)
     left = len(holds_s) - len(trials)
     return Quarantine(known.crashes, until, trials, max(0, left))
 
 
 def find_parts(
-    log: crash_evidence.CrashLog,
+    log: crash_log.CrashLog,
     held: frozenset[bytes],
     *,
-    least: int = crash_evidence.MIN_CRASHES,
+    least: int = crash_log.MIN_CRASHES,
 ) -> tuple[frozenset[bytes], Quarantine] | None:
     """Returns the quarantine of parts of a prompt; None if it has none.
 
@@ -122,7 +122,7 @@
 
 
 def _culprits(
-    log: crash_evidence.CrashLog, least: int
+    log: crash_log.CrashLog, least: int
 ) -> tuple[frozenset[bytes], ...]:
     """Returns what explains the crashes, suspects of one set each.
 
@@ -150,26 +150,24 @@
     return tuple(groups)
 
 
-def _suspected_parts(
-    log: crash_evidence.CrashLog, least: int
-) -> frozenset[bytes]:
+def _suspected_parts(log: crash_log.CrashLog, least: int) -> frozenset[bytes]:
     suspects = frozenset().union(*_culprits(log, least))
     return frozenset(filter(request_digest.is_part, suspects))
 
 
-def _last_trial_at(known: crash_evidence.Evidence) -> float:
+def _last_trial_at(known: crash_log.Evidence) -> float:
     return max(known.trials.values(), default=float("-inf"))
 
 
-def all_found(log: crash_evidence.CrashLog) -> dict[bytes, Quarantine]:
+def all_found(log: crash_log.CrashLog) -> dict[bytes, Quarantine]:
     """Returns all quarantines by the digest of the request or part."""
-    suspects = _suspected_parts(log, crash_evidence.MIN_CRASHES)
+    suspects = _suspected_parts(log, crash_log.MIN_CRASHES)
     found = {digest: find(log, digest) for digest in (*log.requests, *suspects)}
     return {digest: f for digest, f in found.items() if f is not None}
 
 
 def is_trial_due(
-    log: crash_evidence.CrashLog, found: Quarantine, rank: int, now: float
+    log: crash_log.CrashLog, found: Quarantine, rank: int, now: float
 ) -> bool:
     """Returns whether an instance may send the request as a trial.
 
@@ -185,27 +183,27 @@
 
 
 def begin_trial(
-    log: crash_evidence.CrashLog, digest: bytes, trial: str, now: float
+    log: crash_log.CrashLog, digest: bytes, trial: str, now: float
 ) -> None:
     """Records that this instance begins a trial under a unique name."""
-    evidence = crash_evidence.Evidence(trials={trial: now})
-    crash_evidence.merge(log, digest, evidence, now, forwards=True)
+    evidence = crash_log.Evidence(trials={trial: now})
+    crash_log.merge(log, digest, evidence, now, forwards=True)
 
 
 def withdraw_trial(
-    log: crash_evidence.CrashLog, digest: bytes, trial: str, now: float
+    log: crash_log.CrashLog, digest: bytes, trial: str, now: float
 ) -> None:
     """Records that a trial has reached no target, so that another may begin."""
-    known = crash_evidence.entries(log, digest).get(digest)
+    known = crash_log.of_kind(log, digest).get(digest)
     if known is None or trial not in known.trials:
         return
-    evidence = crash_evidence.Evidence(void={trial: known.trials[trial]})
-    crash_evidence.merge(log, digest, evidence, now, forwards=True)
+    evidence = crash_log.Evidence(void={trial: known.trials[trial]})
+    crash_log.merge(log, digest, evidence, now, forwards=True)
 
 
 def to_keep(
-    log: crash_evidence.CrashLog,
-) -> dict[bytes, crash_evidence.Evidence]:
+    log: crash_log.CrashLog,
+) -> dict[bytes, crash_log.Evidence]:
     """Returns the evidence that should survive the loss of all instances.
 
     That against parts is kept before it suffices: no later request repeats one
@@ -215,6 +213,6 @@
     kept = {
         digest: known
         for digest, known in log.requests.items()
-        if crash_evidence.is_sufficient(known)
+        if crash_log.is_sufficient(known)
     }
     return kept | {digest: log.parts[digest] for digest in suspects}
--- a/copperloom/decisions/tests/part_emulator.py
+++ b/copperloom/decisions/tests/part_emulator.py
@@ -3,7 +3,12 @@
 import dataclasses
 import random
 
-from copperloom.decisions import crash_evidence, quarantine, request_digest
+from copperloom.decisions import (
+    crash_evidence,
+    crash_log,
+    quarantine,
+    request_digest,
+)
 
 __all__ = ["Load", "Result", "play"]
 
@@ -62,7 +67,7 @@
     def __init__(self, load: Load, seed: int):
         self.load = load
         self.rng = random.Random(seed)
-        self.log = crash_evidence.CrashLog()
+        self.log = crash_log.CrashLog()
         self.running = {f"t{n}@0": [] for n in range(load.targets)}
         self.starting: list[tuple[float, str]] = []
         self.due: list[tuple[float, _Prompt]] = []
--- a/copperloom/decisions/tests/test_part_quarantine.py
+++ b/copperloom/decisions/tests/test_part_quarantine.py
@@ -3,7 +3,12 @@
 import itertools
 import unittest
 
-from copperloom.decisions import crash_evidence, quarantine, request_digest
+from copperloom.decisions import (
+    crash_evidence,
+    crash_log,
+    quarantine,
+    request_digest,
+)
 from copperloom.decisions.tests.fixtures import NOW
 
 # Requests with a part that crashes targets may reach so many of them later than
@@ -37,7 +42,7 @@
 
 class SuspectTest(unittest.TestCase):
     def test_guilty_part_is_found_among_sound_ones(self):
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for number in range(3):
             _crash(log, ("shared", "bad", f"u{number}"))
         self.assertTrue(_is_held(log, "bad", "shared", "new"))
@@ -46,7 +51,7 @@
 
     def test_sound_companion_is_never_refused_alone(self):
         """Guards against refusing a route for its first part."""
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for _ in range(6):
             _crash(log, ("shared", "bad"), ("shared", "x"))
             self.assertFalse(_is_held(log, "shared", "x"))
@@ -54,7 +59,7 @@
 
     def test_two_guilty_parts(self):
         """Guards against blaming victims of two parts for both."""
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for _ in range(3):
             _crash(log, ("shared", "bad1"))
             _crash(log, ("shared", "bad2"))
@@ -65,7 +70,7 @@
 
     def test_victim_of_some_crashes_is_not_refused(self):
         """Guards against blaming what runs beside a guilty prompt."""
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for number in range(5):
             _crash(log, ("bad",), ("victim",) if number < 4 else ("other",))
         self.assertTrue(_is_held(log, "bad"))
@@ -73,7 +78,7 @@
 
     def test_two_crashes_hold_only_repeats(self):
         """Guards against a repeat that crashes one more target."""
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for _ in range(2):
             _crash(log, ("bad",))
         self.assertFalse(_is_held(log, "bad"))
@@ -81,7 +86,7 @@
 
     def test_request_that_crashes_by_itself_explains_its_crashes(self):
         """Guards against blaming a sound part for the rest of a request."""
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for number in range(4):
             target = f"x{number}"
             for digest in (b"a whole request", *_digests("shared")):
@@ -90,7 +95,7 @@
 
     def test_victims_that_are_sent_again_explain_nothing(self):
         """Guards against sound repeats that hide the part beside them."""
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for _ in range(4):
             target = f"t{next(_targets)}"
             for digest in (b"a sound victim", *_digests("bad", "shared")):
@@ -101,7 +106,7 @@
 
     def test_first_trial_comes_at_once(self):
         """Guards against refusing a route until a trial is due."""
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for _ in range(3):
             _crash(log, ("shared",))
         (suspects, held) = quarantine.find_parts(log, _digests("shared", "x"))
@@ -116,7 +121,7 @@
 
     def test_trial_that_reached_no_target_is_no_trial(self):
         """Guards against a long wait after a trial that found no target."""
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for _ in range(3):
             _crash(log, ("bad",))
         (digest,) = _digests("bad")
@@ -127,7 +132,7 @@
 
     def test_weak_evidence_survives_the_loss_of_all(self):
         """Guards against counting crashes anew after each start."""
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for _ in range(2):
             _crash(log, ("bad",))
         self.assertEqual(set(quarantine.to_keep(log)), _digests("bad"))
@@ -136,7 +141,7 @@
 class ProofTest(unittest.TestCase):
     def test_answer_that_began_before_the_crash_proves_nothing(self):
         """Guards against a part that has become guilty."""
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for number in range(3):
             _crash(log, ("bad",), at=NOW + number)
         _write(log, "bad", begun_at=NOW - 1)
@@ -146,46 +151,44 @@
         self.assertEqual(len(log.parts[min(_digests("bad"))].crashes), 1)
 
     def test_proof_spreads_in_any_order(self):
-        log = crash_evidence.CrashLog()
-        peer = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
+        peer = crash_log.CrashLog()
         for _ in range(3):
             _crash(log, ("sound",))
         (digest,) = _digests("sound")
         early = log.parts[digest]
         _write(log, "sound", begun_at=NOW + 1)
         for evidence in (log.parts[digest], early):
-            crash_evidence.merge(
-                peer, digest, evidence, NOW + 2, forwards=False
-            )
+            crash_log.merge(peer, digest, evidence, NOW + 2, forwards=False)
         self.assertFalse(_is_held(peer, "sound"))
 
 
 class BoundTest(unittest.TestCase):
     def test_many_parts_do_not_hide_a_guilty_one(self):
         """Guards against a caller that sends prompts of many parts."""
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         _crash(log, ("bad",))
         _crash(log, ("bad",))
         for number in range(100):
             parts = tuple(f"{number} {part}" for part in range(64))
             _crash(log, parts, at=NOW + 1)
-        self.assertLessEqual(len(log.parts), crash_evidence.MAX_PARTS)
+        self.assertLessEqual(len(log.parts), crash_log.MAX_PARTS)
         _crash(log, ("bad",), at=NOW + 2)
         self.assertTrue(_is_held(log, "bad"))
 
     def test_sufficient_evidence_is_shared_first(self):
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for _ in range(3):
             _crash(log, ("bad",))
         _crash(log, tuple(f"p{n}" for n in range(64)), at=NOW + 1)
-        shared = crash_evidence.to_share(
-            log, NOW + 1, 10, crash_evidence.Occasion.BROADCAST
+        shared = crash_log.to_share(
+            log, NOW + 1, 10, crash_log.Occasion.BROADCAST
         )
         self.assertEqual(next(iter(shared)), min(_digests("bad")))
 
     def test_trials_are_few(self):
         """Guards against a part that crashes a target at each trial."""
-        log = crash_evidence.CrashLog()
+        log = crash_log.CrashLog()
         for _ in range(5):
             _crash(log, ("bad", "companion"))
         trials = late = 0
--- a/copperloom/decisions/tests/test_quarantine.py
+++ b/copperloom/decisions/tests/test_quarantine.py
@@ -2,28 +2,29 @@
 
 import unittest
 
-from copperloom.decisions import crash_evidence, quarantine
-from copperloom.decisions.tests.fixtures import DIGEST, NOW, crash_log
-
-
-def _find(log) -> quarantine.Quarantine | None:
-    return quarantine.find(log, DIGEST)
+from copperloom.decisions import crash_evidence, crash_log, quarantine
+from copperloom.decisions.tests.fixtures import (
+    DIGEST,
+    NOW,
+    find_quarantine,
+    log_of_crashes,
+)
 
 
 def _is_due(log, rank: int, now: float) -> bool:
-    return quarantine.is_trial_due(log, _find(log), rank, now)
+    return quarantine.is_trial_due(log, find_quarantine(log), rank, now)
 
 
 class TrialTest(unittest.TestCase):
     def test_third_crash_quarantines(self):
-        self.assertIsNone(_find(crash_log(NOW, NOW)))
-        found = _find(crash_log(NOW, NOW + 1, NOW + 2))
+        self.assertIsNone(find_quarantine(log_of_crashes(NOW, NOW)))
+        found = find_quarantine(log_of_crashes(NOW, NOW + 1, NOW + 2))
         self.assertEqual(found.until, NOW + 2 + quarantine.HOLDS_S[0])
 
     def test_instances_try_one_after_another(self):
         """Guards against a trial by each instance at the same moment."""
-        log = crash_log(NOW, NOW, NOW)
-        until = _find(log).until
+        log = log_of_crashes(NOW, NOW, NOW)
+        until = find_quarantine(log).until
         self.assertFalse(_is_due(log, 0, until - 0.1))
         self.assertTrue(_is_due(log, 0, until))
         self.assertFalse(_is_due(log, 1, until))
@@ -31,24 +32,24 @@
 
     def test_trials_of_different_requests_do_not_coincide(self):
         """Guards against blaming a sound request for another one's crash."""
-        log = crash_log(NOW, NOW, NOW)
+        log = log_of_crashes(NOW, NOW, NOW)
         for number in range(3):
             crash_evidence.record_crash(log, b"other", f"t{number}", NOW)
-        now = _find(log).until
+        now = find_quarantine(log).until
         quarantine.begin_trial(log, b"other", "x", now)
         self.assertFalse(_is_due(log, 0, now))
         self.assertTrue(_is_due(log, 0, now + quarantine.TRIAL_GAP_S))
 
     def test_trial_excludes_others(self):
-        log = crash_log(NOW, NOW, NOW)
-        now = _find(log).until
+        log = log_of_crashes(NOW, NOW, NOW)
+        now = find_quarantine(log).until
         quarantine.begin_trial(log, DIGEST, "x", now)
-        self.assertEqual(_find(log).trials, ("x",))
+        self.assertEqual(find_quarantine(log).trials, ("x",))
         self.assertFalse(_is_due(log, 0, now + 1))
 
     def test_trials_are_bounded(self):
         """Guards against a request that crashes a target at each trial."""
-        log = crash_log(NOW, NOW, NOW)
+        log = log_of_crashes(NOW, NOW, NOW)
         now = NOW
         trials = 0
         while now < NOW + 3600.0:
@@ -62,15 +63,15 @@
 
     def test_completed_trial_ends_the_quarantine(self):
         """Guards against trials that count after a request proved sound."""
-        log = crash_log(NOW, NOW, NOW)
+        log = log_of_crashes(NOW, NOW, NOW)
         quarantine.begin_trial(log, DIGEST, "x", NOW + 5)
         crash_evidence.record_completion(log, DIGEST, NOW + 6)
-        self.assertIsNone(_find(log))
+        self.assertIsNone(find_quarantine(log))
         self.assertFalse(log.requests[DIGEST].trials)
 
     def test_quarantine_has_an_end(self):
-        log = crash_log(NOW, NOW, NOW)
-        end = NOW + crash_evidence.SUFFICIENT_KEPT_S
-        self.assertEqual(crash_evidence.expire(log, end - 1), [])
-        self.assertEqual(crash_evidence.expire(log, end), [DIGEST])
-        self.assertIsNone(_find(log))
+        log = log_of_crashes(NOW, NOW, NOW)
+        end = NOW + crash_log.SUFFICIENT_KEPT_S
+        self.assertEqual(crash_log.expire(log, end - 1), [])
+        self.assertEqual(crash_log.expire(log, end), [DIGEST])
+        self.assertIsNone(find_quarantine(log))
--- a/copperloom/ingress/knowledge.py
+++ b/copperloom/ingress/knowledge.py
@@ -7,7 +7,7 @@
 
 from copperloom import logs
 from copperloom.decisions import (
-    crash_evidence,
+    crash_log,
     drain_notices,
     registry,
     target_limits,
@@ -45,12 +45,10 @@
         now: Monotonic time.
         occasion: The kind of message.
     """
-    for expired in crash_evidence.expire(state.crashes, now):
+    for expired in crash_log.expire(state.crashes, now):
         logs.event("quarantine_expired", digest=expired.hex())
         state.quarantine_changed.set()
-    evidence = crash_evidence.to_share(
-        state.crashes, now, _MAX_REQUESTS, occasion
-    )
+    evidence = crash_log.to_share(state.crashes, now, _MAX_REQUESTS, occasion)
     digest.evidence = [
         wire_knowledge.encode_evidence(request, known, now)
         for request, known in evidence.items()
--- a/copperloom/ingress/quarantine_rows.py
+++ b/copperloom/ingress/quarantine_rows.py
@@ -13,7 +13,7 @@
 import contextlib
 
 from copperloom import exception, logs
-from copperloom.decisions import crash_evidence, quarantine
+from copperloom.decisions import crash_log, quarantine
 from copperloom.ingress import quarantines, recipients, startup
 from copperloom.ingress.state import IngressState, fleet_size
 from copperloom.platform import catalog, store
@@ -85,7 +85,7 @@
         if row is None:
             logs.event("quarantine_unreadable", key=stored.key)
             continue
-        evidence = crash_evidence.Evidence(
+        evidence = crash_log.Evidence(
             crashes=dict.fromkeys(row.crashes, now),
             trials=dict.fromkeys(row.trials, now),
         )
--- a/copperloom/ingress/quarantines.py
+++ b/copperloom/ingress/quarantines.py
@@ -5,6 +5,7 @@
 from copperloom import exception, logs, routing
 from copperloom.decisions import (
     crash_evidence,
+    crash_log,
     members,
     quarantine,
     registry,
@@ -70,7 +71,7 @@
 def _check_parts(ex: exchange.Exchange, now: float, *, is_sent: bool) -> None:
     """Refuses a prompt that holds all parts suspected of some crashes."""
     log = ex.state.crashes
-    least = crash_evidence.MIN_CRASHES
+    least = crash_log.MIN_CRASHES
     if ex.sends:
         least = quarantine.REPEAT_CRASHES
     parts = exchange.part_digests(ex)
@@ -128,7 +129,7 @@
             "quarantine_trial",
             request=ex.id,
             digest=digest.hex(),
-            trials=len(crash_evidence.entries(log, digest)[digest].trials),
+            trials=len(crash_log.of_kind(log, digest)[digest].trials),
         )
     ex.state.digest_due.set()
     ex.state.quarantine_changed.set()
@@ -227,7 +228,7 @@
 def apply(
     state: IngressState,
     digest: bytes,
-    evidence: crash_evidence.Evidence,
+    evidence: crash_log.Evidence,
     now: float,
     *,
     source: str,
@@ -246,7 +247,7 @@
     Returns:
         Whether it changed what was known.
     """
-    changed = crash_evidence.merge(
+    changed = crash_log.merge(
         state.crashes, digest, evidence, now, forwards=forwards
     )
     if changed:
@@ -261,7 +262,7 @@
 
     A crash blames many parts, so those with a single one are not logged.
     """
-    known = crash_evidence.entries(state.crashes, digest)[digest]
+    known = crash_log.of_kind(state.crashes, digest)[digest]
     state.quarantine_changed.set()
     is_part = request_digest.is_part(digest)
     if is_part and len(known.crashes) < quarantine.REPEAT_CRASHES:
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -12,7 +12,7 @@
 from copperloom.decisions import (
     backoff,
     budget,
-    crash_evidence,
+    crash_log,
     fetch_policy,
     health,
     inflight_table,
@@ -160,7 +160,7 @@
         self.reachability_settled = asyncio.Event()
         self.relayed = 0
         self.relays_paused_until = float("-inf")
-        self.crashes = crash_evidence.CrashLog()
+        self.crashes = crash_log.CrashLog()
         self.quarantine_changed = asyncio.Event()
         self.quarantines_loaded = asyncio.Event()
         self.suspicions: collections.deque = collections.deque(
--- a/copperloom/ingress/tests/test_fleet_quarantine.py
+++ b/copperloom/ingress/tests/test_fleet_quarantine.py
@@ -4,7 +4,7 @@
 import unittest
 
 from copperloom import routing
-from copperloom.decisions import crash_evidence, quarantine
+from copperloom.decisions import crash_log, quarantine
 from copperloom.ingress import quarantines, recipients
 from copperloom.ingress.state import is_large_fleet
 from copperloom.ingress.tests import fixtures, fleets
@@ -56,7 +56,7 @@
             for f in system.fronts
             if not recipients.owns_local_shards(f.entry, now)
         ]
-        for number in range(crash_evidence.MIN_CRASHES):
+        for number in range(crash_log.MIN_CRASHES):
             _crash(ordinary[number], number)
         await fixtures.until(
             lambda: all(_knows(f) for f in system.fronts),
@@ -81,7 +81,7 @@
     async def test_instance_that_joins_learns_of_it(self):
         """Guards against repeats at instances that were added."""
         system = await _start_fleet(self)
-        for number in range(crash_evidence.MIN_CRASHES):
+        for number in range(crash_log.MIN_CRASHES):
             _crash(system.fronts[number], number)
         await asyncio.sleep(_STABILITY_WINDOW_S)
         seeds = system.fronts[0].entry.settings.seeds
--- a/copperloom/ingress/wire_knowledge.py
+++ b/copperloom/ingress/wire_knowledge.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from copperloom.decisions import crash_evidence, target_limits
+from copperloom.decisions import crash_log, target_limits
 
 __all__ = [
     "WireEvidence",
@@ -47,7 +47,7 @@
 
 
 def encode_evidence(
-    digest: bytes, evidence: crash_evidence.Evidence, now: float
+    digest: bytes, evidence: crash_log.Evidence, now: float
 ) -> WireEvidence:
     """Encodes evidence with times relative to now."""
     return WireEvidence(
@@ -58,9 +58,9 @@
     )
 
 
-def decode_evidence(wire: WireEvidence, now: float) -> crash_evidence.Evidence:
+def decode_evidence(wire: WireEvidence, now: float) -> crash_log.Evidence:
     """Decodes a peer's evidence, with times by this instance's clock."""
-    return crash_evidence.Evidence(
+    return crash_log.Evidence(
         crashes=_times(wire.crashes, now),
         trials=_times(wire.trials, now),
         void=_times(wire.void, now),
