Load shedding: it ends by itself, and the gate has one expiry

Cause: the flag that connections are shed was cleared only by the next new connection. An instance that got none went on closing kept connections and refusing the offers of partitioned peers. Two limits on waiting also judged the same connection, once as it arrived and once as it was read. Change: the state has the time of the last shed connection, and is_shedding() is a function of it and now. A connection expires after MAX_WAIT_S only; the shorter limits decide who joins a standing queue. The log line comes from a timer, so the last second of shedding is not lost.

--- a/copperloom/decisions/load_shedding.py
+++ b/copperloom/decisions/load_shedding.py
@@ -10,12 +10,12 @@
 
 import dataclasses
 
-__all__ = ["Load", "accepts", "is_expired", "is_over", "smooth"]
+__all__ = ["Load", "accepts", "is_expired", "is_shedding", "smooth"]
 
-# A connection of a burst may wait so long until it is read.
-BURST_WAIT_S = 0.5
-# A queue that was not empty for this time is no burst, and connections may wait
-# less long.
+# A connection may wait so long until it is read.
+MAX_WAIT_S = 0.5
+# A queue that was not empty for this time is no burst, and only connections
+# that will wait less long join it.
 STANDING_S = 0.3
 STANDING_WAIT_S = 0.1
 # The same while connections are being shed, so that it does not begin and end
@@ -34,6 +34,7 @@
     Attributes:
         pending: Connections that wait to be read.
         standing_s: Time for which some have waited without interruption.
+        is_shedding: Whether connections are being shed.
         pace_s: Time between two connections that are read, in seconds.
         descriptors_left: Descriptors that may still be opened.
         body_bytes_left: Memory that bodies may still take, in bytes.
@@ -41,36 +42,27 @@
 
     pending: int
     standing_s: float
+    is_shedding: bool
     pace_s: float
     descriptors_left: int
     body_bytes_left: int
 
 
-def accepts(load: Load, *, is_shedding: bool) -> bool:
-    """Returns whether a new connection will be read soon enough.
-
-    Args:
-        load: The load.
-        is_shedding: Whether connections were closed lately.
-    """
+def accepts(load: Load) -> bool:
+    """Returns whether a new connection will be read soon enough."""
     if load.descriptors_left <= 0 or load.body_bytes_left <= 0:
         return False
-    limit_s = SHEDDING_WAIT_S if is_shedding else _max_wait_s(load.standing_s)
+    limit_s = MAX_WAIT_S
+    if load.is_shedding:
+        limit_s = SHEDDING_WAIT_S
+    elif load.standing_s >= STANDING_S:
+        limit_s = STANDING_WAIT_S
     return load.pending * load.pace_s <= limit_s
 
 
-def is_expired(waited_s: float, standing_s: float) -> bool:
-    """Returns whether a connection has waited too long to be read.
-
-    Args:
-        waited_s: Time for which it has waited, in seconds.
-        standing_s: Time for which some have waited without interruption.
-    """
-    return waited_s > _max_wait_s(standing_s)
-
-
-def _max_wait_s(standing_s: float) -> float:
-    return BURST_WAIT_S if standing_s < STANDING_S else STANDING_WAIT_S
+def is_expired(waited_s: float) -> bool:
+    """Returns whether a connection has waited too long to be read."""
+    return waited_s > MAX_WAIT_S
 
 
 def smooth(pace_s: float, sample_s: float) -> float:
@@ -78,6 +70,11 @@
     return pace_s + _SAMPLE_WEIGHT * (sample_s - pace_s)
 
 
-def is_over(shed_at: float, now: float) -> bool:
-    """Returns whether shedding has ended, given when it last closed one."""
-    return now - shed_at >= QUIET_S
+def is_shedding(shed_at: float, now: float) -> bool:
+    """Returns whether connections are being shed.
+
+    Args:
+        shed_at: Monotonic time at which one was last closed unread.
+        now: Monotonic time.
+    """
+    return now - shed_at < QUIET_S
--- a/copperloom/ingress/connection_gate.py
+++ b/copperloom/ingress/connection_gate.py
@@ -44,9 +44,8 @@
         admitted_at: Monotonic time of the latest admission; None once its work
             has run.
         pace_s: Time between two admissions, in seconds, if any is waiting.
-        shed_at: Monotonic time at which a connection was last closed unread.
         shed: Number of connections closed unread since the latest log line.
-        logged_at: Monotonic time of that line.
+        next_line: Timer of the next one; None if it has no connections.
         max_descriptors: Descriptors that may be open.
         max_body_bytes: Memory that bodies may take, in bytes.
     """
@@ -58,9 +57,8 @@
         self.standing_since: float | None = None
         self.admitted_at: float | None = None
         self.pace_s = 0.0
-        self.shed_at = float("-inf")
         self.shed = 0
-        self.logged_at = float("-inf")
+        self.next_line: asyncio.TimerHandle | None = None
         self.max_descriptors = _max_descriptors(state)
         self.max_body_bytes = int(state.settings.memory_bytes * _BODY_SHARE)
 
@@ -99,11 +97,12 @@
     load = load_shedding.Load(
         pending=len(gate.pending),
         standing_s=_standing_s(gate, now),
+        is_shedding=load_shedding.is_shedding(gate.state.shed_at, now),
         pace_s=gate.pace_s,
         descriptors_left=gate.max_descriptors - used,
         body_bytes_left=gate.max_body_bytes - gate.state.body_bytes,
     )
-    if not load_shedding.accepts(load, is_shedding=gate.state.is_shedding):
+    if not load_shedding.accepts(load):
         _shed(gate, transport, now)
     elif gate.admitted_at is None:
         _admit(gate, transport, now)
@@ -134,15 +133,11 @@
     now = asyncio.get_running_loop().time()
     gate.pace_s = load_shedding.smooth(gate.pace_s, now - gate.admitted_at)
     gate.admitted_at = None
-    if gate.state.is_shedding and load_shedding.is_over(gate.shed_at, now):
-        gate.state.is_shedding = False
-        _log(gate, now)
     while gate.pending:
         waiting = gate.pending.popleft()
         if waiting.transport.is_closing():
             continue
-        waited_s = now - waiting.since
-        if not load_shedding.is_expired(waited_s, _standing_s(gate, now)):
+        if not load_shedding.is_expired(now - waiting.since):
             _admit(gate, waiting.transport, now)
             return
         _shed(gate, waiting.transport, now)
@@ -152,14 +147,14 @@
 def _shed(gate: Gate, transport: asyncio.Transport, now: float) -> None:
     transport.abort()
     gate.shed += 1
-    gate.shed_at = now
-    gate.state.is_shedding = True
+    gate.state.shed_at = now
     gate.state.metrics.shed_connections.inc()
-    if now - gate.logged_at >= _LOG_INTERVAL_S:
-        _log(gate, now)
+    if gate.next_line is None:
+        loop = asyncio.get_running_loop()
+        gate.next_line = loop.call_later(_LOG_INTERVAL_S, _log, gate)
 
 
-def _log(gate: Gate, now: float) -> None:
+def _log(gate: Gate) -> None:
     logs.event(
         "connections_shed",
         connections=gate.shed,
@@ -167,7 +162,6 @@
         pace_s=round(gate.pace_s, 4),
         body_bytes=gate.state.body_bytes,
         active=gate.state.active,
-        shedding=gate.state.is_shedding,
     )
     gate.shed = 0
-    gate.logged_at = now
+    gate.next_line = None
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -6,7 +6,12 @@
 from aiohttp import hdrs, web
 
 from copperloom import exception, routing
-from copperloom.decisions import plans, request_digest, shards
+from copperloom.decisions import (
+    load_shedding,
+    plans,
+    request_digest,
+    shards,
+)
 from copperloom.filters import deadline
 from copperloom.ingress.state import IngressState
 from copperloom.platform import headers
@@ -16,6 +21,7 @@
     "Filter",
     "Next",
     "begin_stream",
+    "closes_connection",
     "content_digest",
     "engine",
     "may_lead",
@@ -158,12 +164,22 @@
 ) -> None:
     """Begins a response that is sent while it is received."""
     response = ex.new_stream(status=status, reason=reason, headers=headers)
-    if ex.state.draining or ex.state.is_shedding:
+    if closes_connection(ex, asyncio.get_running_loop().time()):
         response.force_close()
     ex.response = response
     await response.prepare(ex.http)
 
 
+def closes_connection(ex: Exchange, now: float) -> bool:
+    """Returns whether the caller's connection ends with the response.
+
+    The caller then reconnects, to an instance with less load or before this one
+    has stopped.
+    """
+    is_shedding = load_shedding.is_shedding(ex.state.shed_at, now)
+    return ex.state.draining or is_shedding
+
+
 def record_event(ex: Exchange, now: float) -> None:
     """Records the time of an event that goes to the caller."""
     if ex.first_at is None:
--- a/copperloom/ingress/relayed_requests.py
+++ b/copperloom/ingress/relayed_requests.py
@@ -10,6 +10,7 @@
 import multidict
 
 from copperloom import chains, logs
+from copperloom.decisions import load_shedding
 from copperloom.decisions import peer_relay as relay_decisions
 from copperloom.ingress import chain, exchange, peer_relay
 from copperloom.ingress.state import IngressState
@@ -119,7 +120,8 @@
         request = await stream.recv_message()
         if request is None:
             return
-        refusal = _check_offer(self.state, request.offer)
+        now = asyncio.get_running_loop().time()
+        refusal = _check_offer(self.state, request.offer, now)
         _log_offer(self.state, request.offer, refusal)
         verdict = peers_pb2.RelayVerdict(refusal=refusal or "")
         await stream.send_message(peers_pb2.RelayReply(verdict=verdict))
@@ -138,14 +140,14 @@
 
 
 def _check_offer(
-    state: IngressState, offer: peers_pb2.RelayOffer
+    state: IngressState, offer: peers_pb2.RelayOffer, now: float
 ) -> relay_decisions.Refusal | None:
     return relay_decisions.check_offer(
         relay_decisions.Facts(
             draining=state.draining,
             is_current=state.table.version >= offer.routes_version,
             reaches_targets=not state.reachability.is_lost,
-            is_shedding=state.is_shedding,
+            is_shedding=load_shedding.is_shedding(state.shed_at, now),
             relayed=state.relayed,
             cores=state.settings.cores,
         )
--- a/copperloom/ingress/server.py
+++ b/copperloom/ingress/server.py
@@ -166,9 +166,8 @@
         ex.response = web.Response(status=_UNAVAILABLE)
     if ex.response.prepared:
         return
-    if ex.state.draining or ex.state.is_shedding:
-        # Makes the caller reconnect, to an instance with less load or before
-        # this connection is closed.
+    now = asyncio.get_running_loop().time()
+    if exchange.closes_connection(ex, now):
         ex.response.force_close()
     try:
         await ex.response.prepare(ex.http)
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -108,8 +108,8 @@
         hold_until: Monotonic time until which requests are held while routes
             and targets are not known yet.
         body_bytes: Memory that bodies of requests in progress take, in bytes.
-        is_shedding: Whether new connections are closed unread, as there are
-            more than can be served.
+        shed_at: Monotonic time at which a connection was last closed unread, as
+            there were more than can be served.
         draining: Whether this instance is stopping.
         drain_until: Monotonic time that bounds the deadlines of requests on a
             stopping instance; inf unless it is stopping.
@@ -173,7 +173,7 @@
         self.routing_known = asyncio.Event()
         self.hold_until = float("-inf")
         self.body_bytes = 0
-        self.is_shedding = False
+        self.shed_at = float("-inf")
         self.draining = False
         self.drain_until = math.inf
         self.active = 0
