Reachability: checks belong to one module; a failed connection always begins one

Cause: forward.py held half of what decides when targets are checked. A round of checks was left out if one had just ended, so a failure right after it kept the fault at the target. A broken answer was judged before the checks that it began had ended, by the rule for targets: lost targets used up the attempts. And an instance whose event loop was slow took its own delay for the silence of all targets. Change: reachability_checks records errors and late answers; only late ones respect the interval between rounds. A request waits for the round, and if the instance is partitioned its repeat by a peer costs the budget only. The timeout of a check is counted in intervals, which are longer while the loop is slow.

--- a/copperloom/decisions/members.py
+++ b/copperloom/decisions/members.py
@@ -17,6 +17,7 @@
     "REPLY_INTERVAL_S",
     "MEMBER_TIMEOUT_S",
     "Member",
+    "is_heard",
     "is_live",
     "is_skipped",
     "live",
@@ -75,7 +76,8 @@
         busy_at: Monotonic time at which `busy` was received.
         reaches_none: Whether it reaches no target.
         relayed: Requests that this instance relays through it.
-        relay_refused_until: Monotonic time until which it is offered none.
+        relay_refused_until: Monotonic time until which others are asked first
+            to relay a request.
     """
 
     instance: str
@@ -131,11 +133,14 @@
     member.suspect_until = now + SUSPECT_S
 
 
+def is_heard(member: Member, now: float) -> bool:
+    """Returns whether a member sent a message recently."""
+    return now - member.last_received_at < MEMBER_TIMEOUT_S
+
+
 def is_live(member: Member, now: float) -> bool:
     """Returns whether a member sent a message recently and is not draining."""
-    return (
-        now - member.last_received_at < MEMBER_TIMEOUT_S and not member.draining
-    )
+    return is_heard(member, now) and not member.draining
 
 
 def is_skipped(member: Member, now: float) -> bool:
--- a/copperloom/decisions/reachability.py
+++ b/copperloom/decisions/reachability.py
@@ -26,6 +26,7 @@
     "record_answer",
     "record_check",
     "record_failure",
+    "record_progress",
     "unconfirmed",
 ]
 
@@ -107,7 +108,7 @@
         begun_at: Monotonic time at which the attempt began.
         now: Monotonic time.
     """
-    known.answered_at = now
+    record_progress(known, now)
     if known.failures:
         known.failures = {
             name: failure
@@ -116,6 +117,11 @@
         }
 
 
+def record_progress(known: Reachability, now: float) -> None:
+    """Records a part of an answer on a connection that may be an old one."""
+    known.answered_at = now
+
+
 def record_failure(
     known: Reachability,
     target: routing.TargetEntry,
@@ -152,7 +158,6 @@
     """
     left = list(targets)
     rng.shuffle(left)
-    left.sort(key=lambda t: t.name in known.failures)
     failed = [f.target for f in known.failures.values()]
     services = {t.service for t in failed}
     places = {t.data_centre for t in failed}
@@ -190,17 +195,27 @@
         for t in targets
         if t.name in known.failures and known.failures[t.name].at >= since
     ]
-    return len(targets) > 1 and all(
-        len({key(t) for t in failed})
-        >= min(least, len({key(t) for t in targets}))
-        for key, least in (
-            (lambda t: t.name, MIN_TARGETS),
-            (lambda t: t.service, MIN_SERVICES),
-            (lambda t: t.data_centre, MIN_DATA_CENTRES),
-        )
+    if len(targets) < 2:
+        return False
+    return (
+        _covers(failed, targets, "name", MIN_TARGETS)
+        and _covers(failed, targets, "service", MIN_SERVICES)
+        and _covers(failed, targets, "data_centre", MIN_DATA_CENTRES)
     )
 
 
+def _covers(
+    failed: list[routing.TargetEntry],
+    targets: list[routing.TargetEntry],
+    attribute: str,
+    least: int,
+) -> bool:
+    """Returns whether failures differ in an attribute as far as targets do."""
+    values = {getattr(t, attribute) for t in failed}
+    known_values = {getattr(t, attribute) for t in targets}
+    return len(values) >= min(least, len(known_values))
+
+
 def _counts_since(known: Reachability, now: float) -> float:
     """Returns the monotonic time from which failures count.
 
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -36,7 +36,6 @@
     target_checks,
     target_room,
 )
-from copperloom.ingress.state import IngressState
 from copperloom.platform import headers
 
 __all__ = ["forward"]
@@ -51,8 +50,6 @@
 LONG_PRIORITY = 6
 _REFUSED_RETRY_S = 0.15
 _FIRST_ERROR_STATUS = 300
-# Time beyond the predicted one after which an answer is late.
-_LATE_S = 0.5
 # Memory is freed only as long answers end, about once a second, so a quick
 # retry would fail again.
 _MEMORY_WAIT_S = 0.25
@@ -99,11 +96,22 @@
                 raise
         except exception.StreamBrokenError as error:
             _record_failure(ex, error, health.BROKEN_PENALTY)
-            if not ex.route.repeatable or not retry.take_retry(ex):
+            if not await _may_repeat(ex):
                 raise
     await nxt(ex)
 
 
+async def _may_repeat(ex: exchange.Exchange) -> bool:
+    """Returns whether a request may be sent again after its answer broke."""
+    if not ex.route.repeatable:
+        return False
+    await reachability_checks.settle(ex.state)
+    now = asyncio.get_running_loop().time()
+    if reachability_checks.is_partitioned(ex.state, now):
+        return retry.take_repeat_by_peer(ex)
+    return retry.take_retry(ex)
+
+
 async def _relay_if_lost(ex: exchange.Exchange) -> bool:
     """Relays a request if no target is reached from here; else returns False.
 
@@ -163,7 +171,8 @@
     culprit = getattr(error, "target", "") or ex.plan.lead
     by_helper = culprit != ex.plan.lead
     ex.avoid.add(culprit)
-    _record_connection(ex, error, culprit, now)
+    target = registry.find(ex.state.targets, culprit)
+    reachability_checks.record_error(ex.state, target, error, now)
     if by_helper:
         points = health.UNREACHABLE_PENALTY
     if not target_backoff.is_held(ex.state, culprit, now):
@@ -182,42 +191,12 @@
         error=str(error),
         sends=ex.sends,
         last_event=ex.last_event,
-        **_describe_reachability(ex.state, now),
+        **reachability_checks.describe(ex.state, now),
     )
     target_checks.begin(ex, error, now)
     return by_helper
 
 
-def _record_connection(
-    ex, error: exception.CopperloomError, culprit: str, now: float
-) -> None:
-    """Records a failure to reach a target, unless the target answered."""
-    target = registry.find(ex.state.targets, culprit)
-    if target is None or not _is_unreached(error):
-        return
-    reachability_checks.record_failure(
-        ex.state, target, now, is_silent=error.is_silent
-    )
-
-
-def _is_unreached(error: exception.CopperloomError) -> bool:
-    """Returns whether an attempt failed by its connection."""
-    if isinstance(error, exception.TargetUnreachableError):
-        return True
-    return isinstance(error, exception.StreamBrokenError) and (
-        error.connection_lost or error.is_silent
-    )
-
-
-def _describe_reachability(state: IngressState, now: float) -> dict:
-    """Returns log fields that tell a fault of a target from a partition."""
-    known = state.reachability
-    return {
-        "unreached_targets": len(known.failures),
-        "answered_ago_s": round(now - known.answered_at, 3),
-    }
-
-
 def _is_stale(ex: exchange.Exchange) -> bool:
     """Returns whether a target of the plan is gone, drains or is held.
 
@@ -268,10 +247,9 @@
     is_first = entry.name not in ex.sent_to
     ex.sent_to.add(entry.name)
     ex.run = exception.Run.MAY_HAVE_RUN
-    loop = asyncio.get_running_loop()
-    silence = loop.call_later(_expected_s(ex, now), _check_silence, ex)
+    late = reachability_checks.expect_answer(ex, now)
     if ex.route.repeatable:
-        ex.abandon = loop.create_future()
+        ex.abandon = asyncio.get_running_loop().create_future()
     try:
         async with sender.send(
             state.sender,
@@ -284,7 +262,7 @@
             may_give_up=lambda: retry.may_give_up(ex),
             abandon=ex.abandon,
         ) as reply:
-            silence.cancel()
+            late.cancel()
             ex.abandon = None
             now = asyncio.get_running_loop().time()
             reachability.record_answer(state.reachability, ex.attempt_at, now)
@@ -306,27 +284,12 @@
         ex.run = run_before
         raise
     finally:
-        silence.cancel()
+        late.cancel()
         ex.abandon = None
         inflight_table.end(state.inflight, ex.id)
         state.changed.set()
 
 
-def _expected_s(ex: exchange.Exchange, now: float) -> float:
-    """Returns the seconds after which an attempt without answer is late."""
-    if not ex.head.prompt_tokens:
-        return _LATE_S + ex.route.target_latency_s
-    predicted_s = ex.plan.first_token_s - (now - ex.arrived)
-    return _LATE_S + max(0.0, predicted_s)
-
-
-def _check_silence(ex: exchange.Exchange) -> None:
-    """Checks targets if none has answered since an attempt began."""
-    if ex.state.reachability.answered_at < ex.attempt_at:
-        now = asyncio.get_running_loop().time()
-        reachability_checks.begin(ex.state, now)
-
-
 def _head_timeout_s(ex: exchange.Exchange, now: float) -> float | None:
     """Returns the timeout for an answer's head in seconds, or None for none.
 
--- a/copperloom/ingress/reachability_checks.py
+++ b/copperloom/ingress/reachability_checks.py
@@ -10,8 +10,8 @@
 import contextlib
 
 from copperloom import exception, logs, routing
-from copperloom.decisions import reachability, readiness
-from copperloom.ingress import sender
+from copperloom.decisions import members, reachability, readiness
+from copperloom.ingress import exchange, sender
 from copperloom.ingress.state import (
     IngressState,
     Member,
@@ -23,39 +23,96 @@
 __all__ = [
     "begin",
     "confirm",
+    "describe",
+    "expect_answer",
     "is_partitioned",
     "is_withdrawn",
     "peers_in_reach",
-    "record_failure",
+    "record_error",
     "run",
     "settle",
 ]
 
-# A check is a request that targets answer without delay.
-CHECK_TIMEOUT_S = 0.35
+# A check is a request that targets answer without delay. Its time is counted in
+# intervals, which take longer if this instance is slow itself: its own delays
+# must not look like the silence of all targets.
+CHECK_INTERVAL_S = 0.05
+CHECK_INTERVALS = 7
+_MAX_CONNECT_S = 3.0
 # The first target of a round has this time before others are checked as well.
 HEAD_START_S = 0.1
-# Interval between rounds, if the previous one was answered.
+# Interval between rounds that begin without a failed connection.
 MIN_INTERVAL_S = 0.2
+# Time beyond the predicted one after which an answer is late.
+LATE_S = 0.5
 # A request waits for a round of checks this long at most.
-SETTLE_S = HEAD_START_S + CHECK_TIMEOUT_S + 0.05
+SETTLE_S = 0.5
 # Interval between checks while no target is reached; shorter once one answers.
 RETRY_S = 0.4
 CONFIRM_S = 0.1
 
 
-def record_failure(
+def record_error(
     state: IngressState,
-    target: routing.TargetEntry,
+    target: routing.TargetEntry | None,
+    error: exception.CopperloomError,
     now: float,
-    *,
-    is_silent: bool,
 ) -> None:
-    """Records that a connection to a target failed, and begins checks."""
+    """Records a failed attempt; checks other targets if its connection failed.
+
+    Args:
+        state: The instance's state.
+        target: The target at fault; None if it is no longer registered.
+        error: The failure.
+        now: Monotonic time.
+    """
+    if target is None or not _is_unreached(error):
+        return
     reachability.record_failure(
-        state.reachability, target, now, is_silent=is_silent
+        state.reachability, target, now, is_silent=error.is_silent
+    )
+    _start_round(state)
+
+
+def _is_unreached(error: exception.CopperloomError) -> bool:
+    if isinstance(error, exception.TargetUnreachableError):
+        return True
+    return isinstance(error, exception.StreamBrokenError) and (
+        error.connection_lost or error.is_silent
     )
-    begin(state, now)
+
+
+def describe(state: IngressState, now: float) -> dict:
+    """Returns log fields that tell a fault of a target from a partition."""
+    known = state.reachability
+    return {
+        "unreached_targets": len(known.failures),
+        "answered_ago_s": round(now - known.answered_at, 3),
+    }
+
+
+def expect_answer(ex: exchange.Exchange, now: float) -> asyncio.TimerHandle:
+    """Checks targets if an attempt is answered late, unless cancelled.
+
+    Args:
+        ex: The request, whose attempt begins now.
+        now: Monotonic time.
+    """
+    late_at = now + _expected_s(ex, now) + LATE_S
+    loop = asyncio.get_running_loop()
+    return loop.call_at(late_at, _check_if_silent, ex, now)
+
+
+def _expected_s(ex: exchange.Exchange, now: float) -> float:
+    if not ex.head.prompt_tokens:
+        return ex.route.target_latency_s
+    return max(0.0, ex.plan.first_token_s - (now - ex.arrived))
+
+
+def _check_if_silent(ex: exchange.Exchange, begun_at: float) -> None:
+    """Begins checks if no target has answered since an attempt began."""
+    if ex.state.reachability.answered_at < begun_at:
+        begin(ex.state, asyncio.get_running_loop().time())
 
 
 def begin(state: IngressState, now: float) -> None:
@@ -109,15 +166,16 @@
 
 
 def peers_in_reach(state: IngressState, now: float) -> list[Member]:
-    """Lists the peers that may reach targets.
+    """Lists the peers that may reach targets, stopping ones included.
 
     In a large fleet an instance does not hear from most of them.
     """
-    if is_large_fleet(state):
-        peers = [m for m in state.members.values() if not m.draining]
-    else:
-        peers = live_members(state, now)
-    return [m for m in peers if not m.reaches_none]
+    is_large = is_large_fleet(state)
+    return [
+        m
+        for m in state.members.values()
+        if not m.reaches_none and (is_large or members.is_heard(m, now))
+    ]
 
 
 def is_partitioned(state: IngressState, now: float) -> bool:
@@ -180,6 +238,30 @@
 
 async def _check(state: IngressState, target: routing.TargetEntry) -> bool:
     """Returns whether a target answers; anything that it answers will do."""
+    task = asyncio.ensure_future(_ask(state, target))
+    try:
+        for _ in range(CHECK_INTERVALS):
+            if not task.done():
+                await asyncio.wait({task}, timeout=CHECK_INTERVAL_S)
+    finally:
+        task.cancel()
+    if task.done():
+        answered = task.result()
+    else:
+        answered = False
+        _record_silence(state, target)
+    state.metrics.reachability_checks.labels(
+        "answered" if answered else "failed"
+    ).inc()
+    return answered
+
+
+def _record_silence(state: IngressState, target: routing.TargetEntry) -> None:
+    now = asyncio.get_running_loop().time()
+    reachability.record_failure(state.reachability, target, now, is_silent=True)
+
+
+async def _ask(state: IngressState, target: routing.TargetEntry) -> bool:
     loop = asyncio.get_running_loop()
     begun_at = loop.time()
     spec = state.table.services.get(target.service)
@@ -192,24 +274,20 @@
             path,
             headers.for_check(target.name),
             b"",
-            timeout_s=CHECK_TIMEOUT_S,
+            connect_timeout_s=_MAX_CONNECT_S,
         ):
-            reachability.record_answer(
-                state.reachability, begun_at, loop.time()
-            )
-            answered = True
+            now = loop.time()
+            reachability.record_answer(state.reachability, begun_at, now)
     except (
         exception.TargetUnreachableError,
         exception.StreamBrokenError,
     ) as error:
+        now = loop.time()
         reachability.record_failure(
-            state.reachability, target, loop.time(), is_silent=error.is_silent
+            state.reachability, target, now, is_silent=error.is_silent
         )
-        answered = False
-    state.metrics.reachability_checks.labels(
-        "answered" if answered else "failed"
-    ).inc()
-    return answered
+        return False
+    return True
 
 
 def _begin_loss(state: IngressState, now: float) -> None:
--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -135,6 +135,7 @@
     body: bytes,
     *,
     timeout_s: float | None = None,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
     may_give_up: Callable[[], bool] = lambda: True,
     abandon: asyncio.Future | None = None,
 ) -> AsyncIterator[Reply]:
@@ -151,6 +152,7 @@
         body: The complete body.
         timeout_s: Timeout for the head of the answer in seconds; None for no
             timeout.
+        connect_timeout_s: Timeout for the connection in seconds.
         may_give_up: Called at the timeout; if it returns False, the wait
             continues.
         abandon: Its result acts as the timeout.
@@ -161,7 +163,7 @@
         copperloom.exception.StreamBrokenError: The request may have run.
     """
     url = yarl.URL(f"http://{address}{raw_path}", encoded=True)
-    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s)
     pending = client.open().request(
         method,
         url,
