Relay: a peer that did not answer one offer stays a candidate

Cause: a peer that was silent for one offer, or stopping, was left out. If it was the only one that reached targets, all requests were refused for a second, or until it was back. An error on the relaying side was told by a set in the request, a refusal by an exception. Answers of peers and of targets went to the caller by two copies of the same code. The peer decoded the request's headers only to log its id. Change: such peers are only asked last; the only one left has 1 s for its verdict. The results of offers are return values, and requests are refused at once only if each peer said that it is partitioned. responses.py sends what peers and targets answer. The offer carries the request's id. Bodies that a peer relays count as memory of bodies as well.

--- a/copperloom/decisions/peer_relay.py
+++ b/copperloom/decisions/peer_relay.py
@@ -24,7 +24,6 @@
 class Refusal(enum.StrEnum):
     """Why an instance does not accept a request of a peer."""
 
-    DRAINING = "draining"
     STALE = "stale"
     PARTITIONED = "partitioned"
     OVERLOADED = "overloaded"
@@ -35,7 +34,6 @@
     """What an instance knows of itself when it is offered a request.
 
     Attributes:
-        draining: Whether it is stopping.
         is_current: Whether its routes are not older than those by which the
             request was admitted.
         reaches_targets: Whether it reaches targets.
@@ -44,7 +42,6 @@
         cores: Its processor time, in cores.
     """
 
-    draining: bool
     is_current: bool
     reaches_targets: bool
     is_shedding: bool
@@ -59,20 +56,19 @@
     Attributes:
         name: Its name.
         is_local: Whether it is in the same data centre.
-        is_live: Whether it sent a message recently.
+        is_preferred: Whether it sent a message recently, is not stopping, and
+            has not just left an offer without effect.
         load: Its requests in progress, per core.
     """
 
     name: str
     is_local: bool
-    is_live: bool
+    is_preferred: bool
     load: float
 
 
 def check_offer(facts: Facts) -> Refusal | None:
     """Returns why an offered request is refused; None if it is accepted."""
-    if facts.draining:
-        return Refusal.DRAINING
     if not facts.is_current:
         return Refusal.STALE
     if not facts.reaches_targets:
@@ -91,11 +87,11 @@
     """Chooses the better one of some random candidates.
 
     Instances that are partitioned at the same time know the same loads, so the
-    best one of all would get the requests of all of them. Those that were
-    silent lately are chosen only if there are no others.
+    best one of all would get the requests of all of them. Those that are not
+    preferred are chosen only if there are no others.
     """
     candidates = list(candidates)
-    pool = [c for c in candidates if c.is_live] or candidates
+    pool = [c for c in candidates if c.is_preferred] or candidates
     if not pool:
         return None
     sampled = rng.sample(pool, min(_SAMPLED, len(pool)))
--- a/copperloom/decisions/tests/test_peer_relay.py
+++ b/copperloom/decisions/tests/test_peer_relay.py
@@ -7,7 +7,6 @@
 from copperloom.decisions import peer_relay, readiness
 
 _FREE = peer_relay.Facts(
-    draining=False,
     is_current=True,
     reaches_targets=True,
     is_shedding=False,
@@ -17,7 +16,7 @@
 
 
 def _candidate(name: str, load: float = 0.0, **changes):
-    facts = {"is_local": True, "is_live": True} | changes
+    facts = {"is_local": True, "is_preferred": True} | changes
     return peer_relay.Candidate(name, load=load, **facts)
 
 
@@ -46,8 +45,9 @@
         far = [_candidate("far", is_local=False)]
         self.assertEqual(set(_chosen(near + far)), {"far"})
 
-    def test_silent_instances_are_the_last_resort(self):
-        silent = [_candidate("silent", is_live=False)]
+    def test_others_are_the_last_resort(self):
+        """Guards against refusing requests for the silence of one offer."""
+        silent = [_candidate("silent", is_preferred=False)]
         live = [_candidate("live", 99.0, is_local=False)]
         self.assertEqual(set(_chosen(silent + live)), {"live"})
         self.assertEqual(set(_chosen(silent)), {"silent"})
@@ -65,7 +65,6 @@
         refusal = peer_relay.Refusal
         self.assertIsNone(self._check())
         for changes, reason in (
-            ({"draining": True}, refusal.DRAINING),
             ({"is_current": False}, refusal.STALE),
             ({"reaches_targets": False}, refusal.PARTITIONED),
             ({"relayed": 10_000}, refusal.OVERLOADED),
--- a/copperloom/ingress/admit.py
+++ b/copperloom/ingress/admit.py
@@ -130,7 +130,6 @@
                 f"request body exceeds the limit of {max_bytes} bytes"
             )
         chunks.append(chunk)
-        ex.body_bytes += len(chunk)
-        ex.state.body_bytes += len(chunk)
+        exchange.count_body(ex, len(chunk))
     ex.body = b"".join(chunks)
     await nxt(ex)
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -20,14 +20,13 @@
     "Exchange",
     "Filter",
     "Next",
-    "begin_stream",
     "closes_connection",
     "content_digest",
+    "count_body",
     "engine",
     "may_lead",
     "part_digests",
     "prompt_parts",
-    "record_event",
 ]
 
 # Time limit of requests that state none; their route may set a lower one.
@@ -77,7 +76,6 @@
         relayed_by: Name of the peer that relays it here, "" if it came from
             its caller.
         relayed_to: Name of the peer that it was relayed to last, "" if none.
-        relay_refusals: Why peers did not accept it.
         run: Whether it has run, as far as is known.
         new_stream: Returns a response that is sent while it is received.
         response: The response, once begun.
@@ -127,7 +125,6 @@
         self.abandon: asyncio.Future | None = None
         self.relayed_by = ""
         self.relayed_to = ""
-        self.relay_refusals: set[str] = set()
         self.run = exception.Run.NOT_RUN
         self.new_stream: Callable = web.StreamResponse
         self.response: web.StreamResponse | None = None
@@ -142,6 +139,12 @@
         self.reason = ""
 
 
+def count_body(ex: Exchange, size: int) -> None:
+    """Counts bytes of the body, which take memory until the request ends."""
+    ex.body_bytes += size
+    ex.state.body_bytes += size
+
+
 def content_digest(ex: Exchange) -> bytes:
     """Returns the identity that repeats of the request share.
 
@@ -159,17 +162,6 @@
     return ex.digest
 
 
-async def begin_stream(
-    ex: Exchange, status: int, reason: str | None, headers
-) -> None:
-    """Begins a response that is sent while it is received."""
-    response = ex.new_stream(status=status, reason=reason, headers=headers)
-    if closes_connection(ex, asyncio.get_running_loop().time()):
-        response.force_close()
-    ex.response = response
-    await response.prepare(ex.http)
-
-
 def closes_connection(ex: Exchange, now: float) -> bool:
     """Returns whether the caller's connection ends with the response.
 
@@ -180,15 +172,6 @@
     return ex.state.draining or is_shedding
 
 
-def record_event(ex: Exchange, now: float) -> None:
-    """Records the time of an event that goes to the caller."""
-    if ex.first_at is None:
-        ex.first_at = now
-    else:
-        ex.longest_gap_s = max(ex.longest_gap_s, now - ex.last_at)
-    ex.last_at = now
-
-
 def may_lead(ex: Exchange) -> tuple[str, ...] | None:
     """Returns the targets that may be the lead engine; None allows all.
 
--- a/copperloom/ingress/peer_relay.py
+++ b/copperloom/ingress/peer_relay.py
@@ -6,25 +6,26 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
-
-from aiohttp import web
+from collections.abc import Awaitable, Container
 
 from copperloom import exception, logs
-from copperloom.decisions import peer_relay
-from copperloom.ingress import events, exchange, reachability_checks, retry
-from copperloom.ingress.state import (
-    IngressState,
-    Member,
-    is_large_fleet,
-    live_members,
+from copperloom.decisions import members, peer_relay
+from copperloom.ingress import (
+    events,
+    exchange,
+    reachability_checks,
+    responses,
+    retry,
 )
+from copperloom.ingress.state import IngressState, Member, is_large_fleet
 from copperloom.peers import peers_pb2, relay_messages, relay_stream
 
 __all__ = ["PROGRESS_S", "relay", "unreachable_error"]
 
-# Covers a new connection and a round trip to another data centre.
+# Covers a new connection and a round trip to another data centre; longer if no
+# other peer is left.
 OFFER_TIMEOUT_S = 0.35
+LAST_OFFER_TIMEOUT_S = 1.0
 # Interval at which the peer says that it still works on a request.
 PROGRESS_S = 0.4
 # A peer that was silent for this time is replaced if the request may run again;
@@ -33,19 +34,21 @@
 LONG_SILENCE_S = 4.0
 # Peers that are offered one request at most.
 MAX_OFFERS = 6
-# A peer that did not accept a request is offered no others for this time, and
-# for the longer one if it is silent or partitioned as well.
+# For this time a peer that did not accept a request is asked only if there is
+# no other one; for the longer time if it is silent or partitioned as well.
 REFUSED_S = 0.1
 SILENT_S = 1.0
 # Requests are refused at once for this time if all peers are partitioned.
 PAUSE_S = 0.3
 _BODY_CHUNK_BYTES = 64 * 1024
 _MS = 1000.0
-_EVENT_STREAM = "text/event-stream"
 _UNREACHABLE_RETRY_S = (0.8, 1.6)
 _OVERLOADED_RETRY_S = (0.2, 0.5)
-# Errors after which another peer may serve a request that has not run.
-_ELSEWHERE = (exception.TargetsUnreachableError, exception.DrainingError)
+# Results of an offer beside the peers' refusals.
+_ANSWERED = "answered"
+_BROKEN = "broken"
+_STOPPING = "stopping"
+_UNAVAILABLE = "unavailable"
 
 
 async def relay(ex: exchange.Exchange) -> None:
@@ -59,29 +62,51 @@
     state = ex.state
     if ex.relayed_by or _now() < state.relays_paused_until:
         raise unreachable_error(ex)
-    tried: set[str] = set()
-    while len(tried) < MAX_OFFERS:
-        member = _choose(ex, tried, _now())
-        if member is None:
+    results: dict[str, str] = {}
+    while len(results) < MAX_OFFERS:
+        candidates = _candidates(ex, results, _now())
+        chosen = peer_relay.choose(candidates, state.rng)
+        if chosen is None:
             break
-        tried.add(member.instance)
-        try:
-            if await _relay_by(ex, member):
-                return
-        except _ELSEWHERE as error:
-            _log(ex, member, type(error).__name__)
-            if ex.run is not exception.Run.NOT_RUN:
-                raise
-        except exception.StreamBrokenError as error:
-            _log(ex, member, "broken", error=str(error))
-            if not ex.route.repeatable or not retry.take_retry(ex):
-                raise
-    if ex.relay_refusals == {peer_relay.Refusal.PARTITIONED}:
+        member = state.members[chosen.name]
+        timeout_s = OFFER_TIMEOUT_S
+        if len(candidates) == 1:
+            timeout_s = LAST_OFFER_TIMEOUT_S
+        result = await _try(ex, member, timeout_s)
+        if result == _ANSWERED:
+            return
+        results[member.instance] = result
+    if set(results.values()) == {peer_relay.Refusal.PARTITIONED}:
         # Later requests would only repeat the same offers.
         state.relays_paused_until = _now() + PAUSE_S
     raise unreachable_error(ex)
 
 
+async def _try(ex: exchange.Exchange, member: Member, timeout_s: float) -> str:
+    """Relays a request through a peer, which has to accept it in time.
+
+    Returns:
+        `_ANSWERED`, or why another peer may be asked.
+    """
+    try:
+        result = await _relay_by(ex, member, timeout_s)
+    except exception.TargetsUnreachableError:
+        if ex.run is not exception.Run.NOT_RUN:
+            raise
+        result = peer_relay.Refusal.PARTITIONED
+    except exception.DrainingError:
+        if ex.run is not exception.Run.NOT_RUN:
+            raise
+        result = _STOPPING
+    except exception.StreamBrokenError as error:
+        _log(ex, member, _BROKEN, error=str(error))
+        if not ex.route.repeatable or not retry.take_repeat_by_peer(ex):
+            raise
+        return _BROKEN
+    _log(ex, member, result)
+    return result
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
@@ -100,28 +125,30 @@
     )
 
 
-def _choose(ex: exchange.Exchange, tried: set[str], now: float):
+def _candidates(
+    ex: exchange.Exchange, tried: Container[str], now: float
+) -> list[peer_relay.Candidate]:
     state = ex.state
-    live = {m.instance for m in live_members(state, now)}
-    # In a large fleet an instance hears only from owners, who have other work.
-    is_large = is_large_fleet(state)
     own = state.settings.data_centre
-    candidates = [
+    return [
         peer_relay.Candidate(
             name=m.instance,
             is_local=m.data_centre == own,
-            is_live=is_large or m.instance in live,
+            is_preferred=_is_preferred(ex, m, now),
             load=_load(state, m),
         )
         for m in state.members.values()
-        if m.calls
-        and m.instance not in tried
-        and not (m.draining or m.reaches_none)
-        and m.routes_version >= ex.table_version * (m.instance in live)
-        and now >= m.relay_refused_until
+        if m.calls and m.instance not in tried and not m.reaches_none
     ]
-    chosen = peer_relay.choose(candidates, state.rng)
-    return state.members[chosen.name] if chosen is not None else None
+
+
+def _is_preferred(ex: exchange.Exchange, member: Member, now: float) -> bool:
+    if member.draining or now < member.relay_refused_until:
+        return False
+    if members.is_live(member, now):
+        return member.routes_version >= ex.table_version
+    # In a large fleet an instance hears only from owners, who have other work.
+    return is_large_fleet(ex.state)
 
 
 def _load(state: IngressState, member: Member) -> float:
@@ -131,29 +158,52 @@
     return (works + member.relayed) / max(member.cores, 0.1)
 
 
-async def _relay_by(ex: exchange.Exchange, member: Member) -> bool:
-    """Relays a request through a peer; returns False if it did not accept."""
+async def _relay_by(
+    ex: exchange.Exchange, member: Member, timeout_s: float
+) -> str:
+    """Relays a request through a peer; returns the result."""
     member.relayed += 1
     try:
         async with relay_stream.open_stream(member.calls) as stream:
-            if not await _offer(ex, member, stream):
-                return False
+            refusal = await _offer(ex, member, stream, timeout_s)
+            if refusal:
+                return refusal
             run_before = ex.run
             ex.sends += 1
             ex.relayed_to = member.instance
             ex.run = exception.Run.MAY_HAVE_RUN
             await _call(_send_body(stream, ex.body))
             await _receive(ex, stream, run_before)
-            return True
+            return _ANSWERED
     finally:
         member.relayed -= 1
 
 
-async def _offer(ex: exchange.Exchange, member: Member, stream) -> bool:
-    """Offers a request; returns whether the peer accepts it."""
+async def _offer(
+    ex: exchange.Exchange, member: Member, stream, timeout_s: float
+) -> str:
+    """Offers a request; returns why the peer refuses it, "" if it accepts."""
     now = _now()
-    offer = peers_pb2.RelayOffer(
+    try:
+        async with asyncio.timeout(timeout_s):
+            await stream.send_message(
+                peers_pb2.RelayRequest(offer=_make_offer(ex, now))
+            )
+            reply = await stream.recv_message()
+    except (*relay_stream.ERRORS, TimeoutError):
+        reply = None
+    refusal = _UNAVAILABLE if reply is None else reply.verdict.refusal
+    if refusal:
+        is_long = refusal in (_UNAVAILABLE, peer_relay.Refusal.PARTITIONED)
+        pause_s = SILENT_S if is_long else REFUSED_S
+        member.relay_refused_until = now + pause_s
+    return refusal
+
+
+def _make_offer(ex: exchange.Exchange, now: float) -> peers_pb2.RelayOffer:
+    return peers_pb2.RelayOffer(
         instance=ex.state.settings.instance,
+        request=ex.id,
         method=ex.http.method,
         raw_path=relay_messages.encode_text(ex.http.raw_path),
         headers=relay_messages.encode_headers(ex.http.headers),
@@ -163,21 +213,6 @@
         last_event_id=ex.last_event,
         sent_to=sorted(ex.sent_to),
     )
-    try:
-        async with asyncio.timeout(OFFER_TIMEOUT_S):
-            await stream.send_message(peers_pb2.RelayRequest(offer=offer))
-            reply = await stream.recv_message()
-    except (*relay_stream.ERRORS, TimeoutError) as error:
-        member.relay_refused_until = now + SILENT_S
-        _log(ex, member, "unavailable", error=repr(error))
-        return False
-    refusal = reply.verdict.refusal if reply is not None else "ended"
-    if refusal:
-        is_lost = refusal == peer_relay.Refusal.PARTITIONED
-        member.relay_refused_until = now + (SILENT_S if is_lost else REFUSED_S)
-        ex.relay_refusals.add(refusal)
-    _log(ex, member, refusal or "accepted")
-    return not refusal
 
 
 def _log(ex: exchange.Exchange, member: Member, result: str, **facts) -> None:
@@ -225,17 +260,30 @@
         reply = await _next_reply(ex, stream)
         part = reply.WhichOneof("part")
         if part == "head":
-            head = reply.head
-            _check_head(ex, head)
-        elif part == "data" and _is_stream(head):
-            await _forward_events(ex, head, splitter, reply.data)
+            head = relay_messages.read_head(reply.head)
+        elif part == "data" and responses.is_stream(head):
+            await _send_events(ex, head, splitter, reply.data)
         elif part == "data":
             chunks.append(reply.data)
         elif part == "end":
             break
     if reply.end.code:
         raise _read_error(ex, reply.end, run_before)
-    await _finish(ex, head, b"".join(chunks))
+    if responses.is_stream(head):
+        await responses.end_stream(ex, head, _now())
+    else:
+        responses.set_plain(ex, head, b"".join(chunks), _now())
+
+
+async def _send_events(
+    ex: exchange.Exchange,
+    head: responses.Head,
+    splitter: events.Splitter,
+    data: bytes,
+) -> None:
+    complete = events.feed(splitter, data)
+    if complete is not None:
+        await responses.send_events(ex, head, complete, _now())
 
 
 async def _next_reply(ex: exchange.Exchange, stream):
@@ -253,57 +301,6 @@
     return reply
 
 
-def _is_stream(head) -> bool:
-    if head is None or head.status >= 300:
-        return False
-    content_type = relay_messages.decode_headers(head.headers)
-    return content_type.get("Content-Type", "").startswith(_EVENT_STREAM)
-
-
-def _check_head(ex: exchange.Exchange, head) -> None:
-    """Checks that an answer may continue what the caller has received."""
-    if ex.response is not None and not _is_stream(head):
-        raise exception.StreamBrokenError(
-            "target sent a plain answer instead of resuming the stream"
-        )
-
-
-async def _forward_events(ex, head, splitter, data: bytes) -> None:
-    complete = events.feed(splitter, data)
-    if complete is None:
-        return
-    exchange.record_event(ex, _now())
-    await _begin_response(ex, head)
-    await ex.response.write(complete.data)
-    if complete.last_id:
-        ex.last_event = complete.last_id
-
-
-async def _begin_response(ex: exchange.Exchange, head) -> None:
-    if ex.response is not None:
-        return
-    await exchange.begin_stream(
-        ex,
-        head.status,
-        relay_messages.decode_text(head.reason),
-        relay_messages.decode_headers(head.headers),
-    )
-
-
-async def _finish(ex: exchange.Exchange, head, body: bytes) -> None:
-    if _is_stream(head):
-        await _begin_response(ex, head)
-        await ex.response.write_eof()
-        return
-    ex.first_at = _now()
-    ex.response = web.Response(
-        status=head.status,
-        reason=relay_messages.decode_text(head.reason),
-        body=body,
-        headers=relay_messages.decode_headers(head.headers),
-    )
-
-
 def _read_error(
     ex: exchange.Exchange, end, run_before: exception.Run
 ) -> exception.CopperloomError:
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -2,17 +2,27 @@
 
 import asyncio
 
-from aiohttp import web
-
 from copperloom import exception, logs
-from copperloom.decisions import decode_rate, health, inflight_table, timeouts
-from copperloom.ingress import events, exchange, quarantines, retry, sender
+from copperloom.decisions import (
+    decode_rate,
+    health,
+    inflight_table,
+    reachability,
+    timeouts,
+)
+from copperloom.ingress import (
+    events,
+    exchange,
+    quarantines,
+    responses,
+    retry,
+    sender,
+)
 from copperloom.platform import headers
 
 __all__ = ["first_event_timeout_s", "relay"]
 
 _HOLD_BYTES = 1024 * 1024
-_EVENT_STREAM = "text/event-stream"
 # A silent stream is resumed at another target after this share of the time that
 # callers wait before they abandon it. That is longer than any iteration of a
 # working engine, since a needless resumption repeats a prefill, and leaves time
@@ -34,34 +44,31 @@
         copperloom.exception.StreamBrokenError: The reply broke off, stalled,
             or can't continue the stream that the caller has begun to receive.
     """
-    content_type = reply.headers.get("Content-Type", "")
-    if reply.status < 300 and content_type.startswith(_EVENT_STREAM):
-        await _relay_stream(ex, reply)
+    head = responses.Head(
+        reply.status,
+        reply.response.reason,
+        headers.for_caller(reply.headers.items()),
+    )
+    if responses.is_stream(head):
+        await _relay_stream(ex, reply, head)
     else:
-        await _relay_plain(ex, reply)
+        await _relay_plain(ex, reply, head)
 
 
-async def _relay_plain(ex: exchange.Exchange, reply: sender.Reply) -> None:
+async def _relay_plain(
+    ex: exchange.Exchange, reply: sender.Reply, head: responses.Head
+) -> None:
     chunks = []
     async for chunk in reply.response.content.iter_any():
         chunks.append(chunk)
     reply.check_complete()
-    if ex.response is not None:
-        # The caller has the start of a stream, which must not be mixed with a
-        # plain answer.
-        raise exception.StreamBrokenError(
-            "target sent a plain answer instead of resuming the stream"
-        )
-    ex.first_at = asyncio.get_running_loop().time()
-    ex.response = web.Response(
-        status=reply.status,
-        reason=reply.response.reason,
-        body=b"".join(chunks),
-        headers=headers.for_caller(reply.headers.items()),
-    )
+    now = asyncio.get_running_loop().time()
+    responses.set_plain(ex, head, b"".join(chunks), now)
 
 
-async def _relay_stream(ex: exchange.Exchange, reply: sender.Reply) -> None:
+async def _relay_stream(
+    ex: exchange.Exchange, reply: sender.Reply, head: responses.Head
+) -> None:
     """Relays events as they arrive, and only complete ones."""
     loop = asyncio.get_running_loop()
     splitter = events.Splitter()
@@ -83,19 +90,16 @@
         else:
             decode_rate.record_gap(gaps, now - ex.last_at)
             _record_decode_rate(ex, gaps, now)
-        exchange.record_event(ex, now)
-        ex.state.reachability.answered_at = now
+        reachability.record_progress(ex.state.reachability, now)
         quarantines.record_written(ex, now)
-        await _forward_events(ex, reply, complete)
+        await responses.send_events(ex, head, complete, now)
     reply.check_complete()
     if splitter.rest:
         raise exception.StreamBrokenError(
             "target ended its stream in the middle of an event",
             connection_lost=True,
         )
-    if ex.response is None:
-        await _begin_response(ex, reply)
-    await ex.response.write_eof()
+    await responses.end_stream(ex, head, loop.time())
 
 
 def _record_decode_rate(
@@ -156,20 +160,3 @@
                 is_silent=True,
             ) from error
     return await content.readany()
-
-
-async def _forward_events(ex, reply, complete: events.Events) -> None:
-    if ex.response is None:
-        await _begin_response(ex, reply)
-    await ex.response.write(complete.data)
-    if complete.last_id:
-        ex.last_event = complete.last_id
-
-
-async def _begin_response(ex: exchange.Exchange, reply: sender.Reply) -> None:
-    await exchange.begin_stream(
-        ex,
-        reply.status,
-        reply.response.reason,
-        headers.for_caller(reply.headers.items()),
-    )
--- a/copperloom/ingress/relayed_requests.py
+++ b/copperloom/ingress/relayed_requests.py
@@ -20,7 +20,6 @@
     relay_messages,
     relay_stream,
 )
-from copperloom.platform.headers import read_head
 
 __all__ = ["make_service"]
 
@@ -102,7 +101,7 @@
     async def prepare(self, http: RelayedHttp) -> None:
         """Sends the head."""
         self.prepared = True
-        await _send_head(self.peer, self)
+        await self.peer.send(head=relay_messages.encode_head(self))
 
     async def write(self, data: bytes) -> None:
         """Sends complete events."""
@@ -144,7 +143,6 @@
 ) -> relay_decisions.Refusal | None:
     return relay_decisions.check_offer(
         relay_decisions.Facts(
-            draining=state.draining,
             is_current=state.table.version >= offer.routes_version,
             reaches_targets=not state.reachability.is_lost,
             is_shedding=load_shedding.is_shedding(state.shed_at, now),
@@ -156,10 +154,9 @@
 
 def _log_offer(state: IngressState, offer, refusal) -> None:
     state.metrics.relayed.labels("received", refusal or "accepted").inc()
-    headers = relay_messages.decode_headers(offer.headers)
     logs.event(
         "request_offered",
-        request=read_head(headers).id,
+        request=offer.request,
         peer=offer.instance,
         result=refusal or "accepted",
         relayed=state.relayed,
@@ -204,7 +201,9 @@
     now = asyncio.get_running_loop().time()
     ex = exchange.Exchange(state, http, now - offer.waited_ms / _MS)
     ex.deadline = now + offer.time_left_ms / _MS
+    ex.id = offer.request
     ex.body = body
+    exchange.count_body(ex, len(body))
     ex.last_event = offer.last_event_id
     ex.sent_to = set(offer.sent_to)
     ex.relayed_by = offer.instance
@@ -219,18 +218,9 @@
             await peer.send(progress=peers_pb2.RelayProgress())
 
 
-async def _send_head(peer: PeerStream, response) -> None:
-    head = peers_pb2.RelayHead(
-        status=response.status,
-        reason=relay_messages.encode_text(response.reason or ""),
-        headers=relay_messages.encode_headers(response.headers),
-    )
-    await peer.send(head=head)
-
-
 async def _send_end(ex: exchange.Exchange, peer: PeerStream) -> None:
     """Sends a plain answer, unless there is an error, and the end."""
     if ex.error is None and not isinstance(ex.response, PeerResponse):
-        await _send_head(peer, ex.response)
+        await peer.send(head=relay_messages.encode_head(ex.response))
         await peer.send_data(ex.response.body)
     await peer.send(end=relay_messages.encode_end(ex.error, ex.run))
--- a/copperloom/peers/relay_messages.py
+++ b/copperloom/peers/relay_messages.py
@@ -5,15 +5,18 @@
 import multidict
 
 from copperloom import exception
+from copperloom.ingress import responses
 from copperloom.peers import peers_pb2
 
 __all__ = [
     "decode_headers",
     "decode_text",
     "encode_end",
+    "encode_head",
     "encode_headers",
     "encode_text",
     "read_error",
+    "read_head",
 ]
 
 _MS = 1000.0
@@ -56,6 +59,24 @@
     return end
 
 
+def encode_head(head: responses.Head) -> peers_pb2.RelayHead:
+    """Encodes the head of an answer."""
+    return peers_pb2.RelayHead(
+        status=head.status,
+        reason=encode_text(head.reason or ""),
+        headers=encode_headers(head.headers),
+    )
+
+
+def read_head(encoded: peers_pb2.RelayHead) -> responses.Head:
+    """Returns the head of an answer."""
+    return responses.Head(
+        encoded.status,
+        decode_text(encoded.reason),
+        decode_headers(encoded.headers),
+    )
+
+
 def read_error(end: peers_pb2.RelayEnd) -> exception.CopperloomError:
     """Returns the error that ended an answer, as the peer raised it."""
     retry_after_s = None
