Relay: a slow event loop is not taken for silent peers

Cause: an offer that a peer accepted in time was given up if this instance's own event loop was slow to read the verdict. Each request was then offered to six peers in turn, which made the loop slower still. Change: the timeout of offers is counted in intervals, as that of checks is, by the same function (utils/waits.py).

--- a/copperloom/ingress/peer_relay.py
+++ b/copperloom/ingress/peer_relay.py
@@ -19,6 +19,7 @@
 )
 from copperloom.ingress.state import IngressState, Member, is_large_fleet
 from copperloom.peers import peers_pb2, relay_messages, relay_stream
+from copperloom.utils import waits
 
 __all__ = ["PROGRESS_S", "relay", "unreachable_error"]
 
@@ -184,15 +185,11 @@
 ) -> str:
     """Offers a request; returns why the peer refuses it, "" if it accepts."""
     now = _now()
-    try:
-        async with asyncio.timeout(timeout_s):
-            await stream.send_message(
-                peers_pb2.RelayRequest(offer=_make_offer(ex, now))
-            )
-            reply = await stream.recv_message()
-    except (*relay_stream.ERRORS, TimeoutError):
-        reply = None
-    refusal = _UNAVAILABLE if reply is None else reply.verdict.refusal
+    offer = _make_offer(ex, now)
+    task = asyncio.ensure_future(_receive_verdict(stream, offer))
+    refusal = _UNAVAILABLE
+    if await waits.wait(task, timeout_s):
+        refusal = task.result()
     if refusal:
         is_long = refusal in (_UNAVAILABLE, peer_relay.Refusal.PARTITIONED)
         pause_s = SILENT_S if is_long else REFUSED_S
@@ -200,6 +197,15 @@
     return refusal
 
 
+async def _receive_verdict(stream, offer: peers_pb2.RelayOffer) -> str:
+    try:
+        await stream.send_message(peers_pb2.RelayRequest(offer=offer))
+        reply = await stream.recv_message()
+    except relay_stream.ERRORS:
+        return _UNAVAILABLE
+    return _UNAVAILABLE if reply is None else reply.verdict.refusal
+
+
 def _make_offer(ex: exchange.Exchange, now: float) -> peers_pb2.RelayOffer:
     return peers_pb2.RelayOffer(
         instance=ex.state.settings.instance,
--- a/copperloom/ingress/reachability_checks.py
+++ b/copperloom/ingress/reachability_checks.py
@@ -19,6 +19,7 @@
     live_members,
 )
 from copperloom.platform import headers
+from copperloom.utils import waits
 
 __all__ = [
     "begin",
@@ -33,11 +34,8 @@
     "settle",
 ]
 
-# A check is a request that targets answer without delay. Its time is counted in
-# intervals, which take longer if this instance is slow itself: its own delays
-# must not look like the silence of all targets.
-CHECK_INTERVAL_S = 0.05
-CHECK_INTERVALS = 7
+# A check is a request that targets answer without delay.
+CHECK_TIMEOUT_S = 0.35
 _MAX_CONNECT_S = 3.0
 # The first target of a round has this time before others are checked as well.
 HEAD_START_S = 0.1
@@ -239,13 +237,7 @@
 async def _check(state: IngressState, target: routing.TargetEntry) -> bool:
     """Returns whether a target answers; anything that it answers will do."""
     task = asyncio.ensure_future(_ask(state, target))
-    try:
-        for _ in range(CHECK_INTERVALS):
-            if not task.done():
-                await asyncio.wait({task}, timeout=CHECK_INTERVAL_S)
-    finally:
-        task.cancel()
-    if task.done():
+    if await waits.wait(task, CHECK_TIMEOUT_S):
         answered = task.result()
     else:
         answered = False
