Tests: systems that share an event loop run without its debug mode

Instances, targets and callers share one loop there, and debug mode takes half of its time. Change: start_system switches debug mode off, in place of the two tests before.

--- a/copperloom/ingress/tests/fixtures.py
+++ b/copperloom/ingress/tests/fixtures.py
@@ -233,6 +233,9 @@
     fronts: int = 1,
 ) -> System:
     """Starts a system; returns it once its instances are ready."""
+    # The stack traces that debug mode records of all callbacks take as much
+    # processor time as the instances, which share one event loop here.
+    asyncio.get_running_loop().set_debug(False)
     store = await store_standin.serve()
     case.addAsyncCleanup(store.close)
     session = aiohttp.ClientSession(auto_decompress=False)
--- a/copperloom/ingress/tests/fleets.py
+++ b/copperloom/ingress/tests/fleets.py
@@ -37,9 +37,6 @@
 
 async def start_fleet(case, data_centres=("a",), **changes) -> fixtures.System:
     """Starts a large fleet; returns it once all instances know the owners."""
-    # The stack traces that debug mode records of all callbacks take as much
-    # processor time as the instances, which share one event loop here.
-    asyncio.get_running_loop().set_debug(False)
     small_shards = mock.patch.object(shards, "MIN_SHARD_TARGETS", 1)
     small_shards.start()
     case.addCleanup(small_shards.stop)
--- a/copperloom/ingress/tests/test_failures.py
+++ b/copperloom/ingress/tests/test_failures.py
@@ -214,8 +214,6 @@
 class BudgetTest(unittest.IsolatedAsyncioTestCase):
     async def test_repeats_stop_when_the_budget_is_spent(self):
         """Retries must not double the load on targets that are all full."""
-        # Debug mode takes as much processor time as the instance.
-        asyncio.get_running_loop().set_debug(False)
         system = await fixtures.start_system(self, engines=1)
         for target in system.targets.values():
             target.always = Fault.REFUSE
