--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -3,13 +3,13 @@
 import asyncio
 import collections
 import dataclasses
-import enum
 from collections.abc import Callable
 
 import msgspec
 from aiohttp import web
 
-from copperloom.platform.standins import crashes, wire
+from copperloom.platform.standins import crashes, raw_answers, wire
+from copperloom.platform.standins.target_faults import Fault
 
 __all__ = [
     "Fault",
@@ -18,32 +18,7 @@
     "serve",
 ]
 
-_PARTIAL_EVENT_BYTES = 16
 _SHUTDOWN_S = 0.1
-# Time until the bytes of an answer have left.
-_FLUSH_S = 0.05
-
-
-class Fault(enum.Enum):
-    """The faults that a target can inject into the answer to a request."""
-
-    REFUSE = "refuse"
-    MISDIRECTED = "misdirected"
-    FAIL = "fail"
-    UNSEALED = "unsealed"
-    OTHERS_ANSWER = "others_answer"
-    OTHERS_REFUSAL = "others_refusal"
-    ENCODED = "encoded"
-    TRUNCATE = "truncate"
-    RESET_UNFRAMED = "reset_unframed"
-    UNFRAMED = "unframed"
-    UNFRAMED_HALF = "unframed_half"
-    NO_CONTENT = "no_content"
-    NOT_HTTP = "not_http"
-    MUTE = "mute"
-    RESET = "reset"
-    BREAK = "break"
-    HALF_EVENT = "half_event"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -292,52 +267,28 @@
     if fault is Fault.NO_CONTENT:
         return web.Response(status=204, headers=headers)
     body = f"{target.name} did {request_id}".encode()
-    if fault in _RAW_FAULTS:
-        await _write_raw(request, headers, body, fault)
+    if fault in raw_answers.PLAIN_FAULTS:
+        await raw_answers.write_plain(request, headers, body, fault)
     return web.Response(headers=headers, body=body)
 
 
-_RAW_FAULTS = (
-    Fault.TRUNCATE,
-    Fault.RESET_UNFRAMED,
-    Fault.UNFRAMED,
-    Fault.NOT_HTTP,
-)
-
-
-async def _write_raw(request, headers, body: bytes, fault: Fault) -> None:
-    """Writes a response bypassing aiohttp and closes the connection."""
-    lines = [f"{k}: {v}" for k, v in headers.items()]
-    if fault is Fault.TRUNCATE:
-        lines.append(f"Content-Length: {len(body) + 10}")
-    head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
-    transport = request.transport
-    if fault is Fault.NOT_HTTP:
-        transport.write(b"\x00\x01garbage\r\n\r\n")
-    else:
-        transport.write(head + body)
-    await asyncio.sleep(_FLUSH_S)
-    if fault is Fault.RESET_UNFRAMED:
-        crashes.reset(request.transport)
-    else:
-        transport.close()
-
-
 async def _send_stream(target, request, headers, fault) -> web.StreamResponse:
     if fault is Fault.FAIL:
         return web.Response(status=500, headers=headers, body=b"failed")
     response = web.StreamResponse(headers=headers)
     response.content_type = "text/event-stream"
     first = int(request.headers.get("Last-Event-Id") or 0) + 1
-    if fault in _UNFRAMED_STREAMS:
-        return await _send_unframed(target, request, response, first, fault)
+    if fault in raw_answers.STREAM_FAULTS:
+        return await raw_answers.write_stream(
+            target, request, response, first, fault
+        )
     await response.prepare(request)
     for number in range(first, target.events + 1):
         await asyncio.sleep(target.pause_s)
         event = f"id: {number}\ndata: piece {number}\n\n".encode()
         if number - first == target.break_after:
             if fault is Fault.HALF_EVENT:
-                await response.write(event[:_PARTIAL_EVENT_BYTES])
+                await response.write(raw_answers.part_of(event))
             if fault in (Fault.BREAK, Fault.HALF_EVENT):
                 crashes.reset(request.transport)
                 return response
@@ -346,31 +297,6 @@
     return response
 
 
-# Faults of streams that have neither a length nor chunks.
-_UNFRAMED_STREAMS = (Fault.UNFRAMED, Fault.UNFRAMED_HALF, Fault.RESET_UNFRAMED)
-
-
-async def _send_unframed(target, request, response, first, fault):
-    """Sends a stream that ends with its connection, or breaks off."""
-    lines = [f"{k}: {v}" for k, v in response.headers.items()]
-    transport = request.transport
-    transport.write("\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode())
-    for number in range(first, target.events + 1):
-        await asyncio.sleep(target.pause_s)
-        event = f"id: {number}\ndata: piece {number}\n\n".encode()
-        is_broken = fault is not Fault.UNFRAMED
-        if is_broken and number - first == target.break_after:
-            transport.write(event[:_PARTIAL_EVENT_BYTES])
-            break
-        transport.write(event)
-    await asyncio.sleep(_FLUSH_S)
-    if fault is Fault.RESET_UNFRAMED:
-        crashes.reset(transport)
-    else:
-        transport.close()
-    return response
-
-
 def _handle_order(target: TargetStandin, order: dict) -> web.Response:
     name = order.get("id", "")
     headers = _own_headers(target)
