--- a/copperloom/ingress/tests/test_fleet_start.py
+++ b/copperloom/ingress/tests/test_fleet_start.py
@@ -118,3 +118,7 @@
         await _wait_for_tables(system)
         pages = system.store.pages[catalog.TARGETS_TABLE]
         self.assertLess(pages, 0.75 * _PAGES * (fleets.SIZE - fleets.OWNERS))
+
+    async def test_all_members_are_known_after_a_fast_start(self):
+        """Guards against an instance that keeps a partial list of members."""
+        await fleets.start_fleet(self, debug=False)
