Members: a list that proves partial is completed within seconds

Cause: after reading the rows of members an instance chose once how long to wait for the next check: 3 s in a large fleet, 120 s in a small one. One that read the rows before the others had written theirs, and heard only then that the fleet is large, waited 120 s with 3 to 10 of 19 members. It sent its work and its queries to these only. Change: the wait is judged again every 3 s. start_fleet leaves debug mode off, so fleets start fast in all tests; had slowed their start instead.

--- a/copperloom/ingress/registration.py
+++ b/copperloom/ingress/registration.py
@@ -61,7 +61,7 @@
                 is_registered = True
             failures = 0
             empty_rounds = empty_rounds + 1 if _is_alone(state) else 0
-            await asyncio.sleep(_check_delay_s(state, empty_rounds))
+            await _await_check(state, empty_rounds)
         except exception.CopperloomError as error:
             failures += 1
             logs.event("members_unread", code=error.code, failures=failures)
@@ -91,16 +91,32 @@
     return not is_large_fleet(state) or recipients.owns_local_shards(state, now)
 
 
+async def _await_check(state: IngressState, empty_rounds: int) -> None:
+    """Waits for the next check, which comes sooner if the fleet proves large.
+
+    An instance may know few members, and of no large fleet, when it begins to
+    wait.
+    """
+    loop = asyncio.get_running_loop()
+    begun_at = loop.time()
+    spread = state.rng.uniform(0.8, 1.2)
+    while True:
+        end = begun_at + spread * _check_delay_s(state, empty_rounds)
+        left_s = end - loop.time()
+        if left_s <= 0.0:
+            return
+        await asyncio.sleep(min(left_s, _OWNERSHIP_CHECK_S))
+
+
 def _check_delay_s(state: IngressState, empty_rounds: int) -> float:
-    """Returns the seconds until the next check; fewer without live members.
+    """Returns the seconds between two checks; fewer without live members.
 
     Of several instances that start at the same moment, each may have read the
     rows before the others wrote theirs.
     """
-    delay_s = _OWNERSHIP_CHECK_S if is_large_fleet(state) else _REFRESH_S
-    if empty_rounds:
-        delay_s = min(_REFRESH_S, _EMPTY_RETRY_S * 2.0 ** min(empty_rounds, 10))
-    return delay_s * state.rng.uniform(0.8, 1.2)
+    if empty_rounds and _is_alone(state):
+        return min(_REFRESH_S, _EMPTY_RETRY_S * 2.0 ** min(empty_rounds, 10))
+    return _OWNERSHIP_CHECK_S if is_large_fleet(state) else _REFRESH_S
 
 
 async def _contact_seeds(protocol: gossip.Gossip) -> None:
--- a/copperloom/ingress/tests/fleets.py
+++ b/copperloom/ingress/tests/fleets.py
@@ -35,24 +35,12 @@
 START_LIMIT_S = 20.0
 
 
-async def start_fleet(
-    case, data_centres=("a",), *, debug: bool = True, **changes
-) -> fixtures.System:
-    """Starts a large fleet; returns it once all instances know the owners.
-
-    Args:
-        case: The test case.
-        data_centres: Data centres, which get the instances in turn.
-        debug: Whether the event loop is in debug mode until then. Instances
-            that start faster do not always learn of all others.
-        **changes: Further arguments of `start_system`.
-    """
+async def start_fleet(case, data_centres=("a",), **changes) -> fixtures.System:
+    """Starts a large fleet; returns it once all instances know the owners."""
     small_shards = mock.patch.object(shards, "MIN_SHARD_TARGETS", 1)
     small_shards.start()
     case.addCleanup(small_shards.stop)
     system = await fixtures.start_system(case, fronts=0, **changes)
-    loop = asyncio.get_running_loop()
-    loop.set_debug(debug)
     for number in range(SIZE):
         data_centre = data_centres[number % len(data_centres)]
         await system.add_front(data_centre=data_centre)
@@ -69,7 +57,6 @@
         lambda: all(_knows_live_owners(f.entry) for f in system.fronts),
         limit_s=START_LIMIT_S,
     )
-    loop.set_debug(False)
     return system
 
 
--- a/copperloom/ingress/tests/test_fleet_start.py
+++ b/copperloom/ingress/tests/test_fleet_start.py
@@ -20,6 +20,10 @@
 # Below the timeout of a call to the table service.
 _UNKNOWN_S = 0.9
 _DISCOVERY_LIMIT_S = 2.0
+# A small fleet reads no more rows after this time.
+_SETTLED_S = 3.0
+# Two intervals of the check whether more members are needed.
+_COMPLETION_LIMIT_S = 8.0
 
 
 def _put_targets(system: fixtures.System) -> None:
@@ -119,6 +123,19 @@
         pages = system.store.pages[catalog.TARGETS_TABLE]
         self.assertLess(pages, 0.75 * _PAGES * (fleets.SIZE - fleets.OWNERS))
 
-    async def test_all_members_are_known_after_a_fast_start(self):
-        """Guards against an instance that keeps a partial list of members."""
-        await fleets.start_fleet(self, debug=False)
+    async def test_partial_list_of_members_is_completed(self):
+        """Guards against an instance that waits as in a small fleet.
+
+        It learns that the fleet is large only after it has read the rows.
+        """
+        system = await fixtures.start_system(self, fronts=2)
+        state = system.fronts[0].entry
+        await fixtures.until(lambda: len(state.members) == 1)
+        await asyncio.sleep(_SETTLED_S)
+        owners = fleets.uneven_fleet(system.store.address, _SEEDS)
+        fleets.put_member_rows(system, owners[: fleets.OWNERS], fleets.SIZE)
+        state.reported_fleet_size = fleets.SIZE
+        await fixtures.until(
+            lambda: len(state.members) == fleets.OWNERS + 1,
+            limit_s=_COMPLETION_LIMIT_S,
+        )
