--- a/copperloom/ingress/tests/partitions.py
+++ b/copperloom/ingress/tests/partitions.py
@@ -1,9 +1,9 @@
 """Partitions instances from all targets, and calls them, for tests."""
 
 import asyncio
-import dataclasses
 
 from copperloom.ingress.tests import fixtures
+from copperloom.ingress.tests.kinds import Kind
 from copperloom.platform.standins import links
 
 __all__ = [
@@ -16,21 +16,10 @@
 ]
 
 _INTERVAL_S = 0.1
-
-
-@dataclasses.dataclass(frozen=True)
-class _Kind:
-    """A kind of request."""
-
-    path: str
-    method: str = "POST"
-    prompt: int = 0
-
-
-_READ = _Kind("/read/x", "GET")
-_WRITE = _Kind("/write/x")
-_STREAM = _Kind("/chat/x", prompt=4000)
-_ONCE = _Kind("/once/x", prompt=4000)
+_READ = Kind("/read/x", "GET")
+_WRITE = Kind("/write/x")
+_STREAM = Kind("/chat/x", prompt=4000)
+_ONCE = Kind("/once/x", prompt=4000)
 _KINDS = (_READ, _WRITE, _STREAM, _ONCE)
 
 
@@ -55,7 +44,7 @@
         case.assertEqual(answer.status, 200)
 
 
-async def _call(system, kind: _Kind, number: int, **request):
+async def _call(system, kind: Kind, number: int, **request):
     return await fixtures.call(
         system,
         kind.path,
--- a/copperloom/ingress/tests/test_quarantine.py
+++ b/copperloom/ingress/tests/test_quarantine.py
@@ -1,7 +1,6 @@
 """Tests that a request that crashes its targets is quarantined everywhere."""
 
 import asyncio
-import dataclasses
 import itertools
 import unittest
 from unittest import mock
@@ -10,6 +9,7 @@
 from copperloom.decisions import crash_evidence, quarantine
 from copperloom.ingress import quarantine_rows, views
 from copperloom.ingress.tests import fixtures
+from copperloom.ingress.tests.kinds import Kind
 from copperloom.platform import catalog
 from copperloom.platform.standins import crashes
 
@@ -21,21 +21,10 @@
 _MAX_RETRIES = 3
 _REPEAT_INTERVAL_S = 0.04
 _REPEAT_S = 2.0
-
-
-@dataclasses.dataclass(frozen=True)
-class _Path:
-    """A path with the method and the prompt of its requests."""
-
-    path: str
-    method: str = "POST"
-    prompt: int = 0
-
-
-_PLAIN = _Path("/write/x")
-_STREAM = _Path("/chat/x", prompt=4000)
+_PLAIN = Kind("/write/x")
+_STREAM = Kind("/chat/x", prompt=4000)
 # Longer than one engine should prefill alone.
-_SPLIT = _Path("/chat/long", prompt=200_000)
+_SPLIT = Kind("/chat/long", prompt=200_000)
 
 
 def _crashes(request) -> bool:
@@ -60,7 +49,7 @@
     return sorted(r.at for t in system.targets.values() for r in t.crashed_by)
 
 
-async def _repeat(system, path: _Path, seconds: float) -> list[fixtures.Answer]:
+async def _repeat(system, path: Kind, seconds: float) -> list[fixtures.Answer]:
     """Repeats the request at all instances in turn."""
     return await fixtures.call_often(
         system,
@@ -73,7 +62,7 @@
     )
 
 
-async def _repeat_past_window(system, path: _Path) -> list[fixtures.Answer]:
+async def _repeat_past_window(system, path: Kind) -> list[fixtures.Answer]:
     """Repeats the request until after the window; returns the last answers."""
     loop = asyncio.get_running_loop()
     repeats = asyncio.ensure_future(_repeat(system, path, _STABILITY_WINDOW_S))
