Members: an instance that was alone reads the rows again soon

Cause: since the short wait of an instance that found no member held only while it was alone. Of several that start together each may read the rows before the others wrote theirs; one message of one peer then made it wait 120 s. Change: the short wait holds for the next check whoever has sent something meanwhile; a large fleet's interval bounds it, unless the instance is still alone.

--- a/copperloom/ingress/registration.py
+++ b/copperloom/ingress/registration.py
@@ -114,9 +114,11 @@
     Of several instances that start at the same moment, each may have read the
     rows before the others wrote theirs.
     """
-    if empty_rounds and _is_alone(state):
-        return min(_REFRESH_S, _EMPTY_RETRY_S * 2.0 ** min(empty_rounds, 10))
-    return _OWNERSHIP_CHECK_S if is_large_fleet(state) else _REFRESH_S
+    delay_s = _OWNERSHIP_CHECK_S if is_large_fleet(state) else _REFRESH_S
+    if not empty_rounds:
+        return delay_s
+    retry_s = min(_REFRESH_S, _EMPTY_RETRY_S * 2.0 ** min(empty_rounds, 10))
+    return retry_s if _is_alone(state) else min(delay_s, retry_s)
 
 
 async def _contact_seeds(protocol: gossip.Gossip) -> None:
