Platform: decode cold starts, evacuations and allowed regions

Cause: the fields cold_start_s, cold_per_s, cold_remaining_ms, allowed_regions, the bounds of cold targets and evacuations, the header with a target's remaining cold time and the rows of evacuations were not decoded, so no decision could use them. A registration that lacked fields, which only another writer makes, named a target. Change: they are decoded into the types of `routing`, the settings, the facts of an answer and `catalog.EvacuationRow`; nothing uses them yet. A registration must have all fields of the protocol except `born`. The rows of test_fleet_start had lacked three of them and now have all. Measured: tests of platform, test_catalog and test_fleet_start pass.

--- a/copperloom/ingress/tests/test_fleet_start.py
+++ b/copperloom/ingress/tests/test_fleet_start.py
@@ -32,8 +32,11 @@
             "service": "engines",
             "address": f"127.0.0.1:{1024 + number}",
             "zone": fleets.DATA_CENTRES[number % len(fleets.DATA_CENTRES)],
+            "version": "v1",
             "slots": 8,
             "state": "ready",
+            "cold_remaining_ms": 0,
+            "seq": 0,
         }
         system.store.put(catalog.TARGETS_TABLE, f"t{number}", row)
 
--- a/copperloom/platform/catalog.py
+++ b/copperloom/platform/catalog.py
@@ -1,7 +1,8 @@
 """The tables that the platform's table service keeps for this system.
 
 Targets register in one table, operators write the routing document to one row
-of another, and the instances of this system find each other in a third one.
+of another, beside rows for the data centres that are to be evacuated, and the
+instances of this system find each other in a third one.
 A fourth one holds the requests that they have quarantined.
 """
 
@@ -13,6 +14,7 @@
 from copperloom.platform import store
 
 __all__ = [
+    "EvacuationRow",
     "MEMBERS_TABLE",
     "MemberRow",
     "QUARANTINE_TABLE",
@@ -23,6 +25,7 @@
     "decode_quarantine",
     "encode_member",
     "encode_quarantine",
+    "evacuation_rows",
     "routes_row",
 ]
 
@@ -31,6 +34,7 @@
 MEMBERS_TABLE = "copperloom-members"
 QUARANTINE_TABLE = "copperloom-quarantine"
 _ROUTES_KEY = "config"
+_EVACUATION_PREFIX = "evacuate/"
 _Row = TypeVar("_Row")
 
 
@@ -58,6 +62,21 @@
     fleet: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationRow:
+    """The operators' request to evacuate a data centre, or its end.
+
+    Attributes:
+        data_centre: Name of the data centre; "" if the row names none.
+        version: Version of the row.
+        active: Whether the data centre is to be evacuated.
+    """
+
+    data_centre: str
+    version: int
+    active: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineRow:
     """A quarantined request.
@@ -82,6 +101,19 @@
     return found
 
 
+def evacuation_rows(feed: store.Feed) -> list[EvacuationRow]:
+    """Returns the evacuations among rows of the operators' table, in order."""
+    return [
+        EvacuationRow(
+            data_centre=row.key.removeprefix(_EVACUATION_PREFIX),
+            version=row.version,
+            active=not row.removed,
+        )
+        for row in feed.rows
+        if row.key.startswith(_EVACUATION_PREFIX)
+    ]
+
+
 def encode_member(row: MemberRow) -> bytes:
     """Returns the encoded row of a member."""
     return msgspec.json.encode(row)
--- a/copperloom/platform/decoding.py
+++ b/copperloom/platform/decoding.py
@@ -48,6 +48,7 @@
     public: bool = False
     resumable: bool = False
     gap_aim_ms: float | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Delay(msgspec.Struct):
@@ -75,6 +76,8 @@
     name: str
     health_path: str = ""
     engine: _Engine | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -86,6 +89,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Table(msgspec.Struct):
@@ -97,11 +101,16 @@
 
 
 class _Target(msgspec.Struct):
+    """A registration. One that lacks a field is not written by a target."""
+
     service: str
     address: str
     state: str
-    zone: str = ""
-    slots: int = 1
+    zone: str
+    version: str
+    slots: int
+    seq: int
+    cold_remaining_ms: float
     born: int = 0
 
 
@@ -152,14 +161,26 @@
         public=raw.public,
         resumable=raw.resumable and kind is routing.RouteKind.STREAM,
         pause_aim_s=gap_ms / _MS,
+        allowed_regions=_regions(raw.allowed_regions),
     )
 
 
+def _regions(names: list[str] | None) -> frozenset[str] | None:
+    """Returns the regions of a list; an absent or empty list allows all."""
+    return frozenset(names) if names else None
+
+
 def _service(raw: _Service) -> routing.ServiceSpec:
     spec = raw.engine
+    cold_start_s = max(0.0, raw.cold_start_s)
+    cold_per_s = max(0.0, raw.cold_per_s)
     if spec is None or spec.read_per_s <= 0 or spec.kv_tokens <= 0:
-        path = raw.health_path or routing.DEFAULT_CHECK_PATH
-        return routing.ServiceSpec(raw.name, check_path=path)
+        return routing.ServiceSpec(
+            raw.name,
+            check_path=raw.health_path or routing.DEFAULT_CHECK_PATH,
+            cold_start_s=cold_start_s,
+            cold_per_s=cold_per_s,
+        )
     engine = routing.EngineSpec(
         slots=max(1, spec.slots),
         kv_tokens=spec.kv_tokens,
@@ -176,12 +197,20 @@
         ),
     )
     # Unlike the health check, a report needs no free slot.
-    return routing.ServiceSpec(raw.name, engine, check_path=_REPORT_PATH)
+    return routing.ServiceSpec(
+        raw.name,
+        engine,
+        check_path=_REPORT_PATH,
+        cold_start_s=cold_start_s,
+        cold_per_s=cold_per_s,
+    )
 
 
 def _key_holders(tenants: list[_Tenant]) -> dict[str, routing.KeyHolder]:
     return {
-        key: routing.KeyHolder(tenant.name, tenant.priority)
+        key: routing.KeyHolder(
+            tenant.name, tenant.priority, _regions(tenant.allowed_regions)
+        )
         for tenant in tenants
         for key in tenant.api_keys
     }
@@ -199,6 +228,8 @@
         return None
     if not doc.service or doc.slots < 1 or not name.isprintable():
         return None
+    if not math.isfinite(doc.cold_remaining_ms):
+        return None
     return routing.TargetEntry(
         name=name,
         service=doc.service,
@@ -207,6 +238,7 @@
         slots=doc.slots,
         draining=doc.state == _DRAINING,
         born_ms=doc.born,
+        cold_remaining_s=max(0.0, doc.cold_remaining_ms) / _MS,
     )
 
 
--- a/copperloom/platform/headers.py
+++ b/copperloom/platform/headers.py
@@ -38,6 +38,7 @@
 _NOT_EXECUTED = "Copperloom-Not-Executed"
 _LOAD = "Copperloom-Instance-Load"
 _AT_FAULT = "At-Server"
+_COLD_MS = "Copperloom-Cold-Start-Ms"
 _LAST_EVENT_ID = "Last-Event-Id"
 _RETRY_AFTER = "retry-after"
 _LIMIT = "server-limit"
@@ -158,6 +159,8 @@
         drains_text: What the target says about draining, as sent; None if it
             says nothing.
         drains: Whether that means that it drains.
+        cold_s: How much longer the target is cold, in seconds; None if it says
+            nothing valid.
     """
 
     request: str
@@ -173,6 +176,7 @@
     limit_per_s: float | None = None
     drains_text: str | None = None
     drains: bool = False
+    cold_s: float | None = None
 
 
 def read_head(headers: Mapping[str, str]) -> RequestHead:
@@ -261,6 +265,7 @@
     limit_text = _all_values(headers, _LIMIT)
     drains_text = _all_values(headers, _DRAINS)
     retry_after_text = _all_values(headers, _RETRY_AFTER)
+    cold_ms = _parse_number(headers.get(_COLD_MS))
     return ReplyFacts(
         request=headers.get(_REQUEST_ID, ""),
         sealed=bool(headers.get(_SEAL)),
@@ -275,6 +280,7 @@
         limit_per_s=_parse_limit(limit_text or ""),
         drains_text=drains_text,
         drains=_parse_drains(drains_text or ""),
+        cold_s=None if cold_ms is None else cold_ms / _MS,
     )
 
 
--- a/copperloom/platform/settings.py
+++ b/copperloom/platform/settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+from collections.abc import Mapping
 
 import msgspec
 
@@ -50,6 +51,13 @@
         memory_bytes: Memory available to this instance, in bytes.
         cores: Processor time available to this instance, in cores.
         is_first_start: Whether the whole system starts for the first time.
+        region: Region of this instance; "" if not given.
+        regions: Regions by data centre.
+        cold_over: Factor on the rate that cold targets bear, up to which all
+            instances together may exceed it.
+        cold_slack: Requests per second that a cold target bears in addition.
+        evacuation_s: Time after which no request may reach a target of an
+            evacuated data centre, in seconds.
     """
 
     instance: str
@@ -73,6 +81,11 @@
     memory_bytes: float = _MEMORY_BYTES
     cores: float = 1.0
     is_first_start: bool = False
+    region: str = ""
+    regions: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
+    evacuation_s: float = 5.0
 
 
 class _Listen(msgspec.Struct):
@@ -89,6 +102,9 @@
     budget_slack: float = 20.0
     free_ms: float = 4000.0
     hold_max_ms: float = 20000.0
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
+    evac_ms: float = 5000.0
 
 
 class _Platform(msgspec.Struct):
@@ -114,6 +130,8 @@
     internal_ports: tuple[int, int]
     platform: _Platform
     seeds: list[str] = []
+    region: str = ""
+    zones: dict[str, str] = {}
     bootstrap: bool = False
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -153,4 +171,9 @@
         memory_bytes=doc.limits.memory_mb * _MEGABYTE_BYTES or _MEMORY_BYTES,
         cores=round(doc.limits.cpu_share * doc.limits.cores, 3),
         is_first_start=doc.bootstrap,
+        region=doc.region or doc.zones.get(doc.zone, ""),
+        regions=doc.zones,
+        cold_over=bounds.cold_over,
+        cold_slack=bounds.cold_slack,
+        evacuation_s=bounds.evac_ms / _MS,
     )
--- a/copperloom/platform/tests/test_decoding.py
+++ b/copperloom/platform/tests/test_decoding.py
@@ -10,7 +10,7 @@
 from copperloom import routing
 from copperloom.ingress import events
 from copperloom.ingress.tests import fixtures
-from copperloom.platform import decoding, headers
+from copperloom.platform import catalog, decoding, headers, store
 
 _JSON = st.recursive(
     st.none() | st.booleans() | st.floats() | st.integers() | st.text(),
@@ -36,6 +36,19 @@
         self.assertEqual(entry.address, "10.0.0.1:80")
         self.assertEqual(entry.born_ms, 7)
 
+    def test_row_that_lacks_a_field_yields_no_target(self):
+        """Guards against rows of other writers that look like targets."""
+        for field in sorted(_VALID.keys() - {"born"}):
+            row = {k: v for k, v in _VALID.items() if k != field}
+            raw = json.dumps(row).encode()
+            self.assertIsNone(decoding.decode_target("t", raw), field)
+
+    def test_cold_time_is_decoded(self):
+        for cold_ms, cold_s in ((1500, 1.5), (0, 0.0), (-20, 0.0)):
+            row = json.dumps(_VALID | {"cold_remaining_ms": cold_ms}).encode()
+            entry = decoding.decode_target("t", row)
+            self.assertEqual(entry.cold_remaining_s, cold_s)
+
     @hypothesis.given(st.binary())
     def test_arbitrary_bytes_yield_no_target(self, raw):
         self.assertIsNone(decoding.decode_target("t", raw))
@@ -64,6 +77,26 @@
         self.assertIsNone(routing.match(table, fixtures.HOST, "/chat"))
         self.assertEqual(table.organisations["key-1"].name, "lounge")
 
+    def test_allowed_regions_are_decoded(self):
+        home = fixtures.engine_route("/home/", allowed_regions=["r-1", "r-2"])
+        anywhere = fixtures.engine_route("/any/", allowed_regions=[])
+        document = fixtures.routes(2, [home, anywhere])
+        document["tenants"][0]["allowed_regions"] = ["r-2"]
+        table = decoding.decode_table(json.dumps(document).encode())
+        route = routing.match(table, fixtures.HOST, "/home/")
+        self.assertEqual(route.allowed_regions, {"r-1", "r-2"})
+        route = routing.match(table, fixtures.HOST, "/any/")
+        self.assertIsNone(route.allowed_regions)
+        holder = table.organisations["key-1"]
+        self.assertEqual(holder.allowed_regions, {"r-2"})
+
+    def test_negative_cold_rate_counts_as_none(self):
+        document = fixtures.routes(2)
+        document["services"][0] |= {"cold_start_s": -1, "cold_per_s": -26.0}
+        table = decoding.decode_table(json.dumps(document).encode())
+        spec = table.services[document["services"][0]["name"]]
+        self.assertEqual((spec.cold_start_s, spec.cold_per_s), (0.0, 0.0))
+
     @hypothesis.given(st.binary())
     def test_arbitrary_bytes_yield_no_table(self, raw):
         self.assertIsNone(decoding.decode_table(raw))
@@ -103,6 +136,38 @@
         self.assertFalse(facts.not_run)
 
 
+class ColdTest(unittest.TestCase):
+    def test_cold_time_of_an_answer(self):
+        name = "Copperloom-Cold-Start-Ms"
+        for text, cold_s in (
+            ("250", 0.25),
+            ("0", 0.0),
+            ("-1", None),
+            ("", None),
+        ):
+            facts = headers.read_reply(multidict.CIMultiDict({name: text}))
+            self.assertEqual(facts.cold_s, cold_s)
+
+
+class EvacuationTest(unittest.TestCase):
+    def test_rows_of_evacuations_are_told_from_the_routes(self):
+        rows = [
+            store.StoredRow("config", b"{}", 3),
+            store.StoredRow("evacuate/a", b"{}", 4),
+            store.StoredRow("evacuate/b", None, 5, removed=True),
+            store.StoredRow("evacuate/", b"\xff", 6),
+        ]
+        found = catalog.evacuation_rows(store.Feed(tuple(rows), 6))
+        self.assertEqual(
+            found,
+            [
+                catalog.EvacuationRow("a", 4, True),
+                catalog.EvacuationRow("b", 5, False),
+                catalog.EvacuationRow("", 6, True),
+            ],
+        )
+
+
 def _limit(*values: str) -> float | None:
     given = multidict.CIMultiDict(("Server-Limit", v) for v in values)
     return headers.read_reply(given).limit_per_s
--- a/copperloom/routing.py
+++ b/copperloom/routing.py
@@ -69,6 +69,7 @@
         resumable: Whether another target may continue a broken stream.
         pause_aim_s: Objective for the gap between events of a stream, in
             seconds.
+        allowed_regions: Regions where its requests may run; None for all.
     """
 
     name: str
@@ -83,6 +84,7 @@
     public: bool = False
     resumable: bool = False
     pause_aim_s: float = 1.0
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -133,11 +135,16 @@
         name: Unique name.
         engine: Performance of its model engines; None for a plain service.
         check_path: Path of a GET request that targets answer.
+        cold_start_s: Time for which a target is cold after a start, in seconds.
+        cold_per_s: Requests per second that a cold target bears from all
+            instances together; 0 if its targets are never cold.
     """
 
     name: str
     engine: EngineSpec | None = None
     check_path: str = DEFAULT_CHECK_PATH
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,10 +154,12 @@
     Attributes:
         name: Its name.
         priority: Rank that overrides the route's; None if it has none.
+        allowed_regions: Regions where its requests may run; None for all.
     """
 
     name: str
     priority: int | None = None
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -180,6 +189,8 @@
         draining: Whether it accepts no new work.
         born_ms: When it started, in ms since the epoch; 0 if not stated. A
             later start under the same name is a target that has lost its state.
+        cold_remaining_s: How much longer it was cold when it registered, in
+            seconds.
     """
 
     name: str
@@ -189,6 +200,7 @@
     slots: int
     draining: bool = False
     born_ms: int = 0
+    cold_remaining_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
