Answers: bounds on all that targets send

Cause: a target that sends a body, an event or events without end filled the memory of an instance (170 to 206 MB in 12 s beside two such targets of eight, see docs/design/uneven-load.md), and took its event loop from other streams.

Change: decisions/answer_limits.py holds the bounds. The connection counts the bytes beside the body (heads, informational answers, chunk lines, extensions, trailers). Past a bound the connection is aborted and the attempt fails with code 4005, may have run. A splitter of events no longer searches a long event from its begin each time. Answers of the table service and the platform are read up to a bound.

--- a/copperloom/exception.py
+++ b/copperloom/exception.py
@@ -9,6 +9,7 @@
 import enum
 
 __all__ = [
+    "AnswerTooLongError",
     "BodyTooLargeError",
     "CapacityExceededError",
     "ChangeLostError",
@@ -321,6 +322,35 @@
         self.is_silent = is_silent
 
 
+class AnswerTooLongError(StreamBrokenError):
+    """The target's answer exceeds a size limit.
+
+    Attributes:
+        place: The part of the answer that is too long.
+        size: Bytes of it that came or were announced.
+        bound: Bytes that are allowed.
+    """
+
+    code = 4005
+    place = ""
+    size = 0
+    bound = 0
+
+    def __init__(
+        self,
+        message: str = "",
+        *,
+        place: str = "",
+        size: int = 0,
+        bound: int = 0,
+        **facts,
+    ):
+        super().__init__(message, **facts)
+        self.place = place
+        self.size = size
+        self.bound = bound
+
+
 class PlatformDownError(CopperloomError):
     """The platform's service did not respond; nothing took effect."""
 
--- a/copperloom/ingress/events.py
+++ b/copperloom/ingress/events.py
@@ -6,6 +6,7 @@
 __all__ = ["Events", "Splitter", "feed"]
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_MAX_END_BYTES = 4
 _ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 
 
@@ -17,7 +18,7 @@
     """
 
     def __init__(self):
-        self.rest = b""
+        self.rest = bytearray()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,13 +38,16 @@
 
 def feed(splitter: Splitter, chunk: bytes) -> Events | None:
     """Adds bytes; returns the events that they complete, or None."""
-    data = splitter.rest + chunk
-    ends = [m.end() for m in _END.finditer(data)]
+    data = splitter.rest
+    # The bytes before were searched as they came. A long event that comes in
+    # small parts would otherwise take quadratic time.
+    begin = max(0, len(data) - _MAX_END_BYTES + 1)
+    data += chunk
+    ends = [m.end() for m in _END.finditer(data, begin)]
     if not ends:
-        splitter.rest = data
         return None
+    complete = bytes(data[: ends[-1]])
     splitter.rest = data[ends[-1] :]
-    complete = data[: ends[-1]]
     ids = _ID.findall(complete)
     last = ids[-1].decode("latin-1") if ids else ""
     return Events(complete, len(ends), last)
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -7,6 +7,7 @@
 
 from copperloom import exception, routing
 from copperloom.decisions import (
+    answer_limits,
     load_shedding,
     plans,
     request_digest,
@@ -86,6 +87,7 @@
         last_event: Id of the last complete event sent to the caller.
         longest_gap_s: Longest gap between events.
         slow: Whether its target decodes slowly.
+        answer_body: The body of its plain answer; None without one.
         outcome: Outcome for the log.
         reason: Why it was refused or failed, for the log.
     """
@@ -135,6 +137,7 @@
         self.last_event = self.head.last_event_id
         self.longest_gap_s = 0.0
         self.slow = False
+        self.answer_body: answer_limits.Body | None = None
         self.outcome = ""
         self.reason = ""
 
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -22,6 +22,7 @@
     draining_targets,
     exchange,
     limited_targets,
+    long_answers,
     peer_relay,
     placement,
     quarantines,
@@ -96,14 +97,16 @@
                 raise
         except exception.StreamBrokenError as error:
             _record_failure(ex, error, health.BROKEN_PENALTY)
-            if not await _may_repeat(ex):
+            if not await _may_repeat(ex, error):
                 raise
     await nxt(ex)
 
 
-async def _may_repeat(ex: exchange.Exchange) -> bool:
+async def _may_repeat(
+    ex: exchange.Exchange, error: exception.StreamBrokenError
+) -> bool:
     """Returns whether a request may be sent again after its answer broke."""
-    if not ex.route.repeatable:
+    if not ex.route.repeatable or long_answers.is_final(ex, error):
         return False
     await reachability_checks.settle(ex.state)
     now = asyncio.get_running_loop().time()
@@ -181,6 +184,7 @@
     # Without this report an owner would send other requests to this target.
     ex.state.digest_due.set()
     ex.state.metrics.attempts.labels(type(error).__name__).inc()
+    long_answers.record(ex.state, error, culprit, ex.id)
     logs.event(
         "attempt_failed",
         request=ex.id,
--- /dev/null
+++ b/copperloom/ingress/long_answers.py
@@ -0,0 +1,226 @@
+"""Ends answers of targets that are longer than their bounds.
+
+The bounds are those of `decisions.answer_limits`. Heads and chunk lines are
+checked by the connection (see `sender`).
+"""
+
+import asyncio
+
+import aiohttp
+
+from copperloom import exception, logs, routing
+from copperloom.decisions import answer_limits, health
+from copperloom.ingress import events, exchange, sender
+from copperloom.ingress.state import IngressState
+
+__all__ = [
+    "BodyBuffer",
+    "StreamBounds",
+    "add_events",
+    "is_final",
+    "pause",
+    "read_body",
+    "record",
+    "record_of",
+    "release",
+]
+
+_WITHOUT_BODY = (204, 304)
+
+
+class BodyBuffer:
+    """The bytes of a plain answer, counted with those of other answers.
+
+    Attributes:
+        ex: The request.
+        data: The bytes received.
+        bound: Maximum number of bytes.
+    """
+
+    def __init__(self, ex: exchange.Exchange, *, is_announced: bool):
+        self.ex = ex
+        self.data = bytearray()
+        self.bound = answer_limits.max_body_bytes(
+            ex.state.settings.memory_bytes
+        )
+        release(ex)
+        ex.answer_body = answer_limits.Body(is_announced)
+
+    def add(self, chunk: bytes) -> None:
+        """Adds bytes.
+
+        Raises:
+            copperloom.exception.AnswerTooLongError: The body is too long, or
+                no memory is left for it.
+        """
+        body = self.ex.answer_body
+        answer_limits.add_bytes(self.ex.state.body_memory, body, len(chunk))
+        if body.size > self.bound:
+            raise too_long("body", body.size, self.bound)
+        self.check()
+        self.data += chunk
+
+    def check(self) -> None:
+        """Checks that the body was not ended in favour of others.
+
+        Raises:
+            copperloom.exception.AnswerTooLongError: It was.
+        """
+        body = self.ex.answer_body
+        if body.is_ended:
+            taken = self.ex.state.body_memory.unannounced_bytes
+            raise too_long("bodies", body.size, taken)
+
+    def finish(self) -> bytearray:
+        """Returns the complete body."""
+        self.ex.answer_body.is_complete = True
+        return self.data
+
+
+async def read_body(ex: exchange.Exchange, reply: sender.Reply) -> bytearray:
+    """Reads the body of a plain answer.
+
+    Raises:
+        copperloom.exception.AnswerTooLongError: It is too long.
+        copperloom.exception.StreamBrokenError: It broke off.
+    """
+    announced = _announced_bytes(ex, reply)
+    buffer = BodyBuffer(ex, is_announced=announced is not None)
+    if announced is not None and announced > buffer.bound:
+        raise too_long("announced_length", announced, buffer.bound)
+    # An answer whose connection is closed here may look complete or broken.
+    ex.answer_body.on_end = reply.protocol.abort
+    try:
+        await _fill(buffer, reply)
+    except BaseException:
+        release(ex)
+        raise
+    return buffer.finish()
+
+
+async def _fill(buffer: BodyBuffer, reply: sender.Reply) -> None:
+    try:
+        async for chunk in reply.response.content.iter_any():
+            buffer.add(chunk)
+        buffer.check()
+        reply.check_complete()
+    except aiohttp.ClientError:
+        buffer.check()
+        raise
+
+
+def _announced_bytes(ex: exchange.Exchange, reply: sender.Reply) -> int | None:
+    if ex.http.method == "HEAD" or reply.status in _WITHOUT_BODY:
+        return 0
+    return reply.response.content_length
+
+
+def release(ex: exchange.Exchange) -> None:
+    """Releases the memory of an answer that was sent or given up."""
+    if ex.answer_body is not None:
+        answer_limits.end_body(ex.state.body_memory, ex.answer_body)
+        ex.answer_body = None
+
+
+class StreamBounds:
+    """The bounds of one stream of events.
+
+    Attributes:
+        bound: Maximum number of bytes.
+        size: Bytes received.
+        pace: Its rate.
+        splitter: Splits it at the ends of events.
+    """
+
+    def __init__(self, ex: exchange.Exchange):
+        self.bound = answer_limits.max_stream_bytes(
+            ex.head.max_tokens, ex.state.settings.memory_bytes
+        )
+        self.size = 0
+        self.pace = answer_limits.Pace()
+        self.splitter = events.Splitter()
+
+
+def add_events(bounds: StreamBounds, chunk: bytes) -> events.Events | None:
+    """Adds bytes of a stream; returns the events that they complete, or None.
+
+    Raises:
+        copperloom.exception.AnswerTooLongError: The stream or an event is too
+            long.
+    """
+    bounds.size += len(chunk)
+    complete = events.feed(bounds.splitter, chunk)
+    rest_bytes = len(bounds.splitter.rest)
+    if rest_bytes > answer_limits.MAX_EVENT_BYTES:
+        raise too_long("event", rest_bytes, answer_limits.MAX_EVENT_BYTES)
+    if bounds.size > bounds.bound:
+        raise too_long("stream", bounds.size, bounds.bound)
+    return complete
+
+
+async def pause(bounds: StreamBounds, size: int) -> None:
+    """Waits until a stream may be read again.
+
+    Meanwhile the connection is not read, so that the target has to wait.
+    """
+    now = asyncio.get_running_loop().time()
+    delay_s = answer_limits.pause_s(bounds.pace, size, now)
+    if delay_s > 0:
+        await asyncio.sleep(delay_s)
+
+
+def is_final(ex: exchange.Exchange, error: exception.StreamBrokenError) -> bool:
+    """Returns whether a stream must not be resumed after an error.
+
+    The id of the last event of an endless stream is worth nothing: a target
+    that resumed after it would end the stream as if it were complete.
+    """
+    is_too_long = isinstance(error, exception.AnswerTooLongError)
+    has_begun = ex.response is not None
+    return is_too_long and has_begun and error.place != "event"
+
+
+def too_long(place: str, size: int, bound: int) -> exception.AnswerTooLongError:
+    """Returns the error for an answer that is longer than a bound."""
+    return exception.AnswerTooLongError(
+        f"{place} of the answer has {size} bytes or more, {bound} are allowed",
+        place=place,
+        size=size,
+        bound=bound,
+    )
+
+
+def record(
+    state: IngressState,
+    error: exception.CopperloomError,
+    target: str,
+    request: str = "",
+) -> None:
+    """Logs and counts an answer that was too long; ignores other errors."""
+    if not isinstance(error, exception.AnswerTooLongError):
+        return
+    state.metrics.long_answers.labels(error.place).inc()
+    logs.event(
+        "answer_too_long",
+        request=request,
+        target=target,
+        place=error.place,
+        bytes=error.size,
+        bound=error.bound,
+    )
+
+
+def record_of(
+    state: IngressState,
+    error: exception.CopperloomError,
+    target: routing.TargetEntry,
+    request: str = "",
+) -> None:
+    """Does the same for a check or an order, and penalises the target."""
+    if not isinstance(error, exception.AnswerTooLongError):
+        return
+    record(state, error, target.name, request)
+    now = asyncio.get_running_loop().time()
+    known = state.health.setdefault(target.name, health.Health())
+    health.record_failure(known, now, health.BROKEN_PENALTY)
+    state.digest_due.set()
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -102,6 +102,12 @@
             ["direction", "result"],
             registry=self.registry,
         )
+        self.long_answers = prometheus_client.Counter(
+            "copperloom_long_answers",
+            "Answers of targets that exceeded a bound, by place.",
+            ["place"],
+            registry=self.registry,
+        )
         self.shed_connections = prometheus_client.Counter(
             "copperloom_shed_connections",
             "Connections of callers that were closed unread.",
--- a/copperloom/ingress/peer_relay.py
+++ b/copperloom/ingress/peer_relay.py
@@ -11,8 +11,8 @@
 from copperloom import exception, logs
 from copperloom.decisions import members, peer_relay
 from copperloom.ingress import (
-    events,
     exchange,
+    long_answers,
     reachability_checks,
     responses,
     retry,
@@ -101,7 +101,10 @@
         result = _STOPPING
     except exception.StreamBrokenError as error:
         _log(ex, member, _BROKEN, error=str(error))
-        if not ex.route.repeatable or not retry.take_repeat_by_peer(ex):
+        is_final = long_answers.is_final(ex, error)
+        if is_final or not ex.route.repeatable:
+            raise
+        if not retry.take_repeat_by_peer(ex):
             raise
         return _BROKEN
     _log(ex, member, result)
@@ -260,17 +263,17 @@
 ) -> None:
     """Receives the answer of a peer that has accepted a request."""
     head = None
-    chunks = []
-    splitter = events.Splitter()
+    buffer = long_answers.BodyBuffer(ex, is_announced=False)
+    bounds = long_answers.StreamBounds(ex)
     while True:
         reply = await _next_reply(ex, stream)
         part = reply.WhichOneof("part")
         if part == "head":
             head = relay_messages.read_head(reply.head)
         elif part == "data" and responses.is_stream(head):
-            await _send_events(ex, head, splitter, reply.data)
+            await _send_events(ex, head, bounds, reply.data)
         elif part == "data":
-            chunks.append(reply.data)
+            buffer.add(reply.data)
         elif part == "end":
             break
     if reply.end.code:
@@ -278,16 +281,16 @@
     if responses.is_stream(head):
         await responses.end_stream(ex, head, _now())
     else:
-        responses.set_plain(ex, head, b"".join(chunks), _now())
+        responses.set_plain(ex, head, buffer.finish(), _now())
 
 
 async def _send_events(
     ex: exchange.Exchange,
     head: responses.Head,
-    splitter: events.Splitter,
+    bounds: long_answers.StreamBounds,
     data: bytes,
 ) -> None:
-    complete = events.feed(splitter, data)
+    complete = long_answers.add_events(bounds, data)
     if complete is not None:
         await responses.send_events(ex, head, complete, _now())
 
--- a/copperloom/ingress/reachability_checks.py
+++ b/copperloom/ingress/reachability_checks.py
@@ -11,7 +11,7 @@
 
 from copperloom import exception, logs, routing
 from copperloom.decisions import members, reachability, readiness
-from copperloom.ingress import exchange, sender
+from copperloom.ingress import exchange, long_answers, sender
 from copperloom.ingress.state import (
     IngressState,
     Member,
@@ -278,6 +278,7 @@
         reachability.record_failure(
             state.reachability, target, now, is_silent=error.is_silent
         )
+        long_answers.record_of(state, error, target)
         return False
     return True
 
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -11,8 +11,8 @@
     timeouts,
 )
 from copperloom.ingress import (
-    events,
     exchange,
+    long_answers,
     quarantines,
     responses,
     retry,
@@ -58,12 +58,9 @@
 async def _relay_plain(
     ex: exchange.Exchange, reply: sender.Reply, head: responses.Head
 ) -> None:
-    chunks = []
-    async for chunk in reply.response.content.iter_any():
-        chunks.append(chunk)
-    reply.check_complete()
+    body = await long_answers.read_body(ex, reply)
     now = asyncio.get_running_loop().time()
-    responses.set_plain(ex, head, b"".join(chunks), now)
+    responses.set_plain(ex, head, body, now)
 
 
 async def _relay_stream(
@@ -71,7 +68,7 @@
 ) -> None:
     """Relays events as they arrive, and only complete ones."""
     loop = asyncio.get_running_loop()
-    splitter = events.Splitter()
+    bounds = long_answers.StreamBounds(ex)
     content = reply.response.content
     has_begun = False
     gaps = decode_rate.RecentGaps()
@@ -79,8 +76,9 @@
         chunk = await _read(ex, content, _read_timeout_s(ex, has_begun))
         if not chunk:
             break
-        complete = events.feed(splitter, chunk)
+        complete = long_answers.add_events(bounds, chunk)
         if complete is None:
+            await long_answers.pause(bounds, len(chunk))
             continue
         now = loop.time()
         if not has_begun:
@@ -93,8 +91,9 @@
         reachability.record_progress(ex.state.reachability, now)
         quarantines.record_written(ex, now)
         await responses.send_events(ex, head, complete, now)
+        await long_answers.pause(bounds, len(chunk))
     reply.check_complete()
-    if splitter.rest:
+    if bounds.splitter.rest:
         raise exception.StreamBrokenError(
             "target ended its stream in the middle of an event",
             connection_lost=True,
--- a/copperloom/ingress/relayed_requests.py
+++ b/copperloom/ingress/relayed_requests.py
@@ -12,7 +12,7 @@
 from copperloom import chains, logs
 from copperloom.decisions import load_shedding
 from copperloom.decisions import peer_relay as relay_decisions
-from copperloom.ingress import chain, exchange, peer_relay
+from copperloom.ingress import chain, exchange, long_answers, peer_relay
 from copperloom.ingress.state import IngressState
 from copperloom.peers import (
     peers_grpc,
@@ -74,7 +74,7 @@
     async def send_data(self, data: bytes) -> None:
         """Sends a part of the body."""
         for begin in range(0, len(data), _CHUNK_BYTES):
-            await self.send(data=data[begin : begin + _CHUNK_BYTES])
+            await self.send(data=bytes(data[begin : begin + _CHUNK_BYTES]))
 
 
 class PeerResponse:
@@ -169,6 +169,13 @@
         return
     peer = PeerStream(stream)
     ex = _make_exchange(state, offer, body, peer)
+    try:
+        await _answer(ex, peer)
+    finally:
+        long_answers.release(ex)
+
+
+async def _answer(ex: exchange.Exchange, peer: PeerStream) -> None:
     progress = asyncio.ensure_future(_report_progress(peer))
     try:
         await chains.run(chain.RELAYED_REQUESTS, ex)
--- a/copperloom/ingress/reserve.py
+++ b/copperloom/ingress/reserve.py
@@ -16,6 +16,7 @@
     answers,
     draining_targets,
     exchange,
+    long_answers,
     reachability_checks,
     sender,
 )
@@ -139,6 +140,7 @@
     except (exception.CopperloomError, TimeoutError) as error:
         now = asyncio.get_running_loop().time()
         reachability_checks.begin(ex.state, now)
+        long_answers.record_of(ex.state, error, entry, ex.id)
         logs.event(
             "order_failed", request=ex.id, target=target, error=str(error)
         )
--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -16,9 +16,10 @@
 
 import aiohttp
 import yarl
-from aiohttp import client_proto
+from aiohttp import client_proto, http_exceptions, streams
 
 from copperloom import exception
+from copperloom.decisions import answer_limits
 from copperloom.utils import sockets
 
 __all__ = ["Reply", "Sender", "close", "is_listening", "send"]
@@ -28,18 +29,67 @@
 # milliseconds; the lost packet is sent again after a second.
 CONNECT_TIMEOUT_S = 0.35
 _MAX_LINE_BYTES = 65_536
+_PART_BYTES = 16_384
+# The message with which aiohttp refuses a head or trailers.
+_TOO_MANY_LINES = "Too many headers"
 
 
 class _Protocol(client_proto.ResponseHandler):
-    """Records whether the connection was reset.
+    """Records whether the connection was reset, and bounds heads and chunks.
 
     An answer without a length ends with its connection. aiohttp accepts a
     reset as such an end, so that a truncated answer would appear complete.
+
+    aiohttp bounds a line, but neither the informational answers before the
+    head, nor chunk extensions or the size of chunk lines.
     """
 
     def __init__(self, **kwargs):
         super().__init__(**kwargs)
         self.reset: BaseException | None = None
+        self.received_bytes = 0
+        self.body: streams.StreamReader | None = None
+
+    def data_received(self, data: bytes) -> None:
+        # Until the body begins, a part at a time is parsed: each answer that is
+        # found takes far more memory than its bytes.
+        while self.body is None and len(data) > _PART_BYTES:
+            self._parse(data[:_PART_BYTES])
+            data = data[_PART_BYTES:]
+            if self.transport is None:
+                return
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        self.received_bytes += len(data)
+        super().data_received(data)
+        if self._payload not in (None, streams.EMPTY_PAYLOAD):
+            self.body = self._payload
+        body_bytes = self.body.total_bytes if self.body is not None else 0
+        framing_bytes = self.received_bytes - body_bytes
+        if answer_limits.is_framing_too_long(framing_bytes, body_bytes):
+            self._end_too_long(framing_bytes)
+
+    def _end_too_long(self, framing_bytes: int) -> None:
+        place = "head" if self.body is None else "chunks"
+        bound = answer_limits.MAX_FRAMING_BYTES
+        error = exception.AnswerTooLongError(
+            f"{place} of the answer have {framing_bytes} bytes",
+            place=place,
+            size=framing_bytes,
+            bound=bound,
+        )
+        self.abort()
+        self.set_exception(error)
+        if self.body is not None:
+            self.body.set_exception(error)
+
+    def close(self) -> None:
+        """Closes the connection; what was not sent yet is discarded.
+
+        A target that does not read would otherwise keep it open.
+        """
+        self.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self.reset = exc
@@ -260,8 +310,32 @@
 
 
 def _broken(error: BaseException) -> exception.StreamBrokenError:
+    cause = _first_cause(error)
+    place = _too_long_place(cause)
+    if place:
+        return exception.AnswerTooLongError(
+            _reason(cause),
+            place=place,
+            size=_MAX_LINE_BYTES,
+            bound=_MAX_LINE_BYTES,
+        )
     return exception.StreamBrokenError(_reason(error), connection_lost=True)
 
 
+def _first_cause(error: BaseException) -> BaseException:
+    while error.__cause__ is not None:
+        error = error.__cause__
+    return error
+
+
+def _too_long_place(cause: BaseException) -> str:
+    """Returns the place at which aiohttp's own bounds ended an answer."""
+    if isinstance(cause, http_exceptions.LineTooLong):
+        return "line"
+    if isinstance(cause, http_exceptions.BadHttpMessage):
+        return "lines" if _TOO_MANY_LINES in cause.message else ""
+    return ""
+
+
 def _reason(error: BaseException) -> str:
     return f"{type(error).__name__}: {error}"
--- a/copperloom/ingress/server.py
+++ b/copperloom/ingress/server.py
@@ -12,6 +12,7 @@
     chain,
     connection_gate,
     exchange,
+    long_answers,
     reachability_checks,
     scrape,
     views,
@@ -153,6 +154,7 @@
             await chains.run(chain.REQUESTS, ex)
             await _send_response(ex)
         finally:
+            long_answers.release(ex)
             busy.discard(http.protocol)
         return ex.response
 
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -10,6 +10,7 @@
 
 from copperloom import routing
 from copperloom.decisions import (
+    answer_limits,
     backoff,
     budget,
     crash_log,
@@ -108,6 +109,7 @@
         hold_until: Monotonic time until which requests are held while routes
             and targets are not known yet.
         body_bytes: Memory that bodies of requests in progress take, in bytes.
+        body_memory: The bodies of plain answers that this instance holds.
         shed_at: Monotonic time at which a connection was last closed unread, as
             there were more than can be served.
         draining: Whether this instance is stopping.
@@ -173,6 +175,7 @@
         self.routing_known = asyncio.Event()
         self.hold_until = float("-inf")
         self.body_bytes = 0
+        self.body_memory = answer_limits.BodyMemory(own.memory_bytes)
         self.shed_at = float("-inf")
         self.draining = False
         self.drain_until = math.inf
--- a/copperloom/platform/http.py
+++ b/copperloom/platform/http.py
@@ -14,6 +14,7 @@
 
 from copperloom import exception
 from copperloom.platform import interface
+from copperloom.utils import bounded_read
 
 __all__ = ["CALLS", "FAILURES", "connect"]
 
@@ -37,6 +38,8 @@
 _UNAVAILABLE = 503
 _DEFAULT_RETRY_S = 1.0
 _SCAN_LIMIT = 1000
+# A snapshot of a whole configuration is the largest object.
+_MAX_ANSWER_BYTES = 64_000_000
 
 
 class _Transact(msgspec.Struct):
@@ -205,7 +208,7 @@
         async with client.open().request(
             method, url, data=body, timeout=timeout
         ) as reply:
-            raw = await reply.read()
+            raw = await bounded_read.read(reply, _MAX_ANSWER_BYTES)
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
--- a/copperloom/platform/standins/raw_answers.py
+++ b/copperloom/platform/standins/raw_answers.py
@@ -9,9 +9,11 @@
 from copperloom.platform.standins.target_faults import Fault
 
 __all__ = [
+    "ENDLESS_FAULTS",
     "PLAIN_FAULTS",
     "STREAM_FAULTS",
     "part_of",
+    "write_endless",
     "write_plain",
     "write_stream",
 ]
@@ -24,6 +26,28 @@
 )
 # Faults of streams that have neither a length nor chunks.
 STREAM_FAULTS = (Fault.UNFRAMED, Fault.UNFRAMED_HALF, Fault.RESET_UNFRAMED)
+_CHUNKED = ("Transfer-Encoding: chunked",)
+_STREAM = ("Content-Type: text/event-stream",)
+_BODY = b"x" * 4096
+# The begin of an endless answer after its status line, and what is repeated.
+_ENDLESS = {
+    Fault.ENDLESS_HEAD: ((), b"", b"X-More: y\r\n"),
+    Fault.ENDLESS_LINE: ((), b"X-Long: ", _BODY),
+    Fault.ENDLESS_INTERIM: ((), b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    Fault.ENDLESS_BODY: ((), b"\r\n", _BODY),
+    Fault.ENDLESS_CHUNKS: (_CHUNKED, b"\r\n", b"1000\r\n" + _BODY + b"\r\n"),
+    Fault.ENDLESS_SMALL_CHUNKS: (_CHUNKED, b"\r\n", b"1\r\nx\r\n"),
+    Fault.ENDLESS_CHUNK_SIZE: (_CHUNKED, b"\r\n", b"0" * 4096),
+    Fault.ENDLESS_EXTENSION: (_CHUNKED, b"\r\n1;a=", _BODY),
+    Fault.ENDLESS_TRAILERS: (_CHUNKED, b"\r\n0\r\n", b"X-More: y\r\n"),
+    Fault.ENDLESS_REFUSAL: (("Copperloom-Not-Executed: 1",), b"\r\n", _BODY),
+    Fault.ENDLESS_EVENT: (_STREAM, b"\r\ndata: ", _BODY),
+    Fault.ENDLESS_EVENTS: (_STREAM, b"\r\n", b"id: 1\ndata: x\n\n"),
+    Fault.ANNOUNCED: (("Content-Length: 16000001",), b"\r\n", _BODY),
+}
+ENDLESS_FAULTS = tuple(_ENDLESS)
+_BLOCK_BYTES = 262_144
+_POLL_S = 0.002
 _PARTIAL_EVENT_BYTES = 16
 # Time until the bytes of an answer have left.
 _FLUSH_S = 0.05
@@ -71,3 +95,21 @@
     else:
         transport.close()
     return response
+
+
+async def write_endless(request, headers, fault: Fault) -> None:
+    """Writes an answer without end, as fast as its receiver reads it."""
+    transport = request.transport
+    extra, begin, repeated = _ENDLESS[fault]
+    status = "HTTP/1.1 200 OK"
+    if fault is Fault.ENDLESS_REFUSAL:
+        status = "HTTP/1.1 503 Service Unavailable"
+    lines = [status, *(f"{k}: {v}" for k, v in headers.items()), *extra, ""]
+    if fault is not Fault.ENDLESS_INTERIM:
+        transport.write("\r\n".join(lines).encode() + begin)
+    block = repeated * (_BLOCK_BYTES // len(repeated))
+    while not transport.is_closing():
+        if not transport.get_write_buffer_size():
+            transport.write(block)
+        await asyncio.sleep(_POLL_S)
+    raise ConnectionResetError("receiver closed the connection")
--- a/copperloom/platform/store.py
+++ b/copperloom/platform/store.py
@@ -17,7 +17,7 @@
 import yarl
 
 from copperloom import exception
-from copperloom.utils import sockets
+from copperloom.utils import bounded_read, sockets
 
 __all__ = [
     "Feed",
@@ -41,6 +41,8 @@
 # A feed without changes responds only at the end of its wait; this covers the
 # network delay on top.
 _FEED_MARGIN_S = 0.7
+# A page has some hundred kilobytes; the largest row is the configuration.
+_MAX_ANSWER_BYTES = 16_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -220,7 +222,7 @@
             headers=headers,
             timeout=timeout,
         ) as reply:
-            raw = await reply.read()
+            raw = await bounded_read.read(reply, _MAX_ANSWER_BYTES)
             result = str(reply.status)
             return reply.status, raw
     except (
