Answers: memory of ended answers is freed at once

Cause: ex.error kept the traceback of a failed request, whose frames refer to the request and to what was read, so that the memory stayed taken until the next cyclic collection. Bodies were also copied as they grew, and each connection read up to 256 KiB at once. Endless events took the loop for 1.5 s (9 streams), as each event was searched by regular expressions.

Change: the traceback is dropped once the request has its outcome, bodies are lists of parts, a connection reads 64 KiB at once, and only the last end and the last id are searched in the events of a read.

--- a/copperloom/ingress/events.py
+++ b/copperloom/ingress/events.py
@@ -5,9 +5,9 @@
 
 __all__ = ["Events", "Splitter", "feed"]
 
-_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_ENDS = (b"\r\n\r\n", b"\n\n", b"\r\r")
 _MAX_END_BYTES = 4
-_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
+_ID = re.compile(rb"id: ?([^\r\n]*)")
 
 
 class Splitter:
@@ -27,12 +27,10 @@
 
     Attributes:
         data: The bytes of the events, unchanged.
-        count: The number of events.
         last_id: The last id among the events, "" if none has one.
     """
 
     data: bytes
-    count: int
     last_id: str
 
 
@@ -43,11 +41,22 @@
     # small parts would otherwise take quadratic time.
     begin = max(0, len(data) - _MAX_END_BYTES + 1)
     data += chunk
-    ends = [m.end() for m in _END.finditer(data, begin)]
-    if not ends:
+    end = max(_end_of_last(data, separator, begin) for separator in _ENDS)
+    if end < 0:
         return None
-    complete = bytes(data[: ends[-1]])
-    splitter.rest = data[ends[-1] :]
-    ids = _ID.findall(complete)
-    last = ids[-1].decode("latin-1") if ids else ""
-    return Events(complete, len(ends), last)
+    complete = bytes(data[:end])
+    splitter.rest = data[end:]
+    return Events(complete, _last_id(complete))
+
+
+def _end_of_last(data: bytearray, separator: bytes, begin: int) -> int:
+    """Returns the end of the last separator, or -1."""
+    found = data.rfind(separator, begin)
+    return found + len(separator) if found >= 0 else -1
+
+
+def _last_id(complete: bytes) -> str:
+    # Finding all ids would take most of the time of a stream of many events.
+    found = max(complete.rfind(b"\nid:"), complete.rfind(b"\rid:"))
+    match = _ID.match(complete, found + 1)
+    return match[1].decode("latin-1") if match else ""
--- a/copperloom/ingress/long_answers.py
+++ b/copperloom/ingress/long_answers.py
@@ -33,13 +33,13 @@
 
     Attributes:
         ex: The request.
-        data: The bytes received.
+        chunks: The bytes received.
         bound: Maximum number of bytes.
     """
 
     def __init__(self, ex: exchange.Exchange, *, is_announced: bool):
         self.ex = ex
-        self.data = bytearray()
+        self.chunks: list[bytes] = []
         self.bound = answer_limits.max_body_bytes(
             ex.state.settings.memory_bytes
         )
@@ -58,7 +58,7 @@
         if body.size > self.bound:
             raise too_long("body", body.size, self.bound)
         self.check()
-        self.data += chunk
+        self.chunks.append(chunk)
 
     def check(self) -> None:
         """Checks that the body was not ended in favour of others.
@@ -71,13 +71,13 @@
             taken = self.ex.state.body_memory.unannounced_bytes
             raise too_long("bodies", body.size, taken)
 
-    def finish(self) -> bytearray:
+    def finish(self) -> bytes:
         """Returns the complete body."""
         self.ex.answer_body.is_complete = True
-        return self.data
+        return b"".join(self.chunks)
 
 
-async def read_body(ex: exchange.Exchange, reply: sender.Reply) -> bytearray:
+async def read_body(ex: exchange.Exchange, reply: sender.Reply) -> bytes:
     """Reads the body of a plain answer.
 
     Raises:
@@ -93,6 +93,7 @@
     try:
         await _fill(buffer, reply)
     except BaseException:
+        buffer.chunks.clear()
         release(ex)
         raise
     return buffer.finish()
--- a/copperloom/ingress/outcome.py
+++ b/copperloom/ingress/outcome.py
@@ -68,7 +68,9 @@
     """Responds with an error, or aborts a stream that has begun."""
     ex.outcome = type(error).__name__.removesuffix("Error")
     ex.reason = str(error)
-    ex.error = error
+    # The frames of its traceback refer to the request and all that was read of
+    # the answer, which would stay in memory until the next cyclic collection.
+    ex.error = error.with_traceback(None)
     if ex.response is not None:
         # Without the last chunk, clients treat the stream as incomplete.
         if ex.http.transport is not None:
--- a/copperloom/ingress/relayed_requests.py
+++ b/copperloom/ingress/relayed_requests.py
@@ -74,7 +74,7 @@
     async def send_data(self, data: bytes) -> None:
         """Sends a part of the body."""
         for begin in range(0, len(data), _CHUNK_BYTES):
-            await self.send(data=bytes(data[begin : begin + _CHUNK_BYTES]))
+            await self.send(data=data[begin : begin + _CHUNK_BYTES])
 
 
 class PeerResponse:
--- a/copperloom/ingress/responses.py
+++ b/copperloom/ingress/responses.py
@@ -37,7 +37,7 @@
 
 
 def set_plain(
-    ex: exchange.Exchange, head: Head, body: bytes | bytearray, now: float
+    ex: exchange.Exchange, head: Head, body: bytes, now: float
 ) -> None:
     """Sets a complete plain answer as the response.
 
--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -30,6 +30,7 @@
 CONNECT_TIMEOUT_S = 0.35
 _MAX_LINE_BYTES = 65_536
 _PART_BYTES = 16_384
+_READ_BYTES = 65_536
 # The message with which aiohttp refuses a head or trailers.
 _TOO_MANY_LINES = "Too many headers"
 
@@ -50,6 +51,11 @@
         self.received_bytes = 0
         self.body: streams.StreamReader | None = None
 
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        super().connection_made(transport)
+        # The event loop reads up to this much at once, 256 KiB by default.
+        transport.max_size = _READ_BYTES
+
     def data_received(self, data: bytes) -> None:
         # Until the body begins, a part at a time is parsed: each answer that is
         # found takes far more memory than its bytes.
--- a/copperloom/platform/standins/raw_answers.py
+++ b/copperloom/platform/standins/raw_answers.py
@@ -97,7 +97,7 @@
     return response
 
 
-async def write_endless(request, headers, fault: Fault) -> None:
+async def write_endless(target, request, headers, fault: Fault) -> None:
     """Writes an answer without end, as fast as its receiver reads it."""
     transport = request.transport
     extra, begin, repeated = _ENDLESS[fault]
@@ -111,5 +111,6 @@
     while not transport.is_closing():
         if not transport.get_write_buffer_size():
             transport.write(block)
+            target.endless_bytes += len(block)
         await asyncio.sleep(_POLL_S)
     raise ConnectionResetError("receiver closed the connection")
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -68,6 +68,7 @@
         faults: Faults of the next requests, in order.
         always: Fault of the requests after these; None for none.
         other_answers: Endless answer to checks and orders; None for none.
+        endless_bytes: Bytes of endless answers that were written.
         events: Number of events of a stream.
         pause_s: Delay before each event and each plain answer, in seconds.
         break_after: Number of events sent before BREAK and HALF_EVENT take
@@ -102,6 +103,7 @@
         self.faults: collections.deque[Fault] = collections.deque()
         self.always: Fault | None = None
         self.other_answers: Fault | None = None
+        self.endless_bytes = 0
         self.events = 5
         self.pause_s = 0.01
         self.break_after = 2
@@ -183,11 +185,15 @@
     body = await request.read()
     if request.method == "GET" and request.path in wire.CHECK_PATHS:
         if target.other_answers is not None:
-            await raw_answers.write_endless(request, {}, target.other_answers)
+            await raw_answers.write_endless(
+                target, request, {}, target.other_answers
+            )
         return web.Response(headers=_own_headers(target))
     if request.path == "/copperloom/order":
         if target.other_answers is not None:
-            await raw_answers.write_endless(request, {}, target.other_answers)
+            await raw_answers.write_endless(
+                target, request, {}, target.other_answers
+            )
         return _handle_order(target, msgspec.json.decode(body))
     expected = request.headers.get(wire.TARGET, target.name)
     fault = target.faults.popleft() if target.faults else target.always
@@ -258,7 +264,7 @@
     if fault is Fault.UNSEALED:
         del headers[wire.SEAL]
     if fault in raw_answers.ENDLESS_FAULTS:
-        await raw_answers.write_endless(request, headers, fault)
+        await raw_answers.write_endless(target, request, headers, fault)
     if fault is Fault.ENCODED:
         headers["Content-Encoding"] = "gzip"
     if wire.TOKENS in request.headers:
