--- a/copperloom/ingress/tests/test_long_answers.py
+++ b/copperloom/ingress/tests/test_long_answers.py
@@ -1,10 +1,18 @@
 """Tests targets that send answers without end, at each place of an answer."""
 
 import asyncio
+import contextlib
+import socket
 import unittest
+from unittest import mock
 
-from copperloom.ingress.tests import fixtures
+from copperloom.decisions import answer_limits
+from copperloom.ingress import reachability_checks
+from copperloom.ingress.tests import fixtures, partitions
+from copperloom.platform.standins import wire
+from copperloom.platform.standins.links import Partition
 from copperloom.platform.standins.target import Fault
+from copperloom.utils import sockets
 
 _CODE = "4005"
 # The places of a plain answer that are bounded, by the fault.
@@ -21,6 +29,8 @@
     Fault.ANNOUNCED: "announced_length",
 }
 _CLOSE_S = 0.5
+# Buffers of the kernel on both connections.
+_MAX_SOCKET_BYTES = 32_000_000
 _MEMORY_BYTES = 80_000_000.0
 
 
@@ -46,6 +56,13 @@
     return system
 
 
+def _small_socket(info) -> socket.socket:
+    """Returns a socket that does not take a whole request at once."""
+    sock = sockets.monitored_socket(info)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return sock
+
+
 class PlainAnswerTest(unittest.IsolatedAsyncioTestCase):
     async def test_each_place_is_bounded(self):
         """Guards against an answer that fills the memory until its deadline."""
@@ -138,3 +155,112 @@
                 )
                 await _until_closed(system)
         self.assertGreater(_count(system, "lines"), 0)
+
+    async def test_answers_to_checks_are_bounded(self):
+        """Guards against a check that reads without end."""
+        system = await _start(self, engines=0, plain=1)
+        entry = system.fronts[0].entry
+        target = entry.targets.entries["plain-0"]
+        for fault, answered in (
+            (Fault.ENDLESS_BODY, True),
+            (Fault.ENDLESS_LINE, False),
+            (Fault.ENDLESS_INTERIM, False),
+        ):
+            with self.subTest(fault):
+                system.targets["plain-0"].other_answers = fault
+                found = await reachability_checks._check(entry, target)
+                self.assertEqual(found, answered)
+                written = system.targets["plain-0"].endless_bytes
+                await asyncio.sleep(0.1)
+                self.assertEqual(
+                    system.targets["plain-0"].endless_bytes, written
+                )
+        self.assertEqual(_count(system, "line"), 1)
+        self.assertEqual(_count(system, "head"), 1)
+        self.assertIn("plain-0", entry.health)
+
+    async def test_target_that_reads_nothing_is_left_at_once(self):
+        """Guards against a connection that waits to send its request."""
+        system = await _start(self, engines=0, plain=1)
+        closed = asyncio.Event()
+
+        async def answer(reader, writer) -> None:
+            writer.transport.pause_reading()
+            writer.write(b"HTTP/1.1 200 OK\r\nX-Long: " + b"x" * 100_000)
+            with contextlib.suppress(ConnectionError):
+                await writer.drain()
+                while True:
+                    writer.write(b"x" * 1000)
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+            closed.set()
+
+        listening = socket.create_server(("127.0.0.1", 0))
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        server = await asyncio.start_server(answer, sock=listening)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        row = system.targets["plain-0"].registration("plain", born=2)
+        row["address"] = f"{host}:{port}"
+        system.store.put("servers", "plain-0", row)
+        entry = system.fronts[0].entry
+        await fixtures.until(
+            lambda: entry.targets.entries["plain-0"].born_ms == 2
+        )
+        entry.sender.make_socket = _small_socket
+        await fixtures.call(system, "/write/x", body=b"q" * 99_000)
+        async with asyncio.timeout(_CLOSE_S):
+            await closed.wait()
+
+
+class SlowCallerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_target_waits_for_a_caller_that_does_not_read(self):
+        """Guards against buffers that grow as a caller reads slowly."""
+        system = await _start(self, engines=1, plain=0)
+        target = system.targets["engine-0"]
+        target.always = Fault.ENDLESS_EVENTS
+        own = system.fronts[0].entry.settings
+        headers = wire.caller_headers(
+            fixtures.HOST, "slow", fixtures.KEY, 4.0, 4000
+        )
+        headers[wire.TOKENS] = "4000,1000000"
+        lines = [f"{k}: {v}" for k, v in headers.items()]
+        host, port = own.callers_listen.split(":")
+        with mock.patch.object(answer_limits, "pause_s", lambda *_: 0.0):
+            reader, writer = await asyncio.open_connection(
+                host, int(port), limit=1024
+            )
+            lines = ["POST /once/x HTTP/1.1", *lines, "Content-Length: 0"]
+            writer.write("\r\n".join([*lines, "", ""]).encode())
+            await reader.read(1)
+            await asyncio.sleep(1.0)
+            written = target.endless_bytes
+            await asyncio.sleep(0.5)
+            self.assertEqual(target.endless_bytes, written)
+            self.assertLess(written, _MAX_SOCKET_BYTES)
+            writer.transport.abort()
+            await _until_closed(system)
+
+
+class PeerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_answers_that_a_peer_relays_are_bounded(self):
+        """Guards against bounds that only hold without a peer."""
+        system = await partitions.start_partitioned(
+            self, Partition.REFUSE, fronts=2
+        )
+        await fixtures.call(system, "/read/x", method="GET")
+        lost = system.fronts[0].entry.reachability
+        await fixtures.until(lambda: lost.is_lost)
+        for path, prompt, fault in (
+            ("/write/x", 0, Fault.ENDLESS_BODY),
+            ("/once/x", 4000, Fault.ENDLESS_EVENTS),
+        ):
+            with self.subTest(fault):
+                for target in system.targets.values():
+                    target.always = fault
+                async with asyncio.timeout(3.0):
+                    answer = await fixtures.call(system, path, prompt=prompt)
+                self.assertTrue(answer.status == 502 or not answer.complete)
+                await _until_closed(system)
+        for service in system.fronts:
+            self.assertFalse(service.entry.body_memory.bodies)
