--- a/copperloom/decisions/answer_limits.py
+++ b/copperloom/decisions/answer_limits.py
@@ -32,7 +32,7 @@
 # as some hundred bytes of a body.
 MAX_FRAMING_BYTES = 262_144
 _FRAMING_SHARE = 0.5
-MAX_EVENT_BYTES = 1_000_000
+MAX_EVENT_BYTES = 524_288
 # An event with the probabilities of alternative tokens has some kilobytes.
 _TOKEN_BYTES = 4096
 _STREAM_BASE_BYTES = 262_144
--- a/copperloom/exception.py
+++ b/copperloom/exception.py
@@ -327,8 +327,9 @@
 
     Attributes:
         place: The part of the answer that is too long.
-        size: Bytes of it that came or were announced.
-        bound: Bytes that are allowed.
+        size: Bytes of it that came or were announced; at the place "lines"
+            the number of lines.
+        bound: The same that is allowed.
     """
 
     code = 4005
--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -29,6 +29,7 @@
 # milliseconds; the lost packet is sent again after a second.
 CONNECT_TIMEOUT_S = 0.35
 _MAX_LINE_BYTES = 65_536
+_MAX_LINES = 128
 _PART_BYTES = 16_384
 _READ_BYTES = 65_536
 # The message with which aiohttp refuses a head or trailers.
@@ -131,6 +132,7 @@
                 timeout=aiohttp.ClientTimeout(total=None),
                 max_line_size=_MAX_LINE_BYTES,
                 max_field_size=_MAX_LINE_BYTES,
+                max_headers=_MAX_LINES,
             )
         return self.session
 
@@ -317,13 +319,11 @@
 
 def _broken(error: BaseException) -> exception.StreamBrokenError:
     cause = _first_cause(error)
-    place = _too_long_place(cause)
+    place, bound = _exceeded_bound(cause)
     if place:
+        # aiohttp does not tell how much came.
         return exception.AnswerTooLongError(
-            _reason(cause),
-            place=place,
-            size=_MAX_LINE_BYTES,
-            bound=_MAX_LINE_BYTES,
+            _reason(cause), place=place, size=bound + 1, bound=bound
         )
     return exception.StreamBrokenError(_reason(error), connection_lost=True)
 
@@ -334,13 +334,14 @@
     return error
 
 
-def _too_long_place(cause: BaseException) -> str:
-    """Returns the place at which aiohttp's own bounds ended an answer."""
+def _exceeded_bound(cause: BaseException) -> tuple[str, int]:
+    """Returns the place and the bound of aiohttp that ended an answer."""
     if isinstance(cause, http_exceptions.LineTooLong):
-        return "line"
-    if isinstance(cause, http_exceptions.BadHttpMessage):
-        return "lines" if _TOO_MANY_LINES in cause.message else ""
-    return ""
+        return "line", _MAX_LINE_BYTES
+    is_refused = isinstance(cause, http_exceptions.BadHttpMessage)
+    if is_refused and _TOO_MANY_LINES in cause.message:
+        return "lines", _MAX_LINES
+    return "", 0
 
 
 def _reason(error: BaseException) -> str:
