Targets: evacuated data centres and allowed regions

Cause: operators' rows for the evacuation of a data centre and the regions that routes and organisations allow were decoded, but nothing used them. Peers of a third region are offered no request. Refusals 3014 and 3015. An operators' table that is an older copy of what was read is read as a whole.

--- a/copperloom/decisions/placement_query.py
+++ b/copperloom/decisions/placement_query.py
@@ -23,6 +23,7 @@
         is_repeat: Whether the request was sent before.
         is_away: Whether the owner of another data centre forwarded it.
         excluded: Targets that the sender knows to take no requests now.
+        data_centres: The data centres whose targets may be used; None for all.
     """
 
     request: str
@@ -35,6 +36,7 @@
     is_repeat: bool = False
     is_away: bool = False
     excluded: tuple[str, ...] = ()
+    data_centres: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/copperloom/decisions/registry.py
+++ b/copperloom/decisions/registry.py
@@ -7,7 +7,8 @@
 they are used only if their service has no other target.
 
 A target that says in its answers that it drains gets no new work either,
-whatever its row says (see `drain_notices`).
+whatever its row says (see `drain_notices`). A target in an evacuated data
+centre gets none either, not even as a last resort.
 """
 
 from collections.abc import Iterable
@@ -18,16 +19,22 @@
 __all__ = [
     "Registry",
     "usable_by_shard",
+    "checkable",
     "find",
+    "forget",
     "has_draining",
+    "has_evacuated",
     "incarnation",
     "incarnations",
     "is_draining",
+    "is_evacuated",
     "is_usable",
     "note_draining",
     "noted",
     "ready_incarnations",
+    "set_evacuated",
     "set_low_latency",
+    "open_data_centres",
     "record_outage",
     "replace",
     "services",
@@ -38,6 +45,8 @@
 # Targets register again within this time after an outage; entries that are
 # still missing then are dropped.
 LAPSE_S = 2.0
+# Cached divisions for some data centres only.
+_MAX_RESTRICTED = 200
 
 
 class Registry:
@@ -52,11 +61,13 @@
             service.
         divisions: Entries that accept new work, by service and shard; a cache
             that each change clears.
+        restricted: The same for some data centres only.
         services: Services that entries belong to; None after a change.
         ready: Incarnations whose rows say that they are ready; None after a
             change.
         drain_notices: The targets that said in their answers that they drain.
         low_latency: Services with low latency between their data centres.
+        evacuated: Data centres that are evacuated.
     """
 
     def __init__(self, drain_s: float = 0.0):
@@ -65,10 +76,12 @@
         self.version = 0
         self.outage_at = float("-inf")
         self.divisions: dict[str, shards.Division] = {}
+        self.restricted: dict[tuple[str, frozenset[str]], shards.Division] = {}
         self.services: frozenset[str] | None = None
         self.ready: frozenset[str] | None = None
         self.drain_notices = drain_notices.DrainNotices(drain_s)
         self.low_latency: frozenset[str] = frozenset()
+        self.evacuated: frozenset[str] = frozenset()
 
 
 def record_outage(reg: Registry, now: float) -> None:
@@ -105,7 +118,7 @@
     Returns:
         Targets that are new or were restarted under the same name.
     """
-    reg.divisions.clear()
+    _clear_divisions(reg)
     reg.services = None
     reg.ready = None
     started = []
@@ -165,7 +178,7 @@
         reg.drain_notices, incarnation, now, forwards=forwards
     ):
         return False
-    reg.divisions.clear()
+    _clear_divisions(reg)
     return True
 
 
@@ -180,17 +193,42 @@
     return drain_notices.is_noted(reg.drain_notices, incarnation(entry))
 
 
-def is_usable(reg: Registry, entry: routing.TargetEntry, now: float) -> bool:
-    """Returns whether a registered target may get new work."""
+def is_usable(
+    reg: Registry,
+    entry: routing.TargetEntry,
+    now: float,
+    data_centres: frozenset[str] | None = None,
+) -> bool:
+    """Returns whether a registered target may get new work.
+
+    Args:
+        reg: The registry.
+        entry: The target.
+        now: Monotonic time.
+        data_centres: The data centres that the work may go to; None for all.
+    """
+    if is_evacuated(reg, entry) or not _is_in(entry, data_centres):
+        return False
     if not is_draining(reg, entry):
         return True
-    return entry in usable(reg, entry.service, now)
+    return entry in usable(reg, entry.service, now, data_centres)
 
 
-def has_draining(reg: Registry, service: str) -> bool:
-    """Returns whether a service has targets that drain."""
+def has_draining(
+    reg: Registry, service: str, data_centres: frozenset[str] | None = None
+) -> bool:
+    """Returns whether a service has targets that drain.
+
+    Args:
+        reg: The registry.
+        service: Name of the service.
+        data_centres: The data centres that count; None for all.
+    """
     return any(
-        e.service == service and is_draining(reg, e)
+        e.service == service
+        and is_draining(reg, e)
+        and not is_evacuated(reg, e)
+        and _is_in(e, data_centres)
         for e in reg.entries.values()
     )
 
@@ -207,6 +245,7 @@
         for e in reg.entries.values()
         if e.service == service
         and not e.draining
+        and not is_evacuated(reg, e)
         and not is_usable(reg, e, now)
     )
 
@@ -229,7 +268,82 @@
     """Sets the services with low latency between their data centres."""
     if low_latency != reg.low_latency:
         reg.low_latency = low_latency
-        reg.divisions.clear()
+        _clear_divisions(reg)
+
+
+def set_evacuated(reg: Registry, data_centres: frozenset[str]) -> None:
+    """Sets the data centres that are evacuated."""
+    if data_centres != reg.evacuated:
+        reg.evacuated = data_centres
+        _clear_divisions(reg)
+
+
+def _clear_divisions(reg: Registry) -> None:
+    reg.divisions.clear()
+    reg.restricted.clear()
+
+
+def is_evacuated(reg: Registry, entry: routing.TargetEntry) -> bool:
+    """Returns whether a target is in an evacuated data centre."""
+    return entry.data_centre in reg.evacuated
+
+
+def has_evacuated(
+    reg: Registry, service: str, data_centres: frozenset[str] | None = None
+) -> bool:
+    """Returns whether a service has targets in evacuated data centres.
+
+    Args:
+        reg: The registry.
+        service: Name of the service.
+        data_centres: The data centres that count; None for all.
+    """
+    return bool(reg.evacuated) and any(
+        e.service == service
+        and is_evacuated(reg, e)
+        and _is_in(e, data_centres)
+        for e in reg.entries.values()
+    )
+
+
+def open_data_centres(
+    reg: Registry, data_centres: frozenset[str] | None
+) -> frozenset[str] | None:
+    """Returns those of some data centres that are not evacuated.
+
+    Args:
+        reg: The registry.
+        data_centres: The data centres; None for all.
+
+    Returns:
+        The data centres; None for all, if no target is evacuated.
+    """
+    if not reg.evacuated:
+        return data_centres
+    if data_centres is not None:
+        return data_centres - reg.evacuated
+    known = {e.data_centre for e in reg.entries.values()}
+    known |= {e.data_centre for e, _ in reg.missing.values()}
+    if known.isdisjoint(reg.evacuated):
+        return None
+    return frozenset(known - reg.evacuated)
+
+
+def checkable(reg: Registry) -> list[routing.TargetEntry]:
+    """Returns the registered targets that may get checks."""
+    return [e for e in reg.entries.values() if not is_evacuated(reg, e)]
+
+
+def forget(reg: Registry, names: Iterable[str]) -> None:
+    """Drops targets that vanished, so that they are no last resort either."""
+    for name in names:
+        reg.missing.pop(name, None)
+
+
+def _is_in(
+    entry: routing.TargetEntry, data_centres: frozenset[str] | None
+) -> bool:
+    return data_centres is None or entry.data_centre in data_centres
 
 
 def services(reg: Registry) -> frozenset[str]:
@@ -240,31 +354,69 @@
 
 
 def usable(
-    reg: Registry, service: str, now: float
+    reg: Registry,
+    service: str,
+    now: float,
+    data_centres: frozenset[str] | None = None,
 ) -> list[routing.TargetEntry]:
     """Returns the targets of a service that may get new work."""
-    return usable_by_shard(reg, service, now).targets
+    return usable_by_shard(reg, service, now, data_centres).targets
+
 
+def usable_by_shard(
+    reg: Registry,
+    service: str,
+    now: float,
+    data_centres: frozenset[str] | None = None,
+) -> shards.Division:
+    """Returns the targets of a service that may get new work, by shard.
 
-def usable_by_shard(reg: Registry, service: str, now: float) -> shards.Division:
-    """Returns the targets of a service that may get new work, by shard."""
+    Args:
+        reg: The registry.
+        service: Name of the service.
+        now: Monotonic time.
+        data_centres: The data centres that the work may go to; None for all.
+    """
+    division = _restricted(reg, service, data_centres)
+    if division.targets:
+        return division
+    resorts = shards.divide(
+        [e for e in _last_resorts(reg, now) if e.service == service],
+        low_latency=service in reg.low_latency,
+    )
+    return shards.restrict(resorts, data_centres)
+
+
+def _restricted(
+    reg: Registry, service: str, data_centres: frozenset[str] | None
+) -> shards.Division:
+    if data_centres is None:
+        return _division(reg, service)
+    key = (service, data_centres)
+    if key not in reg.restricted:
+        if len(reg.restricted) >= _MAX_RESTRICTED:
+            reg.restricted.clear()
+        reg.restricted[key] = shards.restrict(
+            _division(reg, service), data_centres
+        )
+    return reg.restricted[key]
+
+
+def _division(reg: Registry, service: str) -> shards.Division:
     division = reg.divisions.get(service)
     if division is None:
         division = shards.divide(
             [
                 e
                 for e in reg.entries.values()
-                if e.service == service and not is_draining(reg, e)
+                if e.service == service
+                and not is_draining(reg, e)
+                and not is_evacuated(reg, e)
             ],
             low_latency=service in reg.low_latency,
         )
         reg.divisions[service] = division
-    if division.targets:
-        return division
-    return shards.divide(
-        [e for e in _last_resorts(reg, now) if e.service == service],
-        low_latency=service in reg.low_latency,
-    )
+    return division
 
 
 def _last_resorts(reg: Registry, now: float) -> list[routing.TargetEntry]:
@@ -286,4 +438,4 @@
             reg.drain_notices, incarnation(entry), now
         )
     ]
-    return missing + draining
+    return [e for e in missing + draining if not is_evacuated(reg, e)]
--- a/copperloom/decisions/shards.py
+++ b/copperloom/decisions/shards.py
@@ -31,6 +31,7 @@
     "home_shard",
     "has_owners",
     "rank",
+    "restrict",
     "targets_in",
 ]
 
@@ -125,6 +126,23 @@
     return Division(targets, tuple(large), by_shard)
 
 
+def restrict(
+    division: Division, data_centres: frozenset[str] | None
+) -> Division:
+    """Returns the part of a division in some data centres; None for all."""
+    if data_centres is None:
+        return division
+    by_shard = {
+        name: [t for t in targets if t.data_centre in data_centres]
+        for name, targets in division.by_shard.items()
+    }
+    return Division(
+        [t for t in division.targets if t.data_centre in data_centres],
+        tuple(name for name in division.large if by_shard.get(name)),
+        {name: targets for name, targets in by_shard.items() if targets},
+    )
+
+
 def home_shard(service: str, division: Division, data_centre: str) -> Shard:
     """Returns the shard that an instance's requests go to.
 
--- a/copperloom/decisions/tests/test_registry.py
+++ b/copperloom/decisions/tests/test_registry.py
@@ -1,5 +1,6 @@
 """Tests which registered targets get work once they say that they drain."""
 
+import dataclasses
 import unittest
 
 from copperloom import routing
@@ -102,3 +103,48 @@
         self.assertEqual(
             registry.ready_incarnations(reg), frozenset({"t@1", "v@1"})
         )
+
+
+def _two_data_centres() -> registry.Registry:
+    reg = registry.Registry(_DRAIN_S)
+    entries = [_entry("t"), dataclasses.replace(_entry("u"), data_centre="b")]
+    registry.update(reg, [(e.name, e) for e in entries], 1, 0.0)
+    return reg
+
+
+class EvacuationTest(unittest.TestCase):
+    def test_evacuation_counts_at_once(self):
+        """Guards against a cached division that still names the targets."""
+        reg = _two_data_centres()
+        self.assertEqual(_names(reg, 0.0), ["t", "u"])
+        registry.set_evacuated(reg, frozenset("b"))
+        self.assertEqual(_names(reg, 0.0), ["t"])
+        self.assertFalse(registry.is_usable(reg, reg.entries["u"], 0.0))
+        self.assertEqual([e.name for e in registry.checkable(reg)], ["t"])
+        self.assertEqual(registry.open_data_centres(reg, None), {"a"})
+        registry.set_evacuated(reg, frozenset())
+        self.assertEqual(_names(reg, 0.0), ["t", "u"])
+        self.assertIsNone(registry.open_data_centres(reg, None))
+
+    def test_evacuated_target_is_no_last_resort(self):
+        """Guards against targets that vanished or drain and then get work."""
+        reg = _two_data_centres()
+        other = dataclasses.replace(_entry("v"), data_centre="b")
+        registry.update(reg, [("v", other)], 1, 0.0)
+        registry.set_evacuated(reg, frozenset("b"))
+        _note(reg, "v@1", 1.0)
+        registry.record_outage(reg, 1.0)
+        registry.update(reg, [("t", None), ("u", None)], 2, 1.1)
+        self.assertEqual(_names(reg, 1.2), ["t"])
+
+    def test_work_stays_in_its_data_centres(self):
+        """Guards against last resorts and caches that ignore regions."""
+        reg = _two_data_centres()
+        for wanted, names in (("a", ["t"]), ("b", ["u"]), ("c", [])):
+            usable = registry.usable(reg, "s", 0.0, frozenset(wanted))
+            self.assertEqual([e.name for e in usable], names)
+        registry.record_outage(reg, 1.0)
+        registry.update(reg, [("t", None)], 2, 1.1)
+        usable = registry.usable(reg, "s", 1.2, frozenset("a"))
+        self.assertEqual([e.name for e in usable], ["t"])
+        self.assertEqual(_names(reg, 1.2), ["u"])
--- a/copperloom/exception.py
+++ b/copperloom/exception.py
@@ -14,6 +14,7 @@
     "ChangeLostError",
     "ChangeUnknownError",
     "CopperloomError",
+    "DataCentreEvacuatedError",
     "DrainingError",
     "HeaderOutOfRangeError",
     "HistoryGoneError",
@@ -22,6 +23,7 @@
     "LimitExceededError",
     "MalformedRequestError",
     "NoTargetError",
+    "NoTargetInRegionError",
     "NotAuthorisedError",
     "OrderRefusedError",
     "OverloadedError",
@@ -260,6 +262,22 @@
     retry_after_s = 1.0
 
 
+class DataCentreEvacuatedError(CopperloomError):
+    """All targets of the service are in evacuated data centres."""
+
+    code = 3014
+    status = 503
+    retry_after_s = 1.0
+
+
+class NoTargetInRegionError(CopperloomError):
+    """The service has no target in the regions where the request may run."""
+
+    code = 3015
+    status = 503
+    retry_after_s = 1.0
+
+
 class TargetUnreachableError(CopperloomError):
     """The target accepted no connection, so nothing was sent.
 
--- a/copperloom/ingress/admit.py
+++ b/copperloom/ingress/admit.py
@@ -7,7 +7,7 @@
 
 from copperloom import exception, logs, routing
 from copperloom.decisions import budget, registry
-from copperloom.ingress import exchange, stopping
+from copperloom.ingress import allowed_targets, exchange, stopping
 
 __all__ = [
     "authorise",
@@ -90,6 +90,7 @@
 
 def _identify(ex: exchange.Exchange) -> None:
     table = ex.state.table
+    by_organisation = None
     if table.keyed and not ex.route.public:
         organisation = table.organisations.get(ex.head.key)
         if organisation is None:
@@ -99,13 +100,15 @@
         ex.organisation = organisation.name
         if organisation.priority is not None:
             ex.priority = organisation.priority
+        by_organisation = organisation.allowed_regions
+    allowed_targets.set_data_centres(ex, by_organisation)
 
 
 def _service(ex: exchange.Exchange, now: float) -> str:
     usable = frozenset(
         b.service
         for b in ex.route.backends
-        if registry.usable(ex.state.targets, b.service, now)
+        if registry.usable(ex.state.targets, b.service, now, ex.data_centres)
     )
     return routing.choose_service(ex.route, usable, ex.state.rng)
 
--- a/copperloom/ingress/datagrams.py
+++ b/copperloom/ingress/datagrams.py
@@ -113,6 +113,7 @@
         draining_targets: Incarnations of targets that said in their answers
             that they drain.
         reaches_none: Whether it reaches no target.
+        evacuations: What it knows about evacuated data centres.
     """
 
     sender: Announcement
@@ -134,6 +135,7 @@
     limits: list[wire_knowledge.WireLimit] = []
     draining_targets: list[str] = []
     reaches_none: bool = False
+    evacuations: list[wire_knowledge.WireEvacuation] = []
 
 
 class PlacementRequest(msgspec.Struct, array_like=True, tag="q"):
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -51,6 +51,7 @@
         shard: The targets of the service that it may be sent to.
         organisation: Owner of its key, "" on public routes.
         priority: Its priority; 0 is the highest.
+        data_centres: The data centres whose targets may run it; None for all.
         body: The complete body.
         body_bytes: Bytes of the body that were received.
         digest: Identity shared with repeats, see `content_digest`; empty until
@@ -106,6 +107,7 @@
         self.shard: shards.Shard | None = None
         self.organisation = ""
         self.priority = 0
+        self.data_centres: frozenset[str] | None = None
         self.body = b""
         self.body_bytes = 0
         self.digest = b""
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -18,6 +18,7 @@
     registry,
 )
 from copperloom.ingress import (
+    allowed_targets,
     answers,
     draining_targets,
     exchange,
@@ -122,6 +123,7 @@
     await reachability_checks.settle(state)
     if not state.reachability.is_lost:
         return False
+    allowed_targets.check(ex)
     if not reachability_checks.is_partitioned(
         state, asyncio.get_running_loop().time()
     ):
@@ -143,6 +145,10 @@
         ex.placed_at = asyncio.get_running_loop().time()
         stopping.check_time_left(ex)
         granted = await limited_targets.await_grant(ex)
+        if granted and ex.plan.holds and _is_stale(ex):
+            # No memory may be reserved at an evacuated target either.
+            await asyncio.sleep(_STALE_PLAN_DELAY_S)
+            granted = False
 
 
 async def _wait_for_memory(ex, error: exception.CapacityExceededError) -> None:
@@ -198,7 +204,9 @@
 
 
 def _is_stale(ex: exchange.Exchange) -> bool:
-    """Returns whether a target of the plan is gone, drains or is held.
+    """Returns whether a target of the plan may not get the request now.
+
+    It may be gone, drain, be evacuated or be held.
 
     The plan may be older than the latest update, since its owner may not have
     received it and reserving memory takes time. A draining target must get no
@@ -224,7 +232,7 @@
     entry = registry.find(ex.state.targets, name)
     if entry is None:
         return False
-    return registry.is_usable(ex.state.targets, entry, now)
+    return registry.is_usable(ex.state.targets, entry, now, ex.data_centres)
 
 
 async def _attempt(ex: exchange.Exchange) -> None:
--- a/copperloom/ingress/knowledge.py
+++ b/copperloom/ingress/knowledge.py
@@ -1,7 +1,8 @@
 """Adds what an instance knows to its digests, and merges what peers know.
 
 This is evidence about requests that crash targets, rate limits that targets
-name, and which targets said that they drain. Unlike the work in a digest it
+name, which targets said that they drain, and which data centres operators
+evacuate. Unlike the work in a digest it
 holds whatever the order of messages.
 """
 
@@ -16,6 +17,7 @@
 from copperloom.ingress import (
     datagrams,
     draining_targets,
+    evacuations,
     limit_grants,
     quarantines,
     recipients,
@@ -62,6 +64,8 @@
         wire_knowledge.encode_limit(target, report)
         for target, report in limits.items()
     ]
+    if state.evacuations.known:
+        digest.evacuations = evacuations.to_share(state, now, occasion)
     if state.targets.drain_notices.notices:
         digest.draining_targets = drain_notices.to_share(
             state.targets.drain_notices,
@@ -79,7 +83,12 @@
     """
     if digest.evidence_loaded:
         state.quarantines_loaded.set()
-    if not (digest.evidence or digest.limits or digest.draining_targets):
+    if not (
+        digest.evidence
+        or digest.limits
+        or digest.draining_targets
+        or digest.evacuations
+    ):
         return
     forwards = is_large_fleet(state) and recipients.owns_local_shards(
         state, now
@@ -99,5 +108,8 @@
         changed |= draining_targets.apply(
             state, target, now, source=sender, forwards=forwards
         )
+    changed |= evacuations.apply_peer(
+        state, digest.evacuations, now, source=sender, forwards=forwards
+    )
     if changed and forwards:
         state.digest_due.set()
--- a/copperloom/ingress/local_placement.py
+++ b/copperloom/ingress/local_placement.py
@@ -43,7 +43,9 @@
     Returns:
         The decision, with the utilisation of the query's shard.
     """
-    usable = registry.usable_by_shard(state.targets, query.shard.service, now)
+    usable = registry.usable_by_shard(
+        state.targets, query.shard.service, now, query.data_centres
+    )
     in_shard = shards.targets_in(query.shard, usable)
     drawn = planner.draw_targets(
         _allowed(query, in_shard), frozenset(query.may_lead or ()), state.rng
@@ -55,7 +57,7 @@
     busy = spillover.utilisation(candidates)
     remote = None
     if not alone and not query.is_away:
-        remote_shards = _remote_shards(state, query.shard, now)
+        remote_shards = _remote_shards(state, query, now)
         remote = spillover.choose_remote(
             chosen, query.prompt, busy, remote_shards, state.rng
         )
@@ -88,9 +90,10 @@
 
 
 def _remote_shards(
-    state: IngressState, shard: shards.Shard, now: float
+    state: IngressState, query: placement_query.Query, now: float
 ) -> list[spillover.RemoteShard]:
     """Lists other shards of a service whose owners reported recently."""
+    shard = query.shard
     if not shard.data_centre:
         return []
     by_data_centre = {}
@@ -100,6 +103,8 @@
             continue
         if now - member.busy_at > members.MEMBER_TIMEOUT_S:
             continue
+        if not _may_spill_to(state, query, data_centre):
+            continue
         by_data_centre[data_centre] = spillover.RemoteShard(
             data_centre,
             member.instance,
@@ -109,6 +114,14 @@
     return list(by_data_centre.values())
 
 
+def _may_spill_to(
+    state: IngressState, query: placement_query.Query, data_centre: str
+) -> bool:
+    if data_centre in state.targets.evacuated:
+        return False
+    return query.data_centres is None or data_centre in query.data_centres
+
+
 def _candidates(
     state: IngressState,
     query: placement_query.Query,
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -84,6 +84,12 @@
             ["result"],
             registry=self.registry,
         )
+        self.evacuations = prometheus_client.Counter(
+            "copperloom_evacuations",
+            "Evacuations of data centres that have begun or ended.",
+            ["result"],
+            registry=self.registry,
+        )
         self.backoff_requested = prometheus_client.Counter(
             "copperloom_backoff_requests",
             "Answers with status 503 and a time to wait, by what it means.",
--- a/copperloom/ingress/peer_relay.py
+++ b/copperloom/ingress/peer_relay.py
@@ -11,6 +11,7 @@
 from copperloom import exception, logs
 from copperloom.decisions import members, peer_relay
 from copperloom.ingress import (
+    allowed_targets,
     events,
     exchange,
     reachability_checks,
@@ -131,6 +132,7 @@
 ) -> list[peer_relay.Candidate]:
     state = ex.state
     own = state.settings.data_centre
+    allowed = allowed_targets.peer_data_centres(ex)
     return [
         peer_relay.Candidate(
             name=m.instance,
@@ -139,7 +141,10 @@
             load=_load(state, m),
         )
         for m in state.members.values()
-        if m.calls and m.instance not in tried and not m.reaches_none
+        if m.calls
+        and m.instance not in tried
+        and not m.reaches_none
+        and (allowed is None or m.data_centre in allowed)
     ]
 
 
--- a/copperloom/ingress/placement.py
+++ b/copperloom/ingress/placement.py
@@ -4,7 +4,12 @@
 
 from copperloom import exception, logs
 from copperloom.decisions import placement_query, plans, registry
-from copperloom.ingress import exchange, placement_rpc, target_room
+from copperloom.ingress import (
+    allowed_targets,
+    exchange,
+    placement_rpc,
+    target_room,
+)
 
 __all__ = ["place", "to_query"]
 
@@ -32,6 +37,10 @@
 
     Raises:
         copperloom.exception.NoTargetError: The service has no usable target.
+        copperloom.exception.DataCentreEvacuatedError: Its targets are in
+            evacuated data centres.
+        copperloom.exception.NoTargetInRegionError: It has none in the regions
+            where the request may run.
         copperloom.exception.TargetsDrainingError: All its targets drain.
         copperloom.exception.TargetsBackingOffError: All targets reject
             requests for longer than the request can wait.
@@ -45,8 +54,10 @@
     wait_until = started_at + (ex.deadline - started_at) * MAX_WAIT_SHARE
     while True:
         now = loop.time()
-        usable = registry.usable_by_shard(ex.state.targets, ex.service, now)
-        if not usable.targets:
+        usable = registry.usable_by_shard(
+            ex.state.targets, ex.service, now, ex.data_centres
+        )
+        if not usable.targets or allowed_targets.excludes_lead(ex):
             raise _no_target_error(ex)
         hold_s = target_room.check(ex, now)
         if hold_s:
@@ -107,11 +118,17 @@
         may_lead=exchange.may_lead(ex),
         is_repeat=bool(ex.sends),
         excluded=excluded,
+        data_centres=registry.open_data_centres(
+            ex.state.targets, ex.data_centres
+        ),
     )
 
 
 def _no_target_error(ex: exchange.Exchange) -> exception.CopperloomError:
-    if registry.has_draining(ex.state.targets, ex.service):
+    error = allowed_targets.find_refusal(ex)
+    if error is not None:
+        return error
+    if registry.has_draining(ex.state.targets, ex.service, ex.data_centres):
         return exception.TargetsDrainingError(
             f"retry later: all targets of service {ex.service} are draining",
             run=ex.run,
--- a/copperloom/ingress/reachability_checks.py
+++ b/copperloom/ingress/reachability_checks.py
@@ -10,7 +10,7 @@
 import contextlib
 
 from copperloom import exception, logs, routing
-from copperloom.decisions import members, reachability, readiness
+from copperloom.decisions import members, reachability, readiness, registry
 from copperloom.ingress import exchange, sender
 from copperloom.ingress.state import (
     IngressState,
@@ -121,7 +121,11 @@
 
 def _start_round(state: IngressState) -> None:
     known = state.reachability
-    if known.is_checking or known.is_lost or len(state.targets.entries) < 2:
+    if (
+        known.is_checking
+        or known.is_lost
+        or len(registry.checkable(state.targets)) < 2
+    ):
         return
     known.is_checking = True
     state.reachability_settled.clear()
@@ -202,7 +206,7 @@
     known = state.reachability
     loop = asyncio.get_running_loop()
     chosen = reachability.choose_checked(
-        known, state.targets.entries.values(), state.rng
+        known, registry.checkable(state.targets), state.rng
     )
     if not chosen:
         return
@@ -218,7 +222,7 @@
     finally:
         for task in tasks:
             task.cancel()
-    entries = state.targets.entries.values()
+    entries = registry.checkable(state.targets)
     if not answered and reachability.reaches_none(known, entries, loop.time()):
         _begin_loss(state, loop.time())
 
@@ -312,7 +316,7 @@
     loop = asyncio.get_running_loop()
     while not reachability.is_regained(known, loop.time()):
         (target,) = reachability.choose_checked(
-            known, state.targets.entries.values(), state.rng, 1
+            known, registry.checkable(state.targets), state.rng, 1
         ) or (None,)
         answered = target is not None and await _check(state, target)
         reachability.record_check(known, loop.time(), answered=answered)
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -13,6 +13,7 @@
     backoff,
     budget,
     crash_log,
+    evacuation,
     fetch_policy,
     health,
     inflight_table,
@@ -94,6 +95,7 @@
         relayed: Number of requests of peers in progress.
         relays_paused_until: Monotonic time until which no request is offered
             to peers.
+        evacuations: The data centres that operators evacuate.
         crashes: Evidence about requests that crashed their targets.
         quarantine_changed: Set when a quarantine has begun, changed or ended.
         quarantines_loaded: Set once the quarantines of earlier processes are
@@ -160,6 +162,7 @@
         self.reachability_settled = asyncio.Event()
         self.relayed = 0
         self.relays_paused_until = float("-inf")
+        self.evacuations = evacuation.Evacuations()
         self.crashes = crash_log.CrashLog()
         self.quarantine_changed = asyncio.Event()
         self.quarantines_loaded = asyncio.Event()
--- a/copperloom/ingress/table_watch.py
+++ b/copperloom/ingress/table_watch.py
@@ -10,7 +10,7 @@
 
 from copperloom import exception, logs
 from copperloom.decisions import registry, rowlog
-from copperloom.ingress import startup, updates, watchers
+from copperloom.ingress import evacuations, startup, updates, watchers
 from copperloom.ingress.state import (
     IngressState,
     fleet_size,
@@ -77,6 +77,7 @@
                 apply(state, feed, whole=True)
             else:
                 feed = await store.feed(state.store, table, version, wait_s)
+                _check_not_older(table, feed, version)
                 apply(state, feed, whole=False)
             version = max(version or 0, feed.version)
             if feed.rows:
@@ -96,6 +97,19 @@
             await asyncio.sleep(_backoff(state, failures))
 
 
+def _check_not_older(table: str, feed: store.Feed, version: int) -> None:
+    """Checks that the operators' table is no older copy of what was read.
+
+    Its later versions would be below the known one, so that an evacuation in
+    them would never be seen.
+
+    Raises:
+        copperloom.exception.HistoryGoneError: The whole table has to be read.
+    """
+    if table == catalog.ROUTES_TABLE and feed.version < version:
+        raise exception.HistoryGoneError(f"{table} is at {feed.version}")
+
+
 def _log_whole_read(state: IngressState, table: str) -> None:
     """Logs what this instance knows of the others when it reads a table."""
     now = asyncio.get_running_loop().time()
@@ -177,6 +191,12 @@
 def _apply_routes(
     state: IngressState, feed: store.Feed, *, whole: bool
 ) -> None:
+    # First, so that an instance that starts sends nothing to evacuated targets.
+    evacuations.apply_rows(
+        state,
+        catalog.evacuation_rows(feed),
+        feed.version if whole else None,
+    )
     row = catalog.routes_row(feed)
     if row is not None:
         updates.apply_routes(state, row.value, "store")
@@ -193,5 +213,12 @@
     # another in vain.
     newest = max((row.version for row in feed.rows), default=0)
     newest = max(newest, state.targets.version)
-    rows = [rowlog.Row(r.key, r.version, r.value) for r in feed.rows]
+    rows = [rowlog.Row(r.key, r.version, _content(r)) for r in feed.rows]
     updates.apply_targets(state, rows, newest, whole=whole, source="store")
+
+
+def _content(row: store.StoredRow) -> bytes | None:
+    """Returns a row's value, empty if unreadable; None if it was removed."""
+    if row.removed:
+        return None
+    return row.value or b""
--- a/copperloom/ingress/target_checks.py
+++ b/copperloom/ingress/target_checks.py
@@ -78,6 +78,10 @@
             first_event_at=ex.attempt_first_at,
             failed_at=now,
         )
+        if registry.is_evacuated(ex.state.targets, entry):
+            # Its next registration still shows whether it ended.
+            ex.state.suspicions.append(suspicion)
+            continue
         task = asyncio.ensure_future(_check(ex.state, suspicion))
         for tasks in (ex.state.background, ex.checks):
             tasks.add(task)
@@ -132,6 +136,8 @@
         await asyncio.sleep(delay_s)
         if suspicion not in state.suspicions:
             return
+        if registry.is_evacuated(state.targets, suspicion.target):
+            return
         if await _is_listening(state, suspicion.target.address) is False:
             state.suspicions.remove(suspicion)
             await _blame_if_confirmed(state, suspicion)
--- a/copperloom/ingress/target_room.py
+++ b/copperloom/ingress/target_room.py
@@ -27,7 +27,7 @@
     """Returns what the targets leave to a request; None for no restriction."""
     if not _is_restricted(ex):
         return None
-    usable = registry.usable(ex.state.targets, ex.service, now)
+    usable = _usable(ex, now)
     may_lead = exchange.may_lead(ex)
     if may_lead is not None:
         usable = [e for e in usable if e.name in may_lead]
@@ -35,6 +35,10 @@
     return _room(ex, untried or usable, now)
 
 
+def _usable(ex: exchange.Exchange, now: float) -> list[routing.TargetEntry]:
+    return registry.usable(ex.state.targets, ex.service, now, ex.data_centres)
+
+
 def _is_restricted(ex: exchange.Exchange) -> bool:
     return bool(ex.state.limits.limits or ex.state.backoff.until)
 
@@ -137,8 +141,7 @@
     Returns:
         That time from now, in seconds.
     """
-    usable = registry.usable(ex.state.targets, ex.service, now)
-    room = _room(ex, usable, now)
+    room = _room(ex, _usable(ex, now), now)
     if room is None or room.first_s <= least_s:
         return least_s
     return _spread(ex, room.first_s)
@@ -158,7 +161,7 @@
         names += room.exhausted
         names += [
             e.name
-            for e in registry.usable(state.targets, ex.service, now)
+            for e in _usable(ex, now)
             if backoff.is_held(state.backoff, registry.incarnation(e), now)
         ]
     return tuple(dict.fromkeys(names))[:_MAX_EXCLUDED]
--- a/copperloom/ingress/views.py
+++ b/copperloom/ingress/views.py
@@ -67,6 +67,11 @@
             for target, until in state.backoff.until.items()
             if until > now
         },
+        "evacuated": {
+            name: known.report.version
+            for name, known in state.evacuations.known.items()
+            if known.report.active
+        },
         "quarantined": [
             _quarantine(digest, found, now)
             for digest, found in quarantine.all_found(state.crashes).items()
--- a/copperloom/ingress/wire_knowledge.py
+++ b/copperloom/ingress/wire_knowledge.py
@@ -1,14 +1,17 @@
-"""Evidence and rate limits in the form in which instances send them."""
+"""What instances know, in the form in which they send it."""
 
 import msgspec
 
-from copperloom.decisions import crash_log, target_limits
+from copperloom.decisions import crash_log, evacuation, target_limits
 
 __all__ = [
+    "WireEvacuation",
     "WireEvidence",
     "WireLimit",
+    "decode_evacuation",
     "decode_evidence",
     "decode_limit",
+    "encode_evacuation",
     "encode_evidence",
     "encode_limit",
 ]
@@ -46,6 +49,20 @@
     revision: int
 
 
+class WireEvacuation(msgspec.Struct, array_like=True):
+    """What is known about the evacuation of a data centre, as it is sent.
+
+    Attributes:
+        data_centre: Name of the data centre.
+        version: Version of the operators' row or of its removal.
+        active: Whether the data centre is evacuated.
+    """
+
+    data_centre: str
+    version: int
+    active: bool
+
+
 def encode_evidence(
     digest: bytes, evidence: crash_log.Evidence, now: float
 ) -> WireEvidence:
@@ -83,3 +100,13 @@
 def decode_limit(wire: WireLimit) -> target_limits.Report:
     """Decodes a limit as a peer reports it."""
     return target_limits.Report(wire.per_s, wire.revision)
+
+
+def encode_evacuation(report: evacuation.Report) -> WireEvacuation:
+    """Encodes what is known about a data centre."""
+    return WireEvacuation(report.data_centre, report.version, report.active)
+
+
+def decode_evacuation(wire: WireEvacuation) -> evacuation.Report:
+    """Decodes what a peer knows about a data centre."""
+    return evacuation.Report(wire.data_centre, wire.version, wire.active)
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -72,6 +72,8 @@
         break_after: Number of events sent before BREAK and HALF_EVENT take
             effect.
         seen: All requests received.
+        arrivals: All that was received, with orders and checks: monotonic time
+            and the operation of the order, "check" or "request".
         running: Number of requests in progress.
         left: Number of requests whose caller closed the connection.
         memory: Tokens reserved, by reservation.
@@ -104,6 +106,7 @@
         self.pause_s = 0.01
         self.break_after = 2
         self.seen: list[ReceivedRequest] = []
+        self.arrivals: list[tuple[float, str]] = []
         self.running = 0
         self.left = 0
         self.memory: dict[str, int] = {}
@@ -180,9 +183,13 @@
 async def _handle(target, request) -> web.StreamResponse:
     body = await request.read()
     if request.method == "GET" and request.path in wire.CHECK_PATHS:
+        _record_arrival(target, "check")
         return web.Response(headers=_own_headers(target))
     if request.path == "/copperloom/order":
-        return _handle_order(target, msgspec.json.decode(body))
+        order = msgspec.json.decode(body)
+        _record_arrival(target, order["op"])
+        return _handle_order(target, order)
+    _record_arrival(target, "request")
     expected = request.headers.get(wire.TARGET, target.name)
     fault = target.faults.popleft() if target.faults else target.always
     if expected != target.name:
@@ -217,6 +224,11 @@
         target.running -= 1
 
 
+def _record_arrival(target: TargetStandin, kind: str) -> None:
+    at = asyncio.get_running_loop().time()
+    target.arrivals.append((at, kind))
+
+
 def _refuse(target, received: ReceivedRequest, fault) -> web.Response:
     status = 421 if fault is Fault.MISDIRECTED else 503
     headers = _own_headers(target)
