Targets: registrations of other writers are logged and name no target

Cause: a registration that can't be decoded was left out without a log line. If it replaced a target's row during an outage of the table, the target stayed a last resort. A value nested more deeply than msgspec decodes raised RecursionError and ended the loop that reads the table. A value that is no base64 counted as a removal. Change: one line with key, version and length for each such row of a new version, at most 20 for an update; such a row is no last resort; RecursionError counts as undecodable. Measured: test_unreadable_targets passes; it fails without the log, without `registry.forget` and without RecursionError.

--- a/copperloom/ingress/updates.py
+++ b/copperloom/ingress/updates.py
@@ -14,7 +14,7 @@
     shards,
     target_limits,
 )
-from copperloom.ingress import target_checks
+from copperloom.ingress import target_checks, unreadable_targets
 from copperloom.ingress.state import IngressState
 from copperloom.platform import decoding
 
@@ -87,6 +87,8 @@
         touched = [*{*touched, *state.targets.entries}]
     before = {n: state.targets.entries.get(n) for n in touched}
     changes = [(r.key, decoding.decode_target(r.key, r.value)) for r in rows]
+    unreadable = unreadable_targets.find(rows, changes)
+    unreadable_targets.log(unreadable, state.target_rows, source)
     if whole:
         entries = [entry for _, entry in changes if entry is not None]
         rowlog.replace(state.target_rows, rows, version)
@@ -94,6 +96,7 @@
     else:
         rowlog.update(state.target_rows, rows)
         started = registry.update(state.targets, changes, version, now)
+    registry.forget(state.targets, [row.key for row in unreadable])
     target_checks.confirm_restarts(state, started, now)
     for entry in started:
         if before.get(entry.name) is not None:
--- a/copperloom/platform/catalog.py
+++ b/copperloom/platform/catalog.py
@@ -139,5 +139,5 @@
         return None
     try:
         return msgspec.json.decode(raw, type=row_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
--- a/copperloom/platform/decoding.py
+++ b/copperloom/platform/decoding.py
@@ -114,6 +114,8 @@
     born: int = 0
 
 
+# RecursionError: msgspec raises it for arrays that are nested too deeply.
+_UNDECODABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 _TABLE = msgspec.json.Decoder(_Table)
 _TARGET = msgspec.json.Decoder(_Target)
 
@@ -122,7 +124,7 @@
     """Returns the decoded routing document, or None if it is malformed."""
     try:
         doc = _TABLE.decode(raw)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except _UNDECODABLE:
         return None
     if doc.version <= 0:
         return None
@@ -222,7 +224,7 @@
         return None
     try:
         doc = _TARGET.decode(raw)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except _UNDECODABLE:
         return None
     if doc.state not in (_READY, _DRAINING) or not _is_address(doc.address):
         return None
