Ingress: no status denies a run that may have happened

Cause: read through every path that ends with 408, 421, 429 or 503. Three could deny a run of a request that may run only once: a 4xx error after an attempt that may have run; a target's 408 or 429 without the seal, which something else than the target may have sent; and a connection error in the middle of a request, which was taken for the caller's and answered with 503. Change: outcome answers such errors with 502 if the request may have run; reply_checks treats these statuses without the seal as a broken answer for requests that may run only once; the server's substitute response is 502 in that case. Sealed answers of targets are passed on as before.

--- a/copperloom/ingress/outcome.py
+++ b/copperloom/ingress/outcome.py
@@ -15,6 +15,8 @@
 
 __all__ = ["outcome"]
 
+# Statuses that say that a request has not run and never will.
+_DENIES_RUN = frozenset({408, 421, 429, 503})
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
@@ -86,7 +88,9 @@
 
 
 def _status(ex: exchange.Exchange, error: exception.CopperloomError) -> int:
-    if 400 <= error.status < 500:
+    has_run = ex.run is not exception.Run.NOT_RUN
+    denies_run = error.status in _DENIES_RUN
+    if 400 <= error.status < 500 and not (denies_run and has_run):
         return error.status
     if ex.run is exception.Run.NOT_RUN:
         return _UNAVAILABLE
--- a/copperloom/ingress/reply_checks.py
+++ b/copperloom/ingress/reply_checks.py
@@ -6,6 +6,8 @@
 __all__ = ["check"]
 
 _SERVER_ERROR = 500
+# Statuses of clients' errors that say that a request has not run.
+_DENIES_RUN = frozenset({408, 429})
 
 
 def check(ex: exchange.Exchange, answer: answers.Answer) -> None:
@@ -36,6 +38,11 @@
         raise exception.StreamBrokenError(
             "target sent a success status without the seal header"
         )
+    if _denies_run_unproved(ex, answer):
+        raise exception.StreamBrokenError(
+            f"target sent status {status} without the seal header, but the "
+            "request may have run"
+        )
     if status < _SERVER_ERROR:
         return
     # The target's own error is a better answer than none.
@@ -45,6 +52,17 @@
         )
 
 
+def _denies_run_unproved(ex: exchange.Exchange, answer: answers.Answer) -> bool:
+    """Returns whether a caller would be told without proof that nothing ran.
+
+    Something else than the target may have answered, while the target runs a
+    request that must not be repeated.
+    """
+    is_once = not ex.route.repeatable
+    unproved = answer.status in _DENIES_RUN and not answer.facts.sealed
+    return is_once and unproved
+
+
 def _is_sent_again(ex: exchange.Exchange, now: float) -> bool:
     """Returns whether another target may get a request, and grants a retry."""
     return target_room.has_room(ex, now) and retry.may_give_up(ex)
--- a/copperloom/ingress/server.py
+++ b/copperloom/ingress/server.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from copperloom import chains, logs
+from copperloom import chains, exception, logs
 from copperloom.ingress import (
     chain,
     connection_gate,
@@ -22,6 +22,7 @@
 
 _MAX_LINE_BYTES = 65_536
 _UNAVAILABLE = 503
+_BAD_GATEWAY = 502
 # Callers of another instance reconnect together when it stops.
 _BACKLOG = 1024
 _SHUTDOWN_S = 0.1
@@ -162,8 +163,10 @@
 async def _send_response(ex: exchange.Exchange) -> None:
     """Sends the response unless it was already sent as a stream."""
     if ex.response is None:
-        # The caller has disconnected, but aiohttp requires a response.
-        ex.response = web.Response(status=_UNAVAILABLE)
+        # The caller has probably disconnected, but aiohttp requires a response.
+        not_run = ex.run is exception.Run.NOT_RUN
+        status = _UNAVAILABLE if not_run else _BAD_GATEWAY
+        ex.response = web.Response(status=status)
     if ex.response.prepared:
         return
     now = asyncio.get_running_loop().time()
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -261,6 +261,8 @@
     if fault is Fault.OTHERS_REFUSAL:
         headers[wire.NOT_RUN] = "1"
         return web.Response(status=503, headers=headers)
+    if fault is Fault.UNSEALED_LIMIT:
+        return web.Response(status=429)
     if fault is Fault.UNSEALED:
         del headers[wire.SEAL]
     if fault is Fault.ENCODED:
--- a/copperloom/platform/standins/target_faults.py
+++ b/copperloom/platform/standins/target_faults.py
@@ -12,6 +12,7 @@
     MISDIRECTED = "misdirected"
     FAIL = "fail"
     UNSEALED = "unsealed"
+    UNSEALED_LIMIT = "unsealed_limit"
     OTHERS_ANSWER = "others_answer"
     OTHERS_REFUSAL = "others_refusal"
     ENCODED = "encoded"
