Soak: evacuations

Cause: no randomised schedule evacuated a data centre. Change: the targets numbered 1 are in the data centre b; a fault evacuates a or b, at first with the table in reach of one instance alone. Checked: 5 s after the row undisturbed instances send nothing but releases. 408 and 421 count as refusals too.

--- a/bench/frontsoak/checks.py
+++ b/bench/frontsoak/checks.py
@@ -21,6 +21,7 @@
 _DISRUPTION_S = 2.0
 _MIN_CALLS_PER_S = 5
 _RUN_ONCE = ("/write/x", "/once/x", "/write/crash")
+_DENIALS = (408, 421, 429, 503)
 _PLAIN = ("/read/x", "/write/x")
 # A request that has crashed this many targets may reach targets in a few more
 # retries, sent by instances that ran undisturbed for the stability window. So
@@ -60,6 +61,7 @@
             found += _check_limit(world, period, born)
     found += drain_checks.check_draining(world)
     found += drain_checks.check_held(world)
+    found += drain_checks.check_evacuated(world)
     found += _check_partitions(world)
     # A target behind a silenced link can't learn that its caller disconnected.
     busy = [n for n, t in world.targets.items() if t.running]
@@ -176,7 +178,7 @@
     found = []
     if result.path in _RUN_ONCE and runs > 1:
         found.append(Finding("TWICE", f"{result.id} ran {runs} times"))
-    if result.path in _RUN_ONCE and result.status in (429, 503) and runs:
+    if result.path in _RUN_ONCE and result.status in _DENIALS and runs:
         found.append(Finding("REFUSED", f"{result.id} was refused and ran"))
     return found
 
--- a/bench/frontsoak/drain_checks.py
+++ b/bench/frontsoak/drain_checks.py
@@ -6,7 +6,7 @@
 from bench.frontsoak.world import CallResult, World
 from copperloom.platform.standins.target import ReceivedRequest
 
-__all__ = ["check_draining", "check_held"]
+__all__ = ["check_draining", "check_evacuated", "check_held"]
 
 # The time limit for the last request after an answer was passed on that says
 # that its target drains.
@@ -17,6 +17,7 @@
 _GRACE_S = 0.5
 # Longest time that a disturbed link holds a request or an answer.
 _LINK_S = 2.0
+_EVACUATION_S = 5.0
 _OFFERED = re.compile(r"event=request_offered request=(\S+) .*result=accepted")
 
 
@@ -76,6 +77,22 @@
     return not _was_interrupted(world, result.front, told_at, reached_at)
 
 
+def check_evacuated(world: World) -> list[Finding]:
+    """Returns what undisturbed instances sent to evacuated targets."""
+    return [
+        Finding("EVACUATION", f"{kind} at {name}, {at - since:.3f} s after")
+        for data_centre, since, until in world.evacuations
+        for name, target in world.targets.items()
+        if data_centre == ("b" if name.endswith("-1") else "a")
+        for at, kind in target.arrivals
+        if since + _EVACUATION_S < at < until and kind != "release"
+        if not any(
+            _is_excused(world, name, front, at - _LINK_S, at)
+            for front in range(len(world.fronts))
+        )
+    ]
+
+
 def check_held(world: World) -> list[Finding]:
     """Returns the targets that got too many requests after rejecting one."""
     relayed = _sent_by_peers(world)
--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -275,6 +275,27 @@
         )
 
 
+async def _evacuate(world: World) -> None:
+    """Evacuates a data centre, while one instance alone reads the table."""
+    loop = asyncio.get_running_loop()
+    name = world.rng.choice("ab")
+    if name in world.evacuated:
+        return
+    world.evacuated[name] = loop.time()
+    cut_off = [f.table_link for f in world.rng.sample(world.fronts, 2)]
+    for link in cut_off:
+        link.faults = proxy.PairFaults(refuse=True)
+        proxy.reset(link)
+    world.store.put("op", f"evacuate/{name}", {})
+    await asyncio.sleep(world.rng.uniform(0.1, 2.0))
+    for link in cut_off:
+        link.faults = proxy.PairFaults()
+    await asyncio.sleep(world.rng.uniform(0.0, 8.0))
+    world.store.remove("op", f"evacuate/{name}")
+    since = world.evacuated.pop(name)
+    world.evacuations.append((name, since, loop.time()))
+
+
 async def _corrupt_rows(world: World) -> None:
     malformed = (b"\xff", {"state": "ready"}, {"service": 1, "address": []})
     for number, row in enumerate(malformed):
@@ -320,5 +341,6 @@
     _partition_all,
     _flood,
     _corrupt_rows,
+    _evacuate,
     _change_routes,
 )
--- a/bench/frontsoak/world.py
+++ b/bench/frontsoak/world.py
@@ -118,6 +118,8 @@
         link_listeners: Listener of each of these proxies, by the same name.
         limits: Periods in which targets name rate limits.
         link_faults: Faults of the targets' links.
+        evacuated: Data centres with a row, and when it was written.
+        evacuations: Data centres that had one, with its begin and end.
         crashing: Bodies of the requests that crash the targets that run them.
         silenced: Names of the targets whose link has lost or held back bytes,
             or the closing of a connection.
@@ -138,6 +140,8 @@
         self.link_listeners: dict[str, asyncio.Server] = {}
         self.limits: list[LimitPeriod] = []
         self.link_faults: list[LinkFault] = []
+        self.evacuated: dict[str, float] = {}
+        self.evacuations: list[tuple[str, float, float]] = []
         self.crashing: set[bytes] = set()
         self.background: set[asyncio.Task] = set()
         self.silenced: set[str] = set()
@@ -152,6 +156,7 @@
             "engines" if name.startswith("engine") else "plain", **changes
         )
         row["address"] = self.links[name].listen
+        row["zone"] = "b" if name.endswith("-1") else "a"
         self.store.put("servers", name, row)
 
 
