--- a/copperloom/ingress/peer_relay.py
+++ b/copperloom/ingress/peer_relay.py
@@ -11,6 +11,7 @@
 from copperloom import exception, logs
 from copperloom.decisions import members, peer_relay
 from copperloom.ingress import (
+    allowed_targets,
     exchange,
     long_answers,
     reachability_checks,
@@ -134,6 +135,7 @@
 ) -> list[peer_relay.Candidate]:
     state = ex.state
     own = state.settings.data_centre
+    allowed = allowed_targets.peer_data_centres(ex)
     return [
         peer_relay.Candidate(
             name=m.instance,
@@ -142,7 +144,10 @@
             load=_load(state, m),
         )
         for m in state.members.values()
-        if m.calls and m.instance not in tried and not m.reaches_none
+        if m.calls
+        and m.instance not in tried
+        and not m.reaches_none
+        and (allowed is None or m.data_centre in allowed)
     ]
 
 
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -74,6 +74,8 @@
         break_after: Number of events sent before BREAK and HALF_EVENT take
             effect.
         seen: All requests received.
+        arrivals: All that was received, with orders and checks: monotonic time
+            and the operation of the order, "check" or "request".
         running: Number of requests in progress.
         left: Number of requests whose caller closed the connection.
         memory: Tokens reserved, by reservation.
@@ -108,6 +110,7 @@
         self.pause_s = 0.01
         self.break_after = 2
         self.seen: list[ReceivedRequest] = []
+        self.arrivals: list[tuple[float, str]] = []
         self.running = 0
         self.left = 0
         self.memory: dict[str, int] = {}
@@ -184,17 +187,21 @@
 async def _handle(target, request) -> web.StreamResponse:
     body = await request.read()
     if request.method == "GET" and request.path in wire.CHECK_PATHS:
+        _record_arrival(target, "check")
         if target.other_answers is not None:
             await raw_answers.write_endless(
                 target, request, {}, target.other_answers
             )
         return web.Response(headers=_own_headers(target))
     if request.path == "/copperloom/order":
+        order = msgspec.json.decode(body)
+        _record_arrival(target, order["op"])
         if target.other_answers is not None:
             await raw_answers.write_endless(
                 target, request, {}, target.other_answers
             )
-        return _handle_order(target, msgspec.json.decode(body))
+        return _handle_order(target, order)
+    _record_arrival(target, "request")
     expected = request.headers.get(wire.TARGET, target.name)
     fault = target.faults.popleft() if target.faults else target.always
     if expected != target.name:
@@ -229,6 +236,11 @@
         target.running -= 1
 
 
+def _record_arrival(target: TargetStandin, kind: str) -> None:
+    at = asyncio.get_running_loop().time()
+    target.arrivals.append((at, kind))
+
+
 def _refuse(target, received: ReceivedRequest, fault) -> web.Response:
     status = 421 if fault is Fault.MISDIRECTED else 503
     headers = _own_headers(target)
@@ -261,6 +273,8 @@
     if fault is Fault.OTHERS_REFUSAL:
         headers[wire.NOT_RUN] = "1"
         return web.Response(status=503, headers=headers)
+    if fault is Fault.UNSEALED_LIMIT:
+        return web.Response(status=429)
     if fault is Fault.UNSEALED:
         del headers[wire.SEAL]
     if fault in raw_answers.ENDLESS_FAULTS:
