Ingress: cold targets are scheduled by their owner

A target that has just started bears few requests per second from all instances together. It is scheduled like a target that names a rate limit, at a rate at which two concurrent owners stay within the bound. Cold starts are learnt from registrations, answers, failed connections, ends of evacuations and digests.

--- a/copperloom/daemons/front.py
+++ b/copperloom/daemons/front.py
@@ -26,6 +26,7 @@
 from copperloom import exception, logs, settings
 from copperloom.daemons import held, running
 from copperloom.ingress import (
+    cold_checks,
     gossip,
     mechanisms,
     quarantine_rows,
@@ -37,7 +38,7 @@
     stopping,
     table_watch,
 )
-from copperloom.ingress.state import IngressState, budget_policy
+from copperloom.ingress.state import IngressState, budget_policy, cold_bound
 from copperloom.peers import catalog, client
 from copperloom.platform import settings as platform_settings
 from copperloom.platform import store
@@ -146,6 +147,7 @@
             ("gossip", lambda: gossip.run(self.gossip)),
             ("members", lambda: registration.join(self.gossip)),
             ("reachability", lambda: reachability_checks.run(state)),
+            ("cold", lambda: cold_checks.run(state)),
             ("quarantines", lambda: quarantine_rows.run(state)),
         ):
             self.add_future(_keep_running(name, loop))
@@ -241,6 +243,7 @@
     state.settings = reloaded
     state.store.address = reloaded.store
     state.budget.policy = budget_policy(reloaded)
+    state.limits.cold.bound = cold_bound(reloaded)
     logs.event("reloaded", store=reloaded.store, grace_s=reloaded.grace_s)
 
 
--- a/copperloom/decisions/plans.py
+++ b/copperloom/decisions/plans.py
@@ -58,6 +58,7 @@
         slots: Requests that it processes concurrently.
         is_local: Whether it is in the same data centre.
         may_help: Whether it may prefill a part of another engine's prompt.
+        is_cold: Whether it has just started and is slow.
     """
 
     name: str
@@ -66,6 +67,7 @@
     slots: int
     is_local: bool = False
     may_help: bool = True
+    is_cold: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/copperloom/decisions/spillover.py
+++ b/copperloom/decisions/spillover.py
@@ -12,7 +12,7 @@
 
 from copperloom.decisions import plans
 
-__all__ = ["RemoteShard", "utilisation", "choose_remote"]
+__all__ = ["RemoteShard", "choose_remote", "meets_objective", "utilisation"]
 
 # Utilisation of a shard above which requests spill over before they miss their
 # objectives.
@@ -76,7 +76,7 @@
         others: The other shards of the service.
         rng: Source of randomness.
     """
-    if busy < SPILL_ABOVE and _meets_objective(chosen, prompt):
+    if busy < SPILL_ABOVE and meets_objective(chosen, prompt):
         return None
     drawn = rng.sample(others, min(2, len(others)))
     best = min(drawn, key=lambda shard: shard.busy, default=None)
@@ -85,7 +85,8 @@
     return best
 
 
-def _meets_objective(chosen: plans.Choice, prompt: plans.Prompt | None) -> bool:
+def meets_objective(chosen: plans.Choice, prompt: plans.Prompt | None) -> bool:
+    """Returns whether a choice is a plan that meets the prompt's objective."""
     if not isinstance(chosen, plans.Plan):
         return False
     return prompt is None or chosen.first_token_s <= prompt.first_token_aim_s
--- a/copperloom/decisions/target_limits.py
+++ b/copperloom/decisions/target_limits.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from copperloom.decisions import sharing
+from copperloom.decisions import cold_start, sharing
 from copperloom.decisions.sharing import Occasion, Sharing
 
 __all__ = [
@@ -65,12 +65,14 @@
         schedules: As the owner of a limit: monotonic time of the next send.
         waits: As another instance: monotonic time before which the owner grants
             no send, from its latest reply.
+        cold: The cold targets, which are scheduled in the same way.
     """
 
-    def __init__(self):
+    def __init__(self, cold_bound: cold_start.Bound | None = None):
         self.limits: dict[str, Limit] = {}
         self.schedules: dict[str, float] = {}
         self.waits: dict[str, float] = {}
+        self.cold = cold_start.ColdTargets(cold_bound)
 
 
 def find(known: TargetLimits, incarnation: str) -> float | None:
@@ -166,6 +168,8 @@
 
 
 def _forget_schedule(known: TargetLimits, incarnation: str) -> None:
+    if incarnation in known.cold.colds:
+        return
     known.schedules.pop(incarnation, None)
     known.waits.pop(incarnation, None)
 
@@ -183,6 +187,9 @@
     for incarnation in dropped:
         del known.limits[incarnation]
         _forget_schedule(known, incarnation)
+    for incarnation in cold_start.drop_gone(known.cold, registered, now):
+        if find(known, incarnation) is None:
+            _forget_schedule(known, incarnation)
     return dropped
 
 
--- a/copperloom/decisions/target_room.py
+++ b/copperloom/decisions/target_room.py
@@ -29,7 +29,7 @@
         waits_s: Seconds until the request may be sent, by name of the target.
         max_wait_s: Seconds that it can wait.
         held: Names of the targets that are held.
-        all_limited: Whether all targets name limits.
+        all_limited: Whether all targets name limits or are cold.
     """
 
     waits_s: dict[str, float]
@@ -92,7 +92,7 @@
     """Returns what its targets leave to a request.
 
     Args:
-        limits: The rate limits.
+        limits: The rate limits and cold targets.
         holds: The holds that targets have asked for.
         incarnations: The targets that it may be sent to, by name.
         now: Monotonic time.
@@ -103,7 +103,7 @@
     limited = {
         name
         for name, incarnation in incarnations.items()
-        if target_limits.find(limits, incarnation) is not None
+        if limit_schedule.is_scheduled(limits, incarnation, now)
     }
     held = {
         name
--- a/copperloom/ingress/datagrams.py
+++ b/copperloom/ingress/datagrams.py
@@ -113,6 +113,7 @@
         draining_targets: Incarnations of targets that said in their answers
             that they drain.
         reaches_none: Whether it reaches no target.
+        cold: Targets that are or were cold.
     """
 
     sender: Announcement
@@ -134,6 +135,7 @@
     limits: list[wire_knowledge.WireLimit] = []
     draining_targets: list[str] = []
     reaches_none: bool = False
+    cold: list[wire_knowledge.WireCold] = []
 
 
 class PlacementRequest(msgspec.Struct, array_like=True, tag="q"):
@@ -192,6 +194,7 @@
         call_id: Number that the reply repeats.
         limit: The limit, as far as the sender knows.
         max_wait_ms: Time that the request can wait at most, in milliseconds.
+        cold: The target, if the sender knows that it is cold.
     """
 
     sender: str
@@ -199,6 +202,7 @@
     call_id: int
     limit: wire_knowledge.WireLimit
     max_wait_ms: int
+    cold: wire_knowledge.WireCold | None = None
 
 
 class SendReply(msgspec.Struct, array_like=True, tag="g"):
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -64,6 +64,8 @@
         table_version: Version of the routes under which it was admitted.
         plan: Its current placement.
         placed_at: Time of the current placement.
+        cold_grant: The start of a target to which it may be sent although it
+            is cold, and the time until which it may; "" for none.
         sends: Number of attempts.
         attempt_at: Time at which the latest attempt began.
         attempt_first_at: Time of that attempt's first event; None before it.
@@ -115,6 +117,7 @@
         self.table_version = 0
         self.plan: plans.Plan | None = None
         self.placed_at = now
+        self.cold_grant: tuple[str, float] = ("", now)
         self.sends = 0
         self.attempt_at = now
         self.attempt_first_at: float | None = None
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -19,6 +19,8 @@
 )
 from copperloom.ingress import (
     answers,
+    cold_grants,
+    cold_targets,
     draining_targets,
     exchange,
     limited_targets,
@@ -65,6 +67,7 @@
     limited_targets.record_answer,
     draining_targets.record_answer,
     target_backoff.record_answer,
+    cold_targets.record_answer,
 )
 
 
@@ -173,6 +176,7 @@
     ex.avoid.add(culprit)
     target = registry.find(ex.state.targets, culprit)
     reachability_checks.record_error(ex.state, target, error, now)
+    cold_targets.record_failure(ex.state, target, error)
     if by_helper:
         points = health.UNREACHABLE_PENALTY
     if not target_backoff.is_held(ex.state, culprit, now):
@@ -198,7 +202,7 @@
 
 
 def _is_stale(ex: exchange.Exchange) -> bool:
-    """Returns whether a target of the plan is gone, drains or is held.
+    """Returns whether a target of the plan is gone, drains, is held or cold.
 
     The plan may be older than the latest update, since its owner may not have
     received it and reserving memory takes time. A draining target must get no
@@ -208,13 +212,15 @@
     names = (ex.plan.lead, *ex.plan.helpers)
     gone = {name for name in names if not _is_usable(ex, name, now)}
     held = {n for n in names if target_backoff.is_held(ex.state, n, now)}
-    if not gone and not held:
+    cold = {n for n in names if not cold_grants.is_granted(ex, n, now)}
+    if not gone and not held and not cold:
         return False
     logs.event(
         "plan_stale",
         request=ex.id,
         targets=",".join(sorted(gone)),
         held=",".join(sorted(held)),
+        cold=",".join(sorted(cold)),
     )
     ex.avoid |= gone
     return True
--- a/copperloom/ingress/knowledge.py
+++ b/copperloom/ingress/knowledge.py
@@ -1,12 +1,13 @@
 """Adds what an instance knows to its digests, and merges what peers know.
 
 This is evidence about requests that crash targets, rate limits that targets
-name, and which targets said that they drain. Unlike the work in a digest it
-holds whatever the order of messages.
+name, which targets are cold, and which said that they drain. Unlike the work in
+a digest it holds whatever the order of messages.
 """
 
 from copperloom import logs
 from copperloom.decisions import (
+    cold_start,
     crash_log,
     drain_notices,
     registry,
@@ -14,6 +15,7 @@
 )
 from copperloom.decisions.sharing import Occasion
 from copperloom.ingress import (
+    cold_targets,
     datagrams,
     draining_targets,
     limit_grants,
@@ -25,9 +27,11 @@
 
 __all__ = ["add", "apply"]
 
-# Requests and parts, limits and notices that fit into one message.
+# Requests and parts, limits, cold targets and notices that fit into one
+# message.
 _MAX_REQUESTS = 60
 _MAX_LIMITS = 60
+_MAX_COLD = 120
 _MAX_NOTICES = 200
 
 
@@ -62,6 +66,11 @@
         wire_knowledge.encode_limit(target, report)
         for target, report in limits.items()
     ]
+    colds = cold_start.to_share(state.limits.cold, now, _MAX_COLD, occasion)
+    digest.cold = [
+        wire_knowledge.encode_cold(target, report)
+        for target, report in colds.items()
+    ]
     if state.targets.drain_notices.notices:
         digest.draining_targets = drain_notices.to_share(
             state.targets.drain_notices,
@@ -79,7 +88,12 @@
     """
     if digest.evidence_loaded:
         state.quarantines_loaded.set()
-    if not (digest.evidence or digest.limits or digest.draining_targets):
+    if not (
+        digest.evidence
+        or digest.limits
+        or digest.draining_targets
+        or digest.cold
+    ):
         return
     forwards = is_large_fleet(state) and recipients.owns_local_shards(
         state, now
@@ -95,6 +109,10 @@
         changed |= limit_grants.apply(
             state, wire, now, source=sender, forwards=forwards
         )
+    for wire in digest.cold:
+        changed |= cold_targets.apply(
+            state, wire, now, source=sender, forwards=forwards
+        )
     for target in digest.draining_targets:
         changed |= draining_targets.apply(
             state, target, now, source=sender, forwards=forwards
--- a/copperloom/ingress/limit_grants.py
+++ b/copperloom/ingress/limit_grants.py
@@ -1,9 +1,10 @@
-"""Asks the owner of a target's rate limit when a request may be sent to it."""
+"""Asks the owner of a target's schedule when a request may be sent to it."""
 
 import asyncio
 
 from copperloom import logs, routing
 from copperloom.decisions import (
+    cold_start,
     limit_schedule,
     members,
     registry,
@@ -11,6 +12,8 @@
     target_limits,
 )
 from copperloom.ingress import (
+    cold_grants,
+    cold_targets,
     datagram_calls,
     datagrams,
     placement_rpc,
@@ -25,6 +28,8 @@
 # A datagram may be lost; one that was received twice wastes a send at most.
 _MAX_ASKED = 2
 _MS = 1000.0
+# Stands for a target that names no limit.
+_NO_LIMIT_REVISION = 0
 
 
 def owner_of(
@@ -35,6 +40,8 @@
     In a large fleet it is one of the owners of the target's data centre, which
     all instances know.
     """
+    if cold_start.is_cold(state.limits.cold, registry.incarnation(target), now):
+        return cold_grants.owner_of(state, target, now)
     own = state.settings.instance
     live = {m.instance for m in members.live(state.members, now)}
     names = [own, *live]
@@ -53,11 +60,12 @@
     """Asks the owner of a limit; returns None if it does not reply."""
     if owner == state.settings.instance:
         now = asyncio.get_running_loop().time()
-        return limit_schedule.schedule(
-            state.limits, incarnation, now, max_wait_s
-        )
-    limit = state.limits.limits[incarnation]
-    report = target_limits.Report(limit.per_s, limit.revision)
+        return cold_grants.schedule(state, incarnation, now, max_wait_s)
+    limit = state.limits.limits.get(incarnation)
+    report = target_limits.Report(None, _NO_LIMIT_REVISION)
+    if limit is not None:
+        report = target_limits.Report(limit.per_s, limit.revision)
+    cold = _cold_report(state, incarnation)
 
     def make_request(call_id: int) -> datagrams.SendRequest:
         return datagrams.SendRequest(
@@ -66,6 +74,7 @@
             call_id=call_id,
             limit=wire_knowledge.encode_limit(incarnation, report),
             max_wait_ms=int(max_wait_s * _MS),
+            cold=cold,
         )
 
     reply = await datagram_calls.call(
@@ -81,12 +90,29 @@
     return limit_schedule.Grant(delay_s, reply.next_ms / _MS)
 
 
+def _cold_report(
+    state: IngressState, incarnation: str
+) -> wire_knowledge.WireCold | None:
+    cold = state.limits.cold.colds.get(incarnation)
+    if cold is None:
+        return None
+    now = asyncio.get_running_loop().time()
+    report = cold_start.report_of(cold, now)
+    return wire_knowledge.encode_cold(incarnation, report)
+
+
 def handle_request(state: IngressState, request: datagrams.SendRequest) -> None:
     """Schedules a peer's send, and replies to the peer."""
     now = asyncio.get_running_loop().time()
-    apply(state, request.limit, now, source=request.sender, forwards=False)
-    grant = limit_schedule.schedule(
-        state.limits, request.limit.target, now, request.max_wait_ms / _MS
+    sender = request.sender
+    if request.limit.revision != _NO_LIMIT_REVISION:
+        apply(state, request.limit, now, source=sender, forwards=False)
+    if request.cold is not None:
+        cold_targets.apply(
+            state, request.cold, now, source=sender, forwards=False
+        )
+    grant = cold_grants.schedule(
+        state, request.limit.target, now, request.max_wait_ms / _MS
     )
     delay_ms = None if grant.delay_s is None else round(grant.delay_s * _MS)
     reply = datagrams.SendReply(
--- a/copperloom/ingress/limited_targets.py
+++ b/copperloom/ingress/limited_targets.py
@@ -1,14 +1,26 @@
-"""Keeps requests within the rate limits that their targets name.
+"""Keeps requests within the rates of targets that name a limit or are cold.
 
-Before a request goes to a limited target, the limit's owner says when it may be
-sent. If that is later than the request can wait, another target is chosen.
+Before a request goes to such a target, the owner of its schedule says when it
+may be sent. If that is later than the request can wait, another target is
+chosen.
 """
 
 import asyncio
 
 from copperloom import logs
-from copperloom.decisions import limit_schedule, registry, target_limits
-from copperloom.ingress import answers, exchange, limit_grants, target_room
+from copperloom.decisions import (
+    cold_start,
+    limit_schedule,
+    registry,
+    target_limits,
+)
+from copperloom.ingress import (
+    answers,
+    cold_grants,
+    exchange,
+    limit_grants,
+    target_room,
+)
 
 __all__ = [
     "await_grant",
@@ -17,6 +29,9 @@
 
 # A target whose limit's owner is silent is left alone for this time.
 _SILENT_OWNER_S = 0.3
+# Delay before a plan with cold helpers is replaced, so that the instance that
+# places can learn of them first.
+_STALE_HELPERS_S = 0.01
 
 
 def record_answer(ex: exchange.Exchange, answer: answers.Answer) -> None:
@@ -59,10 +74,13 @@
     target = registry.find(state.targets, ex.plan.lead)
     if room is None or target is None:
         return True
+    if cold_grants.skip_cold_helpers(ex, now):
+        await asyncio.sleep(_STALE_HELPERS_S)
+        return False
     incarnation = registry.incarnation(target)
-    per_s = target_limits.find(state.limits, incarnation)
-    if per_s is None:
+    if not limit_schedule.is_scheduled(state.limits, incarnation, now):
         return True
+    asked_at = now
     owner = limit_grants.owner_of(state, target, now)
     reply = await limit_grants.ask(state, owner, incarnation, room.max_wait_s)
     silent = limit_schedule.Grant(None, room.max_wait_s + _SILENT_OWNER_S)
@@ -75,7 +93,8 @@
         "limit_grant",
         request=ex.id,
         target=incarnation,
-        per_s=per_s,
+        per_s=target_limits.find(state.limits, incarnation),
+        cold=cold_start.is_cold(state.limits.cold, incarnation, now),
         owner=owner,
         result=result,
         delay_s=grant.delay_s,
@@ -84,6 +103,8 @@
     )
     # Yields even without a delay, since placing again may not.
     await asyncio.sleep(grant.delay_s or 0.0)
+    used_by = asked_at + (grant.delay_s or 0.0) + cold_start.GRANT_LIFE_S
+    ex.cold_grant = (incarnation, used_by)
     return grant.delay_s is not None
 
 
--- a/copperloom/ingress/local_placement.py
+++ b/copperloom/ingress/local_placement.py
@@ -3,6 +3,7 @@
 from copperloom import routing
 from copperloom.decisions import (
     choice,
+    cold_start,
     health,
     inflight,
     inflight_table,
@@ -52,7 +53,7 @@
         drawn = state.rng.sample(drawn, len(drawn))
     candidates = _candidates(state, query, drawn, now)
     chosen = _choose(state, query, candidates)
-    busy = spillover.utilisation(candidates)
+    busy = _utilisation(candidates)
     remote = None
     if not alone and not query.is_away:
         remote_shards = _remote_shards(state, query.shard, now)
@@ -83,7 +84,7 @@
         in_shard = shards.targets_in(shard, usable)
         drawn = planner.draw_targets(in_shard, frozenset(), state.rng)
         candidates = _candidates(state, query, drawn, now)
-        utilisations[service] = round(spillover.utilisation(candidates), 3)
+        utilisations[service] = round(_utilisation(candidates), 3)
     return utilisations
 
 
@@ -130,10 +131,30 @@
     return untried or targets
 
 
+def _utilisation(candidates: list[plans.Candidate]) -> float:
+    """Returns the utilisation of targets; cold ones hardly take requests."""
+    return spillover.utilisation(c for c in candidates if not c.is_cold)
+
+
 def _choose(
     state: IngressState,
     query: placement_query.Query,
     candidates: list[plans.Candidate],
+) -> plans.Choice:
+    """Chooses among the warm targets if one of them has room in time."""
+    warm = [c for c in candidates if not c.is_cold]
+    chosen = _choose_among(state, query, warm)
+    if len(warm) == len(candidates):
+        return chosen
+    if spillover.meets_objective(chosen, query.prompt):
+        return chosen
+    return _choose_among(state, query, candidates)
+
+
+def _choose_among(
+    state: IngressState,
+    query: placement_query.Query,
+    candidates: list[plans.Candidate],
 ) -> plans.Choice:
     if not candidates:
         return None
@@ -166,13 +187,15 @@
     reported = health.reported_penalty(
         state.failure_reports.get(entry.name, {}), now
     )
+    is_cold = _is_cold(state, entry, now)
     return plans.Candidate(
         name=entry.name,
         load=load.get(entry.name, inflight.TargetLoad()),
         penalty=max(own + reported, by_peers),
         slots=entry.slots,
         is_local=entry.data_centre == query.data_centre,
-        may_help=not _is_limited(state, entry),
+        may_help=not _is_limited(state, entry) and not is_cold,
+        is_cold=is_cold,
     )
 
 
@@ -185,3 +208,12 @@
         return False
     incarnation = registry.incarnation(entry)
     return target_limits.find(state.limits, incarnation) is not None
+
+
+def _is_cold(
+    state: IngressState, entry: routing.TargetEntry, now: float
+) -> bool:
+    known = state.limits.cold
+    if not known.colds:
+        return False
+    return cold_start.is_cold(known, registry.incarnation(entry), now)
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -78,6 +78,12 @@
             ["result"],
             registry=self.registry,
         )
+        self.cold_changes = prometheus_client.Counter(
+            "copperloom_cold_changes",
+            "Changes of what is known of cold targets, by their source.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.drain_notices = prometheus_client.Counter(
             "copperloom_drain_notices",
             "Answers that say something about draining, by what it means.",
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -12,6 +12,7 @@
 from copperloom.decisions import (
     backoff,
     budget,
+    cold_start,
     crash_log,
     fetch_policy,
     health,
@@ -32,6 +33,7 @@
     "IngressState",
     "Member",
     "budget_policy",
+    "cold_bound",
     "fleet_size",
     "is_large_fleet",
     "live_members",
@@ -86,7 +88,7 @@
         channels: Connections to other instances.
         uplink: Documents being sent to other instances.
         sender: The HTTP client for targets.
-        limits: The rate limits that targets name.
+        limits: The rate limits that targets name, and the cold targets.
         backoff: The holds that targets have asked this instance for.
         reachability: What attempts show about connections to targets.
         reachability_due: Set when some targets should be checked.
@@ -153,7 +155,7 @@
         self.channels = client.Channels()
         self.uplink = fetch_policy.Uplink()
         self.sender = sender.Sender()
-        self.limits = target_limits.TargetLimits()
+        self.limits = target_limits.TargetLimits(cold_bound(own))
         self.backoff = backoff.Backoff()
         self.reachability = reachability.Reachability()
         self.reachability_due = asyncio.Event()
@@ -194,6 +196,11 @@
     )
 
 
+def cold_bound(own: settings.PlatformSettings) -> cold_start.Bound:
+    """Returns the bound for cold targets of the platform's settings."""
+    return cold_start.Bound(own.cold_over, own.cold_slack)
+
+
 def fleet_size(state: IngressState) -> int:
     """Returns the number of instances, as far as this one knows."""
     return max(len(state.members) + 1, state.reported_fleet_size)
--- a/copperloom/ingress/target_room.py
+++ b/copperloom/ingress/target_room.py
@@ -36,7 +36,8 @@
 
 
 def _is_restricted(ex: exchange.Exchange) -> bool:
-    return bool(ex.state.limits.limits or ex.state.backoff.until)
+    limits = ex.state.limits
+    return bool(limits.limits or limits.cold.colds or ex.state.backoff.until)
 
 
 def _room(
--- a/copperloom/ingress/updates.py
+++ b/copperloom/ingress/updates.py
@@ -14,7 +14,7 @@
     shards,
     target_limits,
 )
-from copperloom.ingress import target_checks
+from copperloom.ingress import cold_targets, target_checks
 from copperloom.ingress.state import IngressState
 from copperloom.platform import decoding
 
@@ -50,14 +50,16 @@
         routes=len(table.routes),
         source=source,
     )
-    state.table = table
+    before, state.table = state.table, table
+    now = asyncio.get_running_loop().time()
+    cold_targets.record_services(state, before, now)
     low_latency = {
         s.name
         for s in table.services.values()
         if shards.has_low_latency(s.engine)
     }
     registry.set_low_latency(state.targets, frozenset(low_latency))
-    state.routes_at = asyncio.get_running_loop().time()
+    state.routes_at = now
     state.routes_raw = raw
     state.routes_packed = b""
     _signal_change(state)
@@ -82,6 +84,7 @@
         source: Where they come from, for the log.
     """
     now = asyncio.get_running_loop().time()
+    is_first = not state.targets.version
     touched = [r.key for r in rows]
     if whole:
         touched = [*{*touched, *state.targets.entries}]
@@ -95,6 +98,7 @@
         rowlog.update(state.target_rows, rows)
         started = registry.update(state.targets, changes, version, now)
     target_checks.confirm_restarts(state, started, now)
+    cold_targets.record_registrations(state, before, now, is_first=is_first)
     for entry in started:
         if before.get(entry.name) is not None:
             # Only a restart ends earlier work: a target that is merely new to
@@ -115,10 +119,11 @@
 def _drop_gone(state: IngressState, now: float) -> None:
     """Drops what targets said of themselves long after they have gone."""
     notices = state.targets.drain_notices
-    if not (state.limits.limits or notices.notices):
+    limits = state.limits
+    if not (limits.limits or limits.cold.colds or notices.notices):
         return
     registered = registry.incarnations(state.targets)
-    target_limits.drop_gone(state.limits, registered, now)
+    target_limits.drop_gone(limits, registered, now)
     for target in drain_notices.drop_oldest_gone(notices, registered):
         logs.event("drain_notice_dropped", target=target)
 
--- a/copperloom/ingress/views.py
+++ b/copperloom/ingress/views.py
@@ -10,6 +10,7 @@
 from copperloom import exception, routing
 from copperloom.decisions import (
     budget,
+    cold_start,
     health,
     limit_schedule,
     members,
@@ -62,6 +63,16 @@
             for target, limit in state.limits.limits.items()
             if limit.per_s is not None
         },
+        "cold": {
+            target: {
+                "left_s": _left(cold.until, now),
+                "rate_per_s": cold_start.owner_rate_per_s(
+                    state.limits.cold, target
+                ),
+            }
+            for target, cold in state.limits.cold.colds.items()
+            if now < cold.until
+        },
         "held": {
             target: round(until - now, 3)
             for target, until in state.backoff.until.items()
@@ -101,6 +112,10 @@
     return member.instance
 
 
+def _left(until: float, now: float) -> float | None:
+    return round(until - now, 3) if until < float("inf") else None
+
+
 def _age(now: float, at: float) -> float | None:
     return round(now - at, 3) if at > float("-inf") else None
 
--- a/copperloom/ingress/wire_knowledge.py
+++ b/copperloom/ingress/wire_knowledge.py
@@ -1,14 +1,19 @@
-"""Evidence and rate limits in the form in which instances send them."""
+"""Evidence, rate limits and cold targets as instances send them."""
+
+import math
 
 import msgspec
 
-from copperloom.decisions import crash_log, target_limits
+from copperloom.decisions import cold_start, crash_log, target_limits
 
 __all__ = [
+    "WireCold",
     "WireEvidence",
     "WireLimit",
+    "decode_cold",
     "decode_evidence",
     "decode_limit",
+    "encode_cold",
     "encode_evidence",
     "encode_limit",
 ]
@@ -46,6 +51,25 @@
     revision: int
 
 
+class WireCold(msgspec.Struct, array_like=True):
+    """A cold target, as it is sent.
+
+    Attributes:
+        target: Incarnation of the target.
+        left_ms: Milliseconds for which it is still cold; negative until it is
+            reached.
+        per_s: Requests per second that it bears meanwhile.
+        duration_ms: Time for which it is cold after a start, in milliseconds.
+        revision: Number of changes.
+    """
+
+    target: str
+    left_ms: int
+    per_s: float
+    duration_ms: int
+    revision: int
+
+
 def encode_evidence(
     digest: bytes, evidence: crash_log.Evidence, now: float
 ) -> WireEvidence:
@@ -83,3 +107,22 @@
 def decode_limit(wire: WireLimit) -> target_limits.Report:
     """Decodes a limit as a peer reports it."""
     return target_limits.Report(wire.per_s, wire.revision)
+
+
+def encode_cold(target: str, report: cold_start.Report) -> WireCold:
+    """Encodes what is known of a cold target."""
+    left_ms = -1 if math.isinf(report.left_s) else int(report.left_s * _MS)
+    return WireCold(
+        target,
+        left_ms,
+        report.start.per_s,
+        int(report.start.duration_s * _MS),
+        report.revision,
+    )
+
+
+def decode_cold(wire: WireCold) -> cold_start.Report:
+    """Decodes what a peer reports of a cold target."""
+    left_s = math.inf if wire.left_ms < 0 else wire.left_ms / _MS
+    start = cold_start.Start(wire.per_s, wire.duration_ms / _MS)
+    return cold_start.Report(left_s, start, wire.revision)
