--- a/copperloom/ingress/tests/test_cold_targets.py
+++ b/copperloom/ingress/tests/test_cold_targets.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
-from copperloom.decisions import cold_start, members
+from copperloom.decisions import cold_start, members, planner
 from copperloom.ingress import cold_grants, cold_targets, views
 from copperloom.ingress.tests import fixtures, fleets
-from copperloom.platform.standins import crashes
+from copperloom.platform.standins import crashes, wire
 from copperloom.platform.standins.target import Fault
 
 _BOUND = cold_start.Bound(over=1.5, slack=5.0)
@@ -214,6 +215,46 @@
         self.assertIn("cold-0@1", status["cold"])
 
 
+class ColdEngineTest(unittest.IsolatedAsyncioTestCase):
+    async def _call_beside_cold_engine(self, mocked: str, result: bool) -> None:
+        """Checks the engines of long prompts beside a cold one.
+
+        Args:
+            mocked: Name of a function that is replaced.
+            result: What it returns instead.
+        """
+        system = await fixtures.start_system(self, engines=4, plain=0)
+        # The warm engines alone are late, so all are considered.
+        route = fixtures.engine_route("/long/", target_latency_ms=5000)
+        system.store.put("op", "config", fixtures.routes(2, [route]))
+        state = system.fronts[0].entry
+        await fixtures.until(lambda: state.table.version == 2)
+        now = asyncio.get_running_loop().time()
+        start = cold_start.Start(_PER_S, _COLD_S)
+        cold_start.extend(state.limits.cold, "engine-3@1", start, 30.0, now)
+        cold = system.targets["engine-3"]
+        with (
+            mock.patch(f"copperloom.ingress.{mocked}", return_value=result),
+            mock.patch.object(planner, "is_refused", return_value=False),
+        ):
+            for _ in range(4):
+                answer = await fixtures.call(system, "/long/x", prompt=400_000)
+                self.assertEqual(answer.status, 200)
+        self.assertEqual(cold.orders, [])
+        requests = [r for t in system.targets.values() for r in t.seen]
+        helpers = [r.headers.get(wire.HELPERS, "") for r in requests]
+        self.assertTrue(all(helpers))
+        self.assertNotIn(cold.address, ",".join(helpers))
+
+    async def test_gets_no_parts_and_holds_nothing(self):
+        """Guards against parts and reservations that a cold engine delays."""
+        await self._call_beside_cold_engine("cold_grants.is_granted", True)
+
+    async def test_plan_of_an_owner_that_does_not_know(self):
+        """Guards against the plan of an owner that lost the digests."""
+        await self._call_beside_cold_engine("local_placement._is_cold", False)
+
+
 class LargeFleetTest(unittest.IsolatedAsyncioTestCase):
     async def test_data_centre_returns(self):
         """Guards against bounds that hold only where all hear all."""
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -78,6 +78,7 @@
         running: Number of requests in progress.
         left: Number of requests whose caller closed the connection.
         memory: Tokens reserved, by reservation.
+        orders: All orders received.
         kv_tokens: Capacity of the KV cache, in tokens.
         born: Time of its latest start, as it registers it.
         crashes_on: Returns whether the target crashes as it begins to run a
@@ -114,6 +115,7 @@
         self.running = 0
         self.left = 0
         self.memory: dict[str, int] = {}
+        self.orders: list[dict] = []
         self.kv_tokens = 315_000
         self.born = 1
         self.crashes_on: Callable[[ReceivedRequest], bool] = _never
@@ -321,6 +323,7 @@
 
 
 def _handle_order(target: TargetStandin, order: dict) -> web.Response:
+    target.orders.append(order)
     name = order.get("id", "")
     headers = _own_headers(target)
     if order["op"] == "release":
