--- a/bench/frontsoak/checks.py
+++ b/bench/frontsoak/checks.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from bench.frontsoak import callers, drain_checks
+from bench.frontsoak import callers, cold_checks, drain_checks
 from bench.frontsoak.findings import Finding
 from bench.frontsoak.world import (
     CRASHING_PART,
@@ -60,6 +60,7 @@
             found += _check_limit(world, period, born)
     found += drain_checks.check_draining(world)
     found += drain_checks.check_held(world)
+    found += cold_checks.check_cold(world)
     found += _check_partitions(world)
     # A target behind a silenced link can't learn that its caller disconnected.
     busy = [n for n, t in world.targets.items() if t.running]
--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -4,8 +4,7 @@
 import signal
 
 from bench.frontsoak import callers
-from bench.frontsoak.world import LimitPeriod, LinkFault, World
-from copperloom.ingress.tests import fixtures
+from bench.frontsoak.world import LimitPeriod, LinkFault, World, routes
 from copperloom.platform.standins import crashes, links
 from copperloom.platform.standins import target as target_standin
 from copperloom.standins import proxy
@@ -280,13 +279,13 @@
     for number, row in enumerate(malformed):
         world.store.put("servers", f"spoiled-{number}", row)
     world.store.put("op", "config", {"version": "none"})
-    world.store.put("op", "config", fixtures.routes(world.version))
+    world.store.put("op", "config", routes(world.version))
 
 
 async def _change_routes(world: World) -> None:
     for _ in range(world.rng.randint(1, 4)):
         world.version += world.rng.randint(1, 5)
-        world.store.put("op", "config", fixtures.routes(world.version))
+        world.store.put("op", "config", routes(world.version))
         await asyncio.sleep(world.rng.uniform(0.0, 0.1))
 
 
--- a/bench/frontsoak/processes.py
+++ b/bench/frontsoak/processes.py
@@ -13,11 +13,14 @@
 from copperloom.platform.standins import disturbed_start, links, wire
 from copperloom.standins import proxy
 
-__all__ = ["GRACE_S", "Front", "keep"]
+__all__ = ["COLD_OVER", "COLD_SLACK", "GRACE_S", "Front", "keep"]
 
 # Covers the time for which a stopping process still accepts requests, the
 # callers' timeout and the shutdown, so that no request is cut.
 GRACE_S = 6.0
+# Settings of the bound for cold targets.
+COLD_OVER = 1.5
+COLD_SLACK = 5.0
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 _SETTINGS = pathlib.Path(__file__).resolve().parent / "front.ini"
 _RESTART_DELAY_S = 0.2
@@ -124,7 +127,11 @@
             self.ports,
             self.table_link.listen,
             zone="ab"[self.number % 2],
-            bounds={"grace_s": GRACE_S},
+            bounds={
+                "grace_s": GRACE_S,
+                "cold_over": COLD_OVER,
+                "cold_slack": COLD_SLACK,
+            },
         )
 
 
--- a/bench/frontsoak/world.py
+++ b/bench/frontsoak/world.py
@@ -12,6 +12,7 @@
 from copperloom.standins import proxy
 
 __all__ = [
+    "COLD_BOUND_PER_S",
     "CRASHING_PART",
     "CallResult",
     "LimitPeriod",
@@ -20,10 +21,15 @@
     "World",
     "close",
     "open_world",
+    "routes",
 ]
 
 # A part of prompts that crashes the targets that begin to write on it.
 CRASHING_PART = "bad1"
+# Targets are cold after each restart.
+_COLD_S = 1.5
+_COLD_PER_S = 6.0
+COLD_BOUND_PER_S = _COLD_PER_S * processes.COLD_OVER + processes.COLD_SLACK
 _READY_TIMEOUT_S = 40.0
 _POLL_S = 0.05
 
@@ -159,7 +165,7 @@
     """Starts a schedule's processes and waits until all instances are ready."""
     world = World(seed, sizes)
     world.store = await store_standin.serve()
-    world.store.put("op", "config", fixtures.routes())
+    world.store.put("op", "config", routes(world.version))
     for number in range(sizes.targets):
         for kind in ("engine", "plain"):
             await _add_target(world, f"{kind}-{number}")
@@ -179,8 +185,17 @@
     return world
 
 
+def routes(version: int) -> dict:
+    """Returns the operators' document, with cold starts."""
+    document = fixtures.routes(version)
+    for service in document["services"]:
+        service |= {"cold_start_s": _COLD_S, "cold_per_s": _COLD_PER_S}
+    return document
+
+
 async def _add_target(world: World, name: str) -> None:
     target = await target_standin.serve(name)
+    target.cold_start_s = _COLD_S
     target.crashes_on = lambda request: (
         request.body in world.crashing
         or crashes.has_part(request, CRASHING_PART)
