--- a/copperloom/ingress/datagrams.py
+++ b/copperloom/ingress/datagrams.py
@@ -114,6 +114,7 @@
             that they drain.
         reaches_none: Whether it reaches no target.
         evacuations: What it knows about evacuated data centres.
+        cold: Targets that are or were cold.
     """
 
     sender: Announcement
@@ -136,6 +137,7 @@
     draining_targets: list[str] = []
     reaches_none: bool = False
     evacuations: list[wire_knowledge.WireEvacuation] = []
+    cold: list[wire_knowledge.WireCold] = []
 
 
 class PlacementRequest(msgspec.Struct, array_like=True, tag="q"):
@@ -194,6 +196,7 @@
         call_id: Number that the reply repeats.
         limit: The limit, as far as the sender knows.
         max_wait_ms: Time that the request can wait at most, in milliseconds.
+        cold: The target, if the sender knows that it is cold.
     """
 
     sender: str
@@ -201,6 +204,7 @@
     call_id: int
     limit: wire_knowledge.WireLimit
     max_wait_ms: int
+    cold: wire_knowledge.WireCold | None = None
 
 
 class SendReply(msgspec.Struct, array_like=True, tag="g"):
--- a/copperloom/ingress/evacuations.py
+++ b/copperloom/ingress/evacuations.py
@@ -6,7 +6,7 @@
 from copperloom import logs
 from copperloom.decisions import evacuation, registry
 from copperloom.decisions.sharing import Occasion
-from copperloom.ingress import wire_knowledge
+from copperloom.ingress import cold_targets, wire_knowledge
 from copperloom.ingress.state import IngressState
 from copperloom.platform import catalog
 
@@ -150,8 +150,11 @@
 def on_ended(state: IngressState, data_centre: str, now: float) -> None:
     """Handles the end of an evacuation, after which targets get work again.
 
+    They may have become cold meanwhile.
+
     Args:
         state: The instance's state.
         data_centre: The data centre.
         now: Monotonic time.
     """
+    cold_targets.presume_cold(state, data_centre, now)
--- a/copperloom/ingress/knowledge.py
+++ b/copperloom/ingress/knowledge.py
@@ -1,13 +1,14 @@
 """Adds what an instance knows to its digests, and merges what peers know.
 
 This is evidence about requests that crash targets, rate limits that targets
-name, which targets said that they drain, and which data centres operators
-evacuate. Unlike the work in a digest it
-holds whatever the order of messages.
+name, which targets are cold, which said that they drain, and which data centres
+operators evacuate. Unlike the work in a digest it holds whatever the order of
+messages.
 """
 
 from copperloom import logs
 from copperloom.decisions import (
+    cold_start,
     crash_log,
     drain_notices,
     registry,
@@ -15,6 +16,7 @@
 )
 from copperloom.decisions.sharing import Occasion
 from copperloom.ingress import (
+    cold_targets,
     datagrams,
     draining_targets,
     evacuations,
@@ -27,9 +29,11 @@
 
 __all__ = ["add", "apply"]
 
-# Requests and parts, limits and notices that fit into one message.
+# Requests and parts, limits, cold targets and notices that fit into one
+# message.
 _MAX_REQUESTS = 60
 _MAX_LIMITS = 60
+_MAX_COLD = 120
 _MAX_NOTICES = 200
 
 
@@ -66,6 +70,11 @@
     ]
     if state.evacuations.known:
         digest.evacuations = evacuations.to_share(state, now, occasion)
+    colds = cold_start.to_share(state.limits.cold, now, _MAX_COLD, occasion)
+    digest.cold = [
+        wire_knowledge.encode_cold(target, report)
+        for target, report in colds.items()
+    ]
     if state.targets.drain_notices.notices:
         digest.draining_targets = drain_notices.to_share(
             state.targets.drain_notices,
@@ -88,6 +97,7 @@
         or digest.limits
         or digest.draining_targets
         or digest.evacuations
+        or digest.cold
     ):
         return
     forwards = is_large_fleet(state) and recipients.owns_local_shards(
@@ -104,6 +114,10 @@
         changed |= limit_grants.apply(
             state, wire, now, source=sender, forwards=forwards
         )
+    for wire in digest.cold:
+        changed |= cold_targets.apply(
+            state, wire, now, source=sender, forwards=forwards
+        )
     for target in digest.draining_targets:
         changed |= draining_targets.apply(
             state, target, now, source=sender, forwards=forwards
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import time
 from collections.abc import Callable
 
 import msgspec
@@ -37,6 +38,7 @@
             without one.
         draining: What the answer said about draining; None for nothing.
         born: The start of the target that received it.
+        cold: Whether the target was cold.
     """
 
     id: str
@@ -49,6 +51,7 @@
     retry_after: str | None = None
     draining: str | None = None
     born: int = 1
+    cold: bool = False
 
 
 def _never(request: ReceivedRequest) -> bool:
@@ -79,6 +82,7 @@
         running: Number of requests in progress.
         left: Number of requests whose caller closed the connection.
         memory: Tokens reserved, by reservation.
+        orders: All orders received.
         kv_tokens: Capacity of the KV cache, in tokens.
         born: Time of its latest start, as it registers it.
         crashes_on: Returns whether the target crashes as it begins to run a
@@ -93,6 +97,10 @@
             to serve them.
         seals_refusals: Whether it does so in sealed answers, instead of saying
             that it did not run the request.
+        cold_start_s: Time for which it is cold after a restart, in seconds.
+        cold_until: Monotonic time until which it is cold.
+        tells_cold: Whether the answers to requests say so as well, not only
+            those to checks.
         on_crash: Called after a crash.
         on_restart: Called after a restart, to register it again.
         restarting: The restart that is due, if any.
@@ -114,6 +122,7 @@
         self.running = 0
         self.left = 0
         self.memory: dict[str, int] = {}
+        self.orders: list[dict] = []
         self.kv_tokens = 315_000
         self.born = 1
         self.crashes_on: Callable[[ReceivedRequest], bool] = _never
@@ -124,6 +133,9 @@
         self.draining: str | None = None
         self.retry_after: str | None = None
         self.seals_refusals = False
+        self.cold_start_s = 0.0
+        self.cold_until = float("-inf")
+        self.tells_cold = False
         self.on_crash: Callable[[TargetStandin], None] = _ignore
         self.on_restart: Callable[[TargetStandin], None] = _ignore
         self.restarting: asyncio.Task | None = None
@@ -134,6 +146,15 @@
         """Ids of the requests that were run."""
         return [s.id for s in self.seen if s.ran]
 
+    @property
+    def cold_left_ms(self) -> int:
+        """Milliseconds for which it is still cold."""
+        return int(max(0.0, self.cold_until - time.monotonic()) * 1000)
+
+    def begin_cold(self) -> None:
+        """Makes it cold, as after a start."""
+        self.cold_until = time.monotonic() + self.cold_start_s
+
     def registration(self, service: str, **changes) -> dict:
         """Returns the row with which the target registers."""
         row = {
@@ -143,7 +164,7 @@
             "version": "v1",
             "slots": 8,
             "state": "ready",
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self.cold_left_ms,
             "seq": 0,
             "born": self.born,
         }
@@ -192,7 +213,8 @@
             await raw_answers.write_endless(
                 target, request, {}, target.other_answers
             )
-        return web.Response(headers=_own_headers(target))
+        headers = {wire.COLD: str(target.cold_left_ms)}
+        return web.Response(headers=headers | _own_headers(target))
     if request.path == "/copperloom/order":
         order = msgspec.json.decode(body)
         _record_arrival(target, order["op"])
@@ -220,6 +242,7 @@
         retry_after=target.retry_after,
         draining=target.draining,
         born=target.born,
+        cold=target.cold_left_ms > 0,
     )
     target.seen.append(received)
     if refused:
@@ -257,6 +280,8 @@
 def _own_headers(target: TargetStandin) -> dict[str, str]:
     """Returns the headers by which a target tells of itself in all answers."""
     values = {wire.LIMIT: target.limit, wire.DRAINING: target.draining}
+    if target.tells_cold:
+        values[wire.COLD] = str(target.cold_left_ms)
     return {name: v for name, v in values.items() if v is not None}
 
 
@@ -326,6 +351,7 @@
 
 
 def _handle_order(target: TargetStandin, order: dict) -> web.Response:
+    target.orders.append(order)
     name = order.get("id", "")
     headers = _own_headers(target)
     if order["op"] == "release":
