Timeouts: long prompts are not sent again while all engines are full

Engines were slow and full (utilisation 1 to 2.3), every first event was overdue, and each retry read 100,000 to 470,000 tokens again at a predicted cost of 10 to 76 units. The utilisation is asked for by a placement query.

--- a/copperloom/decisions/placement_query.py
+++ b/copperloom/decisions/placement_query.py
@@ -23,6 +23,7 @@
         is_repeat: Whether the request was sent before.
         is_away: Whether the owner of another data centre forwarded it.
         excluded: Targets that the sender knows to take no requests now.
+        is_probe: Whether only the utilisation of the targets is asked for.
     """
 
     request: str
@@ -35,6 +36,7 @@
     is_repeat: bool = False
     is_away: bool = False
     excluded: tuple[str, ...] = ()
+    is_probe: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/copperloom/decisions/timeouts.py
+++ b/copperloom/decisions/timeouts.py
@@ -3,7 +3,12 @@
 The time after which callers abandon a stream is specified by the platform.
 """
 
-__all__ = ["first_event_timeout_s", "abandon_after_s"]
+__all__ = [
+    "abandon_after_s",
+    "first_event_timeout_s",
+    "is_explained_by_load",
+    "last_resort_s",
+]
 
 # A caller abandons a stream after a silence of ABANDON_S seconds or of these
 # multiples of its first-token or inter-token objective, whichever is longest.
@@ -20,6 +25,14 @@
 SOON_FACTOR = 1.5
 # Predicted time of a repeat, network included, relative to the first attempt.
 REPEAT_FACTOR = 1.2
+# Utilisation of the engines above which the silence of one is no sign of a
+# fault: prompts placed there miss their objectives anyway.
+LOADED = 0.8
+# Interval at which the utilisation is asked for again.
+RECHECK_S = 1.0
+# Share of the time until callers leave, after which a silent engine is given up
+# whatever the load. The rest is for the retry.
+LAST_RESORT_SHARE = 0.75
 
 
 def first_event_timeout_s(predicted_s: float, left_s: float) -> float:
@@ -40,6 +53,28 @@
     return min(timeout_s, repeat_by_s)
 
 
+def is_explained_by_load(busy: float) -> bool:
+    """Returns whether an engine is silent because all engines are full.
+
+    The load is a burst of long prompts. A retry then reads the whole prompt
+    again beside prompts that are late already, and delays these as well.
+
+    Args:
+        busy: Utilisation of the engines, see `spillover.utilisation`.
+    """
+    return busy >= LOADED
+
+
+def last_resort_s(objective_s: float, pause_aim_s: float) -> float:
+    """Returns the time after which a silent engine is given up under any load.
+
+    Args:
+        objective_s: First-token objective, in seconds.
+        pause_aim_s: Inter-token objective, in seconds.
+    """
+    return LAST_RESORT_SHARE * abandon_after_s(objective_s, pause_aim_s)
+
+
 def abandon_after_s(objective_s: float, pause_aim_s: float) -> float:
     """Returns the seconds of silence after which callers abandon a stream.
 
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 
 from copperloom import exception, logs, routing
 from copperloom.decisions import (
@@ -31,6 +32,7 @@
     reserve,
     retry,
     sender,
+    silence,
     stopping,
     target_backoff,
     target_checks,
@@ -259,7 +261,7 @@
             _headers(ex, now),
             ex.body,
             timeout_s=_head_timeout_s(ex, now),
-            may_give_up=lambda: retry.may_give_up(ex),
+            wait_on=functools.partial(silence.wait_on, ex),
             abandon=ex.abandon,
         ) as reply:
             late.cancel()
--- a/copperloom/ingress/local_placement.py
+++ b/copperloom/ingress/local_placement.py
@@ -51,10 +51,10 @@
     if alone:
         drawn = state.rng.sample(drawn, len(drawn))
     candidates = _candidates(state, query, drawn, now)
-    chosen = _choose(state, query, candidates)
+    chosen = None if query.is_probe else _choose(state, query, candidates)
     busy = spillover.utilisation(candidates)
     remote = None
-    if not alone and not query.is_away:
+    if not alone and not query.is_away and not query.is_probe:
         remote_shards = _remote_shards(state, query.shard, now)
         remote = spillover.choose_remote(
             chosen, query.prompt, busy, remote_shards, state.rng
--- a/copperloom/ingress/mechanisms.py
+++ b/copperloom/ingress/mechanisms.py
@@ -66,6 +66,8 @@
         Switch("decisions.timeouts", "FIRST_SLACK_S", _NEVER),
         Switch("decisions.timeouts", "SOON_SLACK_S", _NEVER),
     ),
+    # Waits on for a late first event of a long prompt while engines are full.
+    "withheld_retries": (Switch("decisions.timeouts", "LOADED", _NEVER),),
     # Makes engines admit short prompts before long ones.
     "priority": (Switch("ingress.forward", "LONG_PRIORITY", 1),),
     # Lets only a few instances watch the tables and update the others.
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -1,6 +1,7 @@
 """Relays a target's answer to the caller, unchanged and in complete units."""
 
 import asyncio
+import math
 
 from copperloom import exception, logs
 from copperloom.decisions import (
@@ -17,6 +18,7 @@
     responses,
     retry,
     sender,
+    silence,
 )
 from copperloom.platform import headers
 
@@ -150,13 +152,23 @@
     ex: exchange.Exchange, content, timeout_s: float | None
 ) -> bytes:
     """Reads available bytes; abandons a stalled stream only to retry it."""
-    try:
-        async with asyncio.timeout(timeout_s):
-            return await content.readany()
-    except TimeoutError as error:
-        if retry.may_give_up(ex):
-            raise exception.StreamBrokenError(
-                "target sent no more of its stream before the timeout",
-                is_silent=True,
-            ) from error
-    return await content.readany()
+    while True:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await content.readany()
+        except TimeoutError as error:
+            timeout_s = await _wait_on(ex)
+            if timeout_s is None:
+                raise exception.StreamBrokenError(
+                    "target sent no more of its stream before the timeout",
+                    is_silent=True,
+                ) from error
+        if timeout_s == math.inf:
+            timeout_s = None
+
+
+async def _wait_on(ex: exchange.Exchange) -> float | None:
+    """Returns how much longer to wait, or None to give the stream up."""
+    if ex.attempt_first_at is None:
+        return await silence.wait_on(ex)
+    return None if retry.may_give_up(ex) else math.inf
--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -11,8 +11,9 @@
 import contextlib
 import dataclasses
 import functools
+import math
 import socket
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 
 import aiohttp
 import yarl
@@ -136,7 +137,7 @@
     *,
     timeout_s: float | None = None,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
-    may_give_up: Callable[[], bool] = lambda: True,
+    wait_on: Callable[[], Awaitable[float | None]] | None = None,
     abandon: asyncio.Future | None = None,
 ) -> AsyncIterator[Reply]:
     """Sends a request and yields its reply once the head is received.
@@ -153,8 +154,8 @@
         timeout_s: Timeout for the head of the answer in seconds; None for no
             timeout.
         connect_timeout_s: Timeout for the connection in seconds.
-        may_give_up: Called at the timeout; if it returns False, the wait
-            continues.
+        wait_on: Called at the timeout; returns for how many seconds the wait
+            continues, or None for its end. Without it the wait ends.
         abandon: Its result acts as the timeout.
 
     Raises:
@@ -174,9 +175,7 @@
         middlewares=(_classify,),
     )
     try:
-        async with await _head(
-            pending, timeout_s, may_give_up, abandon
-        ) as resp:
+        async with await _head(pending, timeout_s, wait_on, abandon) as resp:
             # aiohttp clears the public `connection` once a short answer is
             # complete.
             yield Reply(resp.status, resp.headers, resp, resp._protocol)
@@ -184,9 +183,7 @@
         raise _broken(error) from error
 
 
-async def _head(
-    pending, timeout_s, may_give_up, abandon
-) -> aiohttp.ClientResponse:
+async def _head(pending, timeout_s, wait_on, abandon) -> aiohttp.ClientResponse:
     """Waits for the head of an answer; may continue after the timeout."""
 
     async def wait():
@@ -195,15 +192,21 @@
     task = asyncio.ensure_future(wait())
     try:
         waits = {task} if abandon is None else {task, abandon}
-        await asyncio.wait(
-            waits,
-            timeout=timeout_s,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if not task.done() and may_give_up():
-            raise exception.StreamBrokenError(
-                "target sent no answer before the timeout", is_silent=True
+        while not task.done():
+            await asyncio.wait(
+                waits,
+                timeout=None if timeout_s == math.inf else timeout_s,
+                return_when=asyncio.FIRST_COMPLETED,
             )
+            if task.done():
+                break
+            # A request is abandoned only once; the wait may go on after it.
+            waits = {task}
+            timeout_s = await wait_on() if wait_on is not None else None
+            if timeout_s is None and not task.done():
+                raise exception.StreamBrokenError(
+                    "target sent no answer before the timeout", is_silent=True
+                )
         return await task
     finally:
         # Also ends the request if this wait is cancelled.
