--- a/copperloom/decisions/placement_query.py
+++ b/copperloom/decisions/placement_query.py
@@ -24,6 +24,7 @@
         is_away: Whether the owner of another data centre forwarded it.
         excluded: Targets that the sender knows to take no requests now.
         data_centres: The data centres whose targets may be used; None for all.
+        is_probe: Whether only the utilisation of the targets is asked for.
     """
 
     request: str
@@ -37,6 +38,7 @@
     is_away: bool = False
     excluded: tuple[str, ...] = ()
     data_centres: frozenset[str] | None = None
+    is_probe: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
