Decisions: speeds of targets and hints of holds

Cause: targets of one service may differ in speed by a factor of 1.5 to 4. Placement gave each the same number of requests. Change: instances compare times with those of other targets, share the observations in digests, and placement multiplies predicted times by the ratio. Holds are shared as hints that only rank targets.

--- a/copperloom/decisions/interference.py
+++ b/copperloom/decisions/interference.py
@@ -13,6 +13,7 @@
     "DecodeLoss",
     "arrival_interference",
     "decode_loss",
+    "pause_loss",
     "waiting_loss",
     "prefill_interference",
 ]
@@ -143,6 +144,16 @@
     )
 
 
+def pause_loss(prompt: plans.Prompt, gap_s: float) -> float:
+    """Predicts the worth that a request itself loses by gaps between tokens.
+
+    Args:
+        prompt: Its prompt.
+        gap_s: Predicted gap, in seconds.
+    """
+    return plans.worth(prompt.tokens) * _gap_loss(prompt.pause_aim_s, gap_s)
+
+
 def waiting_loss(prompt: plans.Prompt, first_token_s: float) -> float:
     """Predicts the worth that a request itself loses by waiting.
 
--- a/copperloom/decisions/planner.py
+++ b/copperloom/decisions/planner.py
@@ -61,6 +61,15 @@
 LOCAL_GAIN = 0.005
 # Memory reserved for concurrent placements of peers.
 MEMORY_SLACK_TOKENS = 4000
+# Share of a plain target's slots below which its answer times show its speed
+# rather than its load.
+QUIET_SHARE = 0.75
+# Targets of different speeds of which the best one is taken: at least
+# MIN_DRAWN, or a share of them. The best of a random part is nearly the best of
+# all, and instances that choose at the same time do not all choose the fastest
+# one (Mitzenmacher 2001).
+MIN_DRAWN = 3
+DRAWN_SHARE = 0.5
 
 
 def plan_prompt(
@@ -98,8 +107,11 @@
     if not leads:
         return None
     total_s = iterations.prefill_s(engine, prompt.tokens)
+    leads = [_at_speed(c) for c in leads]
+    candidates = [_at_speed(c) for c in candidates]
     timelines = {
-        c.name: iterations.simulate(engine, c.load) for c in candidates
+        c.name: iterations.simulate(_engine_at(engine, c.speed), c.load)
+        for c in candidates
     }
     decode_losses = {
         c.name: interference.decode_loss(c, timelines[c.name])
@@ -177,7 +189,8 @@
 
 def _load(tgt: plans.Candidate) -> float:
     prefill_s = sum(p.prefill_s for p in tgt.load.prefills)
-    return tgt.penalty + tgt.load.requests / max(1, tgt.slots) + prefill_s
+    load = tgt.load.requests / max(1, tgt.slots) + prefill_s
+    return tgt.penalty + load + (tgt.speed - 1.0)
 
 
 def is_refused(prompt: plans.Prompt, plan: plans.Plan) -> bool:
@@ -229,25 +242,78 @@
     return engine.kv_tokens - tgt.load.tokens - MEMORY_SLACK_TOKENS
 
 
-def plan_service(candidates: list[plans.Candidate]) -> plans.Plan | None:
+def plan_service(
+    candidates: list[plans.Candidate], rng: random.Random | None = None
+) -> plans.Plan | None:
     """Chooses the target of a plain service with the least load per slot.
 
+    Targets of different speeds are compared by the expected answer time.
+
+    Args:
+        candidates: The targets that may be used.
+        rng: Source of randomness; without it the best target is taken.
+
     Returns:
         The plan, or None without candidates.
     """
     if not candidates:
         return None
-    best = min(candidates, key=_service_cost)
-    return plans.Plan(best.name, (), 0.0, 0.0, _service_cost(best))
+    considered = candidates
+    if rng is not None and any(c.speed != 1.0 for c in candidates):
+        considered = _draw_part(candidates, rng)
+    best = min(considered, key=_service_cost)
+    return plans.Plan(
+        best.name,
+        (),
+        0.0,
+        0.0,
+        _service_cost(best),
+        speed=best.speed,
+        shows_speed=best.load.requests < QUIET_SHARE * best.slots,
+    )
+
+
+def _draw_part(
+    candidates: list[plans.Candidate], rng: random.Random
+) -> list[plans.Candidate]:
+    """Draws a part of the targets, in random order."""
+    count = max(MIN_DRAWN, math.ceil(DRAWN_SHARE * len(candidates)))
+    return rng.sample(candidates, min(count, len(candidates)))
 
 
 def _service_cost(tgt: plans.Candidate) -> float:
     # The load is relative to the slots, since targets differ in size; a local
     # one is preferred when loads are about equal.
     load = tgt.load.requests / max(1, tgt.slots)
+    if tgt.speed != 1.0:
+        load = tgt.speed * (1.0 + load) - 1.0
     return load + tgt.penalty - (0.05 if tgt.is_local else 0.0)
 
 
+def _engine_at(engine: routing.EngineSpec, speed: float) -> routing.EngineSpec:
+    """Returns the figures of an engine whose iterations take longer."""
+    if speed == 1.0:
+        return engine
+    return dataclasses.replace(
+        engine,
+        step_s=engine.step_s * speed,
+        per_sequence_s=engine.per_sequence_s * speed,
+        context_s=engine.context_s * speed,
+    )
+
+
+def _at_speed(tgt: plans.Candidate) -> plans.Candidate:
+    """Returns a target with the prefill times that it needs at its speed."""
+    if tgt.speed == 1.0 or not tgt.load.prefills:
+        return tgt
+    prefills = tuple(
+        dataclasses.replace(p, prefill_s=p.prefill_s * tgt.speed)
+        for p in tgt.load.prefills
+    )
+    load = dataclasses.replace(tgt.load, prefills=prefills)
+    return dataclasses.replace(tgt, load=load)
+
+
 def _has_room(
     engine: routing.EngineSpec, tgt: plans.Candidate, need: int
 ) -> bool:
@@ -270,12 +336,24 @@
     is_split = parts > 1
     costs = {
         c.name: interference.prefill_interference(
-            c, timelines[c.name], decode_losses[c.name], part_s, is_split
+            c,
+            timelines[c.name],
+            decode_losses[c.name],
+            part_s * c.speed,
+            is_split,
         )
         + c.penalty * PENALTY_COST
         for c in candidates
     }
-    lead = min(leads, key=lambda c: costs[c.name] + _lead_cost(engine, c))
+    speed_costs = {
+        c.name: _speed_cost(engine, prompt, c, part_s) for c in candidates
+    }
+    lead = min(
+        leads,
+        key=lambda c: (
+            costs[c.name] + speed_costs[c.name] + _lead_cost(engine, c)
+        ),
+    )
     helpers = sorted(
         (
             c
@@ -284,7 +362,7 @@
             and c.may_help
             and c.load.parts < engine.slots - 1
         ),
-        key=lambda c: costs[c.name],
+        key=lambda c: costs[c.name] + speed_costs[c.name],
     )[: parts - 1]
     if len(helpers) < parts - 1:
         return None
@@ -302,17 +380,47 @@
     )
     cost += PART_COST * (parts - 1)
     names = tuple(c.name for c in helpers)
-    return plans.Plan(lead.name, names, part_s, first_token_s, cost)
+    return plans.Plan(
+        lead.name,
+        names,
+        part_s,
+        first_token_s,
+        cost,
+        speed=lead.speed,
+        shows_speed=not names and not lead.load.prefills,
+    )
+
+
+def _speed_cost(
+    engine, prompt: plans.Prompt, tgt: plans.Candidate, part_s: float
+) -> float:
+    """Returns what a prompt loses by the speed of an engine, in worth.
+
+    The other costs that rank engines leave out the prompt's own wait, which is
+    about the same at engines of equal speed.
+    """
+    if tgt.speed == 1.0:
+        return 0.0
+    decodes = len(tgt.load.decodes) + 1
+    iteration_s = iterations.iteration_s(engine, decodes, tgt.load.context)
+    usual_s = part_s + iteration_s
+    return (
+        interference.waiting_loss(prompt, prompt.waited_s + usual_s * tgt.speed)
+        - interference.waiting_loss(prompt, prompt.waited_s + usual_s)
+        + interference.pause_loss(prompt, iteration_s * tgt.speed)
+        - interference.pause_loss(prompt, iteration_s)
+    )
 
 
 def _first_token_s(engine, prompt, lead, chosen, timelines, part_s) -> float:
     """Predicts the time to the first token since the request arrived."""
     is_split = len(chosen) > 1
     prefill_end_s = max(
-        _prefill_end_s(c, timelines[c.name], part_s, is_split) for c in chosen
+        _prefill_end_s(c, timelines[c.name], part_s * c.speed, is_split)
+        for c in chosen
     )
     first_iteration_s = iterations.iteration_s(
-        engine,
+        _engine_at(engine, lead.speed),
         len(lead.load.decodes) + 1,
         lead.load.context + prompt.tokens // len(chosen),
     )
--- a/copperloom/decisions/plans.py
+++ b/copperloom/decisions/plans.py
@@ -58,6 +58,8 @@
         slots: Requests that it processes concurrently.
         is_local: Whether it is in the same data centre.
         may_help: Whether it may prefill a part of another engine's prompt.
+        speed: Factor of its times relative to other targets, see
+            `target_speed`.
     """
 
     name: str
@@ -66,6 +68,7 @@
     slots: int
     is_local: bool = False
     may_help: bool = True
+    speed: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +96,10 @@
         cost: Total cost of the placement, in units of worth.
         holds: Memory to reserve at helpers, for a prompt that exceeds the
             memory of one engine.
+        speed: Factor that the predicted times of the lead include.
+        shows_speed: Whether the time of the attempt will show the speed of the
+            lead, which alone does the work and has no other work that delays
+            it.
     """
 
     lead: str
@@ -101,6 +108,8 @@
     first_token_s: float
     cost: float
     holds: tuple[Hold, ...] = ()
+    speed: float = 1.0
+    shows_speed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/copperloom/decisions/tests/emulator.py
+++ b/copperloom/decisions/tests/emulator.py
@@ -19,6 +19,7 @@
     inflight_table,
     iterations,
     plans,
+    target_speed,
 )
 
 __all__ = ["Arrival", "Served", "least_requests", "play", "place_by_cost"]
@@ -121,6 +122,8 @@
     *,
     instances: int = 1,
     report_delay_s: float = 0.0,
+    speeds: tuple[float, ...] = (),
+    uses_speed: bool = True,
 ) -> list[Served]:
     """Plays a load against a placement.
 
@@ -131,6 +134,8 @@
         place: The placement.
         instances: Number of instances, which place requests in turn.
         report_delay_s: Time until an instance knows of another's placement.
+        speeds: Factors of the iterations of the first engines; 1 for others.
+        uses_speed: Whether the placement takes observed speeds into account.
 
     Returns:
         The answers in order of arrival.
@@ -139,6 +144,8 @@
     simulation = _Simulation(
         spec, {name: _Engine() for name in names}, report_delay_s
     )
+    simulation.factors = dict(zip(names, speeds, strict=False))
+    simulation.uses_speed = uses_speed
     for number, arrival in enumerate(arrivals):
         served = Served(arrival, instance=number % instances)
         simulation.schedule(arrival.at, ("arrive", served))
@@ -161,6 +168,9 @@
         self.event_queue: list = []
         self.order = itertools.count()
         self.served: list[Served] = []
+        self.factors: dict[str, float] = {}
+        self.uses_speed = True
+        self.speeds = target_speed.TargetSpeeds()
 
     def schedule(self, at: float, item) -> None:
         heapq.heappush(self.event_queue, (at, next(self.order), item))
@@ -173,7 +183,11 @@
         loads = inflight_table.loads(self._known(now, served.instance), now)
         candidates = [
             plans.Candidate(
-                n, loads.get(n, inflight.TargetLoad()), 0.0, self.spec.slots
+                n,
+                loads.get(n, inflight.TargetLoad()),
+                0.0,
+                self.spec.slots,
+                speed=self._speed(n, now),
             )
             for n in self.engines
         ]
@@ -186,6 +200,7 @@
         names = (plan.lead, *plan.helpers)
         served.parts_left = len(names)
         served.lead = plan.lead
+        served.plan = plan
         served.started_at = now
         self._record(now, served, plan, names)
         for name in names:
@@ -193,6 +208,24 @@
             self._admit(self.engines[name], prefill, is_lead=name == plan.lead)
             self.start_iteration(now, name)
 
+    def _speed(self, name: str, now: float) -> float:
+        if not self.uses_speed:
+            return 1.0
+        return target_speed.ratio(self.speeds, name, now)
+
+    def _observe(self, now: float, served: Served) -> None:
+        plan, prompt = served.plan, served.arrival.prompt
+        if not self.factors or not plan.shows_speed:
+            return
+        waited_s = served.started_at - served.arrival.at
+        value = target_speed.log_ratio(
+            now - served.started_at,
+            (plan.first_token_s - waited_s) / plan.speed,
+        )
+        kind = "short" if prompt.tokens <= plans.SHORT_TOKENS else "long"
+        observation = target_speed.Observation(plan.lead, kind, value)
+        target_speed.record(self.speeds, observation, now)
+
     def _known(self, now: float, instance: int) -> inflight_table.InflightTable:
         """Returns the in-flight table as an instance knows it."""
         known = inflight_table.InflightTable()
@@ -247,12 +280,14 @@
             engine.batch = [_next_prefill(engine.prefills)]
             duration_s = min(_CHUNK_S, engine.batch[0].left_s)
             engine.batch[0].left_s -= duration_s
+            duration_s *= self.factors.get(name, 1.0)
             self.schedule(now + duration_s, ("iteration", name))
             return
         engine.batch = list(engine.prefills)
         for prefill in engine.batch:
             duration_s += prefill.left_s
             prefill.left_s = 0.0
+        duration_s *= self.factors.get(name, 1.0)
         self.schedule(now + duration_s, ("iteration", name))
 
     def end_iteration(self, now: float, name: str) -> None:
@@ -279,6 +314,7 @@
     def _record_first_token(self, now: float, served: Served) -> None:
         served.first_s = now - served.arrival.at
         served.last_at = now
+        self._observe(now, served)
         inflight_table.mark_decoding(self.table, str(id(served)))
         self.engines[served.lead].decoding.append(served)
         self.start_iteration(now, served.lead)
--- a/copperloom/ingress/datagrams.py
+++ b/copperloom/ingress/datagrams.py
@@ -113,6 +113,9 @@
         draining_targets: Incarnations of targets that said in their answers
             that they drain.
         reaches_none: Whether it reaches no target.
+        speeds: Times of attempts at targets, each sent once.
+        holds: Milliseconds for which targets still reject requests of the
+            sender, by incarnation of the target.
     """
 
     sender: Announcement
@@ -134,6 +137,8 @@
     limits: list[wire_knowledge.WireLimit] = []
     draining_targets: list[str] = []
     reaches_none: bool = False
+    speeds: list[wire_knowledge.WireSpeed] = []
+    holds: dict[str, int] = {}
 
 
 class PlacementRequest(msgspec.Struct, array_like=True, tag="q"):
--- a/copperloom/ingress/knowledge.py
+++ b/copperloom/ingress/knowledge.py
@@ -7,10 +7,12 @@
 
 from copperloom import logs
 from copperloom.decisions import (
+    backoff,
     crash_log,
     drain_notices,
     registry,
     target_limits,
+    target_speed,
 )
 from copperloom.decisions.sharing import Occasion
 from copperloom.ingress import (
@@ -19,6 +21,8 @@
     limit_grants,
     quarantines,
     recipients,
+    target_backoff,
+    target_speeds,
     wire_knowledge,
 )
 from copperloom.ingress.state import IngressState, is_large_fleet
@@ -29,6 +33,7 @@
 _MAX_REQUESTS = 60
 _MAX_LIMITS = 60
 _MAX_NOTICES = 200
+_MAX_HOLDS = 60
 
 
 def add(
@@ -62,6 +67,12 @@
         wire_knowledge.encode_limit(target, report)
         for target, report in limits.items()
     ]
+    if occasion is Occasion.BROADCAST:
+        digest.speeds = [
+            wire_knowledge.WireSpeed(o.target, o.kind, round(o.value, 2))
+            for o in target_speed.take_unshared(state.speeds)
+        ]
+    digest.holds = backoff.to_share(state.backoff, now, _MAX_HOLDS, occasion)
     if state.targets.drain_notices.notices:
         digest.draining_targets = drain_notices.to_share(
             state.targets.drain_notices,
@@ -79,6 +90,8 @@
     """
     if digest.evidence_loaded:
         state.quarantines_loaded.set()
+    target_speeds.apply(state, digest.speeds, now)
+    target_backoff.apply(state, digest.holds, now, digest.sender.instance)
     if not (digest.evidence or digest.limits or digest.draining_targets):
         return
     forwards = is_large_fleet(state) and recipients.owns_local_shards(
--- a/copperloom/ingress/local_placement.py
+++ b/copperloom/ingress/local_placement.py
@@ -15,6 +15,7 @@
     spillover,
     target_limits,
 )
+from copperloom.ingress import target_backoff, target_speeds
 from copperloom.ingress.state import IngressState
 
 __all__ = ["busy_by_service", "decide"]
@@ -51,7 +52,10 @@
     if alone:
         drawn = state.rng.sample(drawn, len(drawn))
     candidates = _candidates(state, query, drawn, now)
-    chosen = _choose(state, query, candidates)
+    unhinted = _unhinted(state, drawn, candidates, now)
+    chosen = _choose(state, query, unhinted)
+    if chosen is None and len(unhinted) < len(candidates):
+        chosen = _choose(state, query, candidates)
     busy = spillover.utilisation(candidates)
     remote = None
     if not alone and not query.is_away:
@@ -130,6 +134,19 @@
     return untried or targets
 
 
+def _unhinted(
+    state: IngressState,
+    drawn: list[routing.TargetEntry],
+    candidates: list[plans.Candidate],
+    now: float,
+) -> list[plans.Candidate]:
+    """Lists the candidates that are not known to reject requests of others."""
+    if not target_backoff.has_hints(state):
+        return candidates
+    hinted = {e.name for e in drawn if target_backoff.is_hinted(state, e, now)}
+    return [c for c in candidates if c.name not in hinted]
+
+
 def _choose(
     state: IngressState,
     query: placement_query.Query,
@@ -140,7 +157,8 @@
     spec = state.table.services.get(query.shard.service)
     if query.prompt is None or spec is None or spec.engine is None:
         return planner.plan_service(
-            [c for c in candidates if c.load.requests < c.slots * _PLAIN_QUEUE]
+            [c for c in candidates if c.load.requests < c.slots * _PLAIN_QUEUE],
+            state.rng,
         )
     may_lead = None
     if query.may_lead is not None:
@@ -173,6 +191,7 @@
         slots=entry.slots,
         is_local=entry.data_centre == query.data_centre,
         may_help=not _is_limited(state, entry),
+        speed=target_speeds.ratio(state, entry, now),
     )
 
 
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -90,6 +90,17 @@
             ["result"],
             registry=self.registry,
         )
+        self.uneven_targets = prometheus_client.Gauge(
+            "copperloom_uneven_targets",
+            "Targets that are faster or slower than others of their service.",
+            registry=self.registry,
+        )
+        self.rejections = prometheus_client.Counter(
+            "copperloom_rejections",
+            "Rejections by targets that did not run a request, by result.",
+            ["result"],
+            registry=self.registry,
+        )
         self.reachability_checks = prometheus_client.Counter(
             "copperloom_reachability_checks",
             "Checks whether a target answers, after failed connections.",
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -17,6 +17,7 @@
     responses,
     retry,
     sender,
+    target_speeds,
 )
 from copperloom.platform import headers
 
@@ -63,6 +64,7 @@
         chunks.append(chunk)
     reply.check_complete()
     now = asyncio.get_running_loop().time()
+    target_speeds.observe(ex, head.status, now)
     responses.set_plain(ex, head, b"".join(chunks), now)
 
 
@@ -86,6 +88,7 @@
         if not has_begun:
             has_begun = True
             ex.attempt_first_at = now
+            target_speeds.observe(ex, head.status, now)
             inflight_table.mark_decoding(ex.state.inflight, ex.id)
         else:
             decode_rate.record_gap(gaps, now - ex.last_at)
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -22,6 +22,7 @@
     rowlog,
     shards,
     target_limits,
+    target_speed,
 )
 from copperloom.decisions.members import Member
 from copperloom.ingress import metrics, sender
@@ -88,6 +89,8 @@
         sender: The HTTP client for targets.
         limits: The rate limits that targets name.
         backoff: The holds that targets have asked this instance for.
+        speeds: How fast targets are relative to each other.
+        speeds_logged: Ratios of the targets that differ, as logged last.
         reachability: What attempts show about connections to targets.
         reachability_due: Set when some targets should be checked.
         reachability_settled: Set while no checks are due or in progress.
@@ -155,6 +158,8 @@
         self.sender = sender.Sender()
         self.limits = target_limits.TargetLimits()
         self.backoff = backoff.Backoff()
+        self.speeds = target_speed.TargetSpeeds()
+        self.speeds_logged: dict[str, float] = {}
         self.reachability = reachability.Reachability()
         self.reachability_due = asyncio.Event()
         self.reachability_settled = asyncio.Event()
--- a/copperloom/ingress/wire_knowledge.py
+++ b/copperloom/ingress/wire_knowledge.py
@@ -7,6 +7,7 @@
 __all__ = [
     "WireEvidence",
     "WireLimit",
+    "WireSpeed",
     "decode_evidence",
     "decode_limit",
     "encode_evidence",
@@ -46,6 +47,20 @@
     revision: int
 
 
+class WireSpeed(msgspec.Struct, array_like=True):
+    """An observation of a target's speed, as it is sent.
+
+    Attributes:
+        target: Incarnation of the target.
+        kind: The service and the kind of request.
+        value: Logarithm of the observed time over the expected one.
+    """
+
+    target: str
+    kind: str
+    value: float
+
+
 def encode_evidence(
     digest: bytes, evidence: crash_log.Evidence, now: float
 ) -> WireEvidence:
