Ingress: rejected requests go on to targets with room

Cause: a request that targets rejected as not run was refused with 0.15 s once max_attempts was reached, while other targets had room. Change: rejections do not count as runs.

--- a/copperloom/decisions/backoff.py
+++ b/copperloom/decisions/backoff.py
@@ -17,6 +17,7 @@
     "hint",
     "hold",
     "is_held",
+    "hinted_wait_s",
     "is_hinted",
     "to_share",
     "wait_s",
@@ -100,9 +101,13 @@
 
 def is_hinted(known: Backoff, incarnation: str, now: float) -> bool:
     """Returns whether a target rejects requests of this or other instances."""
-    if known.hinted.get(incarnation, now) > now:
-        return True
-    return is_held(known, incarnation, now)
+    return hinted_wait_s(known, incarnation, now) > 0
+
+
+def hinted_wait_s(known: Backoff, incarnation: str, now: float) -> float:
+    """Returns the seconds until a target is expected to accept requests."""
+    hinted_s = known.hinted.get(incarnation, now) - now
+    return max(hinted_s, wait_s(known, incarnation, now))
 
 
 def to_share(
--- a/copperloom/decisions/budget.py
+++ b/copperloom/decisions/budget.py
@@ -9,8 +9,16 @@
 
 import collections
 import dataclasses
+import math
 
-__all__ = ["Budget", "BudgetPolicy", "left", "record_request", "spend"]
+__all__ = [
+    "Budget",
+    "BudgetPolicy",
+    "left",
+    "next_s",
+    "record_request",
+    "spend",
+]
 
 # Leaves a margin for instances that are not known yet, and for windows that
 # are not aligned.
@@ -79,6 +87,21 @@
     return own + shared - len(retries)
 
 
+def next_s(budget: Budget, service: str, now: float, members: int) -> float:
+    """Predicts when a retry is left; the arguments are as in `spend`.
+
+    Returns:
+        Seconds from now, provided that as many requests come as before.
+    """
+    missing = math.ceil(1.0 - left(budget, service, now, members))
+    retries = budget.retries[service]
+    if missing <= 0:
+        return 0.0
+    if missing > len(retries):
+        return math.inf
+    return retries[missing - 1] + budget.policy.window_s - now
+
+
 def _recent(budget, times, service, now) -> collections.deque[float]:
     recent = times.setdefault(service, collections.deque())
     while recent and now - recent[0] > budget.policy.window_s:
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -68,7 +68,9 @@
         attempt_at: Time at which the latest attempt began.
         attempt_first_at: Time of that attempt's first event; None before it.
         checks: Checks of targets after its latest failure.
-        sent_to: Targets of earlier attempts.
+        sent_to: Targets of earlier attempts, on which it may have run.
+        rejected_by: Targets that reported that they did not run it.
+        rejections: Number of attempts that ended so.
         retry_granted: Whether the next retry is already taken from the budget.
         avoid: Targets that are avoided in further placements.
         abandon: Set when the wait for an answer should end; None if there is
@@ -120,6 +122,8 @@
         self.attempt_first_at: float | None = None
         self.checks: set[asyncio.Task] = set()
         self.sent_to: set[str] = set()
+        self.rejected_by: set[str] = set()
+        self.rejections = 0
         self.retry_granted = False
         self.avoid: set[str] = set()
         self.abandon: asyncio.Future | None = None
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -26,6 +26,7 @@
     placement,
     quarantines,
     reachability_checks,
+    rejections,
     relay,
     reply_checks,
     reserve,
@@ -34,7 +35,6 @@
     stopping,
     target_backoff,
     target_checks,
-    target_room,
 )
 from copperloom.platform import headers
 
@@ -48,7 +48,6 @@
 # prefill takes seconds, a short one hundredths of a second.
 SHORT_PRIORITY = 1
 LONG_PRIORITY = 6
-_REFUSED_RETRY_S = 0.15
 _FIRST_ERROR_STATUS = 300
 # Memory is freed only as long answers end, about once a second, so a quick
 # retry would fail again.
@@ -88,11 +87,9 @@
                 raise
         except exception.TargetRefusedError as error:
             by_helper = _record_failure(ex, error, health.BROKEN_PENALTY)
-            if not retry.take_retry(ex, by_helper):
-                now = asyncio.get_running_loop().time()
-                error.retry_after_s = target_room.retry_after_s(
-                    ex, now, _REFUSED_RETRY_S
-                )
+            if not await rejections.is_sent_again(
+                ex, error, by_helper=by_helper
+            ):
                 raise
         except exception.StreamBrokenError as error:
             _record_failure(ex, error, health.BROKEN_PENALTY)
@@ -280,8 +277,9 @@
         ex.run = run_before
         quarantines.withdraw_trial(ex, asyncio.get_running_loop().time())
         raise
-    except exception.TargetRefusedError:
+    except exception.TargetRefusedError as error:
         ex.run = run_before
+        rejections.record(ex, error, is_first=is_first)
         raise
     finally:
         late.cancel()
--- a/copperloom/ingress/target_room.py
+++ b/copperloom/ingress/target_room.py
@@ -8,6 +8,7 @@
     "check",
     "excluded",
     "find",
+    "has_fresh",
     "has_room",
     "refuse_unplaced",
     "retry_after_s",
@@ -139,9 +140,31 @@
     """
     usable = registry.usable(ex.state.targets, ex.service, now)
     room = _room(ex, usable, now)
-    if room is None or room.first_s <= least_s:
+    if room is None:
         return least_s
-    return _spread(ex, room.first_s)
+    first_s = min(
+        max(
+            room.waits_s[e.name],
+            backoff.hinted_wait_s(
+                ex.state.backoff, registry.incarnation(e), now
+            ),
+        )
+        for e in usable
+    )
+    return _spread(ex, first_s) if first_s > least_s else least_s
+
+
+def has_fresh(ex: exchange.Exchange, now: float) -> bool:
+    """Returns whether a request has a target that was not tried and has room.
+
+    Targets that are known to reject requests of others do not count.
+    """
+    holds = ex.state.backoff
+    return has_room(ex, now) and any(
+        e.name not in ex.avoid
+        and not backoff.is_hinted(holds, registry.incarnation(e), now)
+        for e in registry.usable(ex.state.targets, ex.service, now)
+    )
 
 
 def excluded(ex: exchange.Exchange, now: float) -> tuple[str, ...]:
