Decisions: speeds of engines from gaps between events

Cause: only a fifth of the requests to engines show their time to the first event without other work, so a slow engine was found late; the medians of few targets made fast ones count as outliers. Change: the first gaps of each stream count as well; the reference is the median over all targets that were observed. The tests of instances fail when placement ignores the ratios or messages hold no observations.

--- a/copperloom/decisions/decode_rate.py
+++ b/copperloom/decisions/decode_rate.py
@@ -11,7 +11,13 @@
 from copperloom import routing
 from copperloom.decisions import iterations
 
-__all__ = ["RecentGaps", "is_slow", "record_gap"]
+__all__ = [
+    "RecentGaps",
+    "first_gaps_s",
+    "is_slow",
+    "record_gap",
+    "usual_gaps_s",
+]
 
 # Successive gaps that must all be long; fewer could be due to prefills.
 MIN_GAPS = 3
@@ -27,17 +33,38 @@
 
     Attributes:
         gaps_s: The gaps in seconds, the latest last.
+        count: Number of gaps so far.
     """
 
     def __init__(self):
         self.gaps_s: collections.deque[float] = collections.deque(
             maxlen=MIN_GAPS
         )
+        self.count = 0
 
 
 def record_gap(recent: RecentGaps, gap_s: float) -> None:
     """Records the time between two events, in seconds."""
     recent.gaps_s.append(gap_s)
+    recent.count += 1
+
+
+def first_gaps_s(recent: RecentGaps) -> float | None:
+    """Returns MIN_GAPS times the least of a stream's first gaps, once there.
+
+    Prefills lengthen only some of them. Later gaps give no value, so that each
+    stream counts once.
+    """
+    if recent.count != MIN_GAPS:
+        return None
+    return MIN_GAPS * min(recent.gaps_s)
+
+
+def usual_gaps_s(engine: routing.EngineSpec, prompt_tokens: int) -> float:
+    """Predicts MIN_GAPS gaps between events at an engine with some work."""
+    context = int(engine.kv_tokens * BUSY_SHARE) + prompt_tokens
+    gap_s = iterations.iteration_s(engine, engine.slots // 2, context)
+    return MIN_GAPS * gap_s
 
 
 def is_slow(
--- a/copperloom/decisions/plans.py
+++ b/copperloom/decisions/plans.py
@@ -98,8 +98,7 @@
             memory of one engine.
         speed: Factor that the predicted times of the lead include.
         shows_speed: Whether the time of the attempt will show the speed of the
-            lead, which alone does the work and has no other work that delays
-            it.
+            lead: it alone does the work, and has no other work that delays it.
     """
 
     lead: str
--- a/copperloom/decisions/target_speed.py
+++ b/copperloom/decisions/target_speed.py
@@ -194,9 +194,11 @@
     known.is_stale = False
     known.refreshed_at = now
     differences: dict[str, list[float]] = {}
-    for medians in _medians_by_kind(known, now).values():
+    for kind, medians in _medians_by_kind(known, now).items():
         common = statistics.median(medians.values())
         for target, value in medians.items():
+            if len(known.samples[target][kind]) < MIN_SAMPLES:
+                continue
             differences.setdefault(target, []).append(value - common)
     known.outliers = {}
     for target, values in differences.items():
@@ -209,7 +211,7 @@
 def _medians_by_kind(
     known: TargetSpeeds, now: float
 ) -> dict[str, dict[str, float]]:
-    """Returns the medians of targets with enough samples; drops old ones."""
+    """Returns the medians of all targets with samples; drops old samples."""
     medians: dict[str, dict[str, float]] = {}
     for target, kinds in list(known.samples.items()):
         for kind, samples in list(kinds.items()):
@@ -217,7 +219,7 @@
                 samples.popleft()
             if not samples:
                 del kinds[kind]
-            elif len(samples) >= MIN_SAMPLES:
+            else:
                 value = statistics.median(value for value, _ in samples)
                 medians.setdefault(kind, {})[target] = value
         if not kinds:
--- a/copperloom/decisions/tests/emulator.py
+++ b/copperloom/decisions/tests/emulator.py
@@ -15,6 +15,7 @@
 from copperloom import routing
 from copperloom.decisions import (
     choice,
+    decode_rate,
     inflight,
     inflight_table,
     iterations,
@@ -201,6 +202,7 @@
         served.parts_left = len(names)
         served.lead = plan.lead
         served.plan = plan
+        served.gaps = decode_rate.RecentGaps()
         served.started_at = now
         self._record(now, served, plan, names)
         for name in names:
@@ -223,7 +225,20 @@
             (plan.first_token_s - waited_s) / plan.speed,
         )
         kind = "short" if prompt.tokens <= plans.SHORT_TOKENS else "long"
-        observation = target_speed.Observation(plan.lead, kind, value)
+        self._learn(now, served, kind, value)
+
+    def _observe_gap(self, now: float, served: Served) -> None:
+        decode_rate.record_gap(served.gaps, now - served.last_at)
+        gaps_s = decode_rate.first_gaps_s(served.gaps)
+        if gaps_s is None or not self.factors:
+            return
+        tokens = served.arrival.prompt.tokens
+        usual_s = decode_rate.usual_gaps_s(self.spec, tokens)
+        value = target_speed.log_ratio(gaps_s, usual_s)
+        self._learn(now, served, "decode", value)
+
+    def _learn(self, now, served: Served, kind: str, value: float) -> None:
+        observation = target_speed.Observation(served.lead, kind, value)
         target_speed.record(self.speeds, observation, now)
 
     def _known(self, now: float, instance: int) -> inflight_table.InflightTable:
@@ -296,6 +311,7 @@
         for served in list(engine.decoding):
             served.events += 1
             served.gap_s = max(served.gap_s, now - served.last_at)
+            self._observe_gap(now, served)
             served.last_at = now
             if served.events >= _EVENTS:
                 engine.decoding.remove(served)
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -112,6 +112,7 @@
     engine = exchange.engine(ex)
     if engine is None:
         return
+    target_speeds.observe_gaps(ex, engine, gaps, now)
     if not decode_rate.is_slow(gaps, engine, ex.head.prompt_tokens):
         return
     ex.slow = True
