--- a/copperloom/ingress/mechanisms.py
+++ b/copperloom/ingress/mechanisms.py
@@ -70,6 +70,12 @@
     "priority": (Switch("ingress.forward", "LONG_PRIORITY", 1),),
     # Lets only a few instances watch the tables and update the others.
     "followers": (Switch("ingress.watchers", "WATCHERS", 1_000_000),),
+    # Multiplies predicted times by the observed speeds of targets.
+    "speeds": (Switch("decisions.target_speed", "MIN_SAMPLES", _NEVER),),
+    # Prefers other targets than those that reject requests of peers.
+    "hints": (Switch("decisions.backoff", "MAX_HINT_S", 0.0),),
+    # Sends rejected requests to more targets than they may run on.
+    "rejections": (Switch("ingress.rejections", "MAX_REJECTIONS", 0),),
     # Holds requests that arrive before routes are known.
     "hold_at_start": (Switch("daemons.front", "START_HOLD_S", 0.0),),
 }
