Ingress: jitter of refusals, bounded values, a soak fault

Cause: callers refused together were all told 0.15 s; a peer's extreme value overflowed the ratio; ratios were computed four times a second. Change: 0.1 to 0.3 s; values are bounded; ratios at most twice a second, and no work per target while none differs. The soak makes some targets slower.

--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -37,6 +37,8 @@
 _MAX_ANNOUNCED_S = 5.0
 _MAX_RETRY_AFTER_S = 6.0
 _MAX_REJECTING_S = 3.0
+_USUAL_PAUSE_S = 0.01
+_MAX_SLOW_S = 5.0
 _MAX_PARTITION_S = 6.0
 _MAX_FLOOD_PER_S = 120.0
 _MAX_FLOOD_S = 2.0
@@ -232,6 +234,18 @@
         world.targets[name].retry_after = None
 
 
+async def _slow_some(world: World) -> None:
+    """Makes some targets of a service slower than the others for a time."""
+    kind = world.rng.choice(("engine", "plain"))
+    names = [n for n in world.targets if n.startswith(kind)]
+    slow = world.rng.sample(names, world.rng.randint(1, len(names) - 1))
+    for name in slow:
+        world.targets[name].pause_s *= world.rng.uniform(1.5, 4.0)
+    await asyncio.sleep(world.rng.uniform(0.5, _MAX_SLOW_S))
+    for name in slow:
+        world.targets[name].pause_s = _USUAL_PAUSE_S
+
+
 async def _drain_target(world: World) -> None:
     name = world.rng.choice(list(world.targets))
     world.register(name, state="draining")
@@ -314,6 +328,7 @@
     _announce_service,
     _reject,
     _reject_service,
+    _slow_some,
     _drain_target,
     _partition_some,
     _partition_some,
--- a/copperloom/decisions/target_speed.py
+++ b/copperloom/decisions/target_speed.py
@@ -20,6 +20,7 @@
 __all__ = [
     "Observation",
     "TargetSpeeds",
+    "has_outliers",
     "log_ratio",
     "outliers",
     "ratio",
@@ -33,6 +34,8 @@
 # Bounds of a ratio; a target that seems faster than that may be broken.
 MIN_RATIO = 0.4
 MAX_RATIO = 4.0
+# Bound of a value, so that none exceeds the range of `math.exp`.
+MAX_VALUE = 5.0
 # Added to both times, so that differences of some milliseconds, which are due
 # to the network and the processor, do not count.
 NOISE_S = 0.02
@@ -44,7 +47,7 @@
 # targets get few requests, so their recovery is found by this decay.
 HALF_LIFE_S = 10.0
 # Ratios are computed again at most this often.
-REFRESH_S = 0.25
+REFRESH_S = 0.5
 MAX_TARGETS = 300
 MAX_KINDS = 6
 # Own observations that wait for the next message; more are dropped.
@@ -131,6 +134,7 @@
     """
     if not math.isfinite(observation.value):
         return
+    value = min(MAX_VALUE, max(-MAX_VALUE, observation.value))
     kinds = known.samples.pop(observation.target, {})
     known.samples[observation.target] = kinds
     if observation.kind not in kinds and len(kinds) >= MAX_KINDS:
@@ -138,7 +142,7 @@
     samples = kinds.setdefault(
         observation.kind, collections.deque(maxlen=MAX_SAMPLES)
     )
-    samples.append((observation.value, now))
+    samples.append((value, now))
     if len(known.samples) > MAX_TARGETS:
         oldest = next(iter(known.samples))
         del known.samples[oldest]
@@ -148,6 +152,12 @@
     known.is_stale = True
 
 
+def has_outliers(known: TargetSpeeds, now: float) -> bool:
+    """Returns whether any target may have a ratio other than 1."""
+    _refresh(known, now)
+    return bool(known.outliers)
+
+
 def ratio(known: TargetSpeeds, target: str, now: float) -> float:
     """Returns the factor of a target's times relative to other targets.
 
@@ -220,7 +230,7 @@
             if not samples:
                 del kinds[kind]
             else:
-                value = statistics.median(value for value, _ in samples)
+                value = statistics.median([value for value, _ in samples])
                 medians.setdefault(kind, {})[target] = value
         if not kinds:
             del known.samples[target]
--- a/copperloom/decisions/tests/test_target_speed.py
+++ b/copperloom/decisions/tests/test_target_speed.py
@@ -110,6 +110,12 @@
             target_speed.record(known, observation, 0.0, is_own=False)
         self.assertEqual(known.samples, {})
 
+    def test_extreme_values_are_bounded(self):
+        """Guards against an overflow in the middle of a placement."""
+        known = _fleet(a=1, b=1, c=1e300)
+        ratio = target_speed.ratio(known, "c", 0.0)
+        self.assertEqual(ratio, target_speed.MAX_RATIO)
+
 
 class PlainPlacementTest(unittest.TestCase):
     def test_uneven_targets_answer_sooner(self):
--- a/copperloom/ingress/rejections.py
+++ b/copperloom/ingress/rejections.py
@@ -18,8 +18,9 @@
 # Share of its latency objective for which a request waits until a retry may be
 # sent; a refusal may not take longer.
 _WAIT_SHARE = 0.125
-# Time until a target that has room now may be tried again.
-_REFUSED_RETRY_S = 0.15
+# Time after which a target that has room now may be tried again; callers that
+# were refused together return spread over this range.
+_REFUSED_RETRY_S = (0.1, 0.3)
 
 
 def record(
@@ -58,7 +59,8 @@
     """
     result = await _result(ex, by_helper)
     now = asyncio.get_running_loop().time()
-    error.retry_after_s = target_room.retry_after_s(ex, now, _REFUSED_RETRY_S)
+    least_s = ex.state.rng.uniform(*_REFUSED_RETRY_S)
+    error.retry_after_s = target_room.retry_after_s(ex, now, least_s)
     ex.state.metrics.rejections.labels(result).inc()
     logs.event(
         "rejected",
--- a/copperloom/ingress/target_speeds.py
+++ b/copperloom/ingress/target_speeds.py
@@ -62,7 +62,7 @@
     state: IngressState, target: routing.TargetEntry, now: float
 ) -> float:
     """Returns the factor of a registered target's times."""
-    if not state.speeds.samples:
+    if not target_speed.has_outliers(state.speeds, now):
         return 1.0
     incarnation = registry.incarnation(target)
     return target_speed.ratio(state.speeds, incarnation, now)
