--- a/copperloom/ingress/datagrams.py
+++ b/copperloom/ingress/datagrams.py
@@ -115,6 +115,9 @@
         reaches_none: Whether it reaches no target.
         evacuations: What it knows about evacuated data centres.
         cold: Targets that are or were cold.
+        speeds: Times of attempts at targets, each sent once.
+        holds: Milliseconds for which targets still reject requests of the
+            sender, by incarnation of the target.
     """
 
     sender: Announcement
@@ -138,6 +141,8 @@
     reaches_none: bool = False
     evacuations: list[wire_knowledge.WireEvacuation] = []
     cold: list[wire_knowledge.WireCold] = []
+    speeds: list[wire_knowledge.WireSpeed] = []
+    holds: dict[str, int] = {}
 
 
 class PlacementRequest(msgspec.Struct, array_like=True, tag="q"):
--- a/copperloom/ingress/knowledge.py
+++ b/copperloom/ingress/knowledge.py
@@ -8,11 +8,13 @@
 
 from copperloom import logs
 from copperloom.decisions import (
+    backoff,
     cold_start,
     crash_log,
     drain_notices,
     registry,
     target_limits,
+    target_speed,
 )
 from copperloom.decisions.sharing import Occasion
 from copperloom.ingress import (
@@ -23,6 +25,8 @@
     limit_grants,
     quarantines,
     recipients,
+    target_backoff,
+    target_speeds,
     wire_knowledge,
 )
 from copperloom.ingress.state import IngressState, is_large_fleet
@@ -35,6 +39,7 @@
 _MAX_LIMITS = 60
 _MAX_COLD = 120
 _MAX_NOTICES = 200
+_MAX_HOLDS = 60
 
 
 def add(
@@ -75,6 +80,12 @@
         wire_knowledge.encode_cold(target, report)
         for target, report in colds.items()
     ]
+    if occasion is Occasion.BROADCAST:
+        digest.speeds = [
+            wire_knowledge.WireSpeed(o.target, o.kind, round(o.value, 2))
+            for o in target_speed.take_unshared(state.speeds)
+        ]
+    digest.holds = backoff.to_share(state.backoff, now, _MAX_HOLDS, occasion)
     if state.targets.drain_notices.notices:
         digest.draining_targets = drain_notices.to_share(
             state.targets.drain_notices,
@@ -92,6 +103,8 @@
     """
     if digest.evidence_loaded:
         state.quarantines_loaded.set()
+    target_speeds.apply(state, digest.speeds, now)
+    target_backoff.apply(state, digest.holds, now, digest.sender.instance)
     if not (
         digest.evidence
         or digest.limits
--- a/copperloom/ingress/local_placement.py
+++ b/copperloom/ingress/local_placement.py
@@ -16,6 +16,7 @@
     spillover,
     target_limits,
 )
+from copperloom.ingress import target_backoff, target_speeds
 from copperloom.ingress.state import IngressState
 
 __all__ = ["busy_by_service", "decide"]
@@ -54,7 +55,9 @@
     if alone:
         drawn = state.rng.sample(drawn, len(drawn))
     candidates = _candidates(state, query, drawn, now)
-    chosen = None if query.is_probe else _choose(state, query, candidates)
+    chosen = None
+    if not query.is_probe:
+        chosen = _choose_preferred(state, query, drawn, candidates, now)
     busy = _utilisation(candidates)
     remote = None
     if not alone and not query.is_away and not query.is_probe:
@@ -149,6 +152,34 @@
     return spillover.utilisation(c for c in candidates if not c.is_cold)
 
 
+def _choose_preferred(
+    state: IngressState,
+    query: placement_query.Query,
+    drawn: list[routing.TargetEntry],
+    candidates: list[plans.Candidate],
+    now: float,
+) -> plans.Choice:
+    """Chooses first among targets that don't reject requests of others."""
+    unhinted = _unhinted(state, drawn, candidates, now)
+    chosen = _choose(state, query, unhinted)
+    if chosen is None and len(unhinted) < len(candidates):
+        chosen = _choose(state, query, candidates)
+    return chosen
+
+
+def _unhinted(
+    state: IngressState,
+    drawn: list[routing.TargetEntry],
+    candidates: list[plans.Candidate],
+    now: float,
+) -> list[plans.Candidate]:
+    """Lists the candidates that are not known to reject requests of others."""
+    if not target_backoff.has_hints(state):
+        return candidates
+    hinted = {e.name for e in drawn if target_backoff.is_hinted(state, e, now)}
+    return [c for c in candidates if c.name not in hinted]
+
+
 def _choose(
     state: IngressState,
     query: placement_query.Query,
@@ -174,7 +205,8 @@
     spec = state.table.services.get(query.shard.service)
     if query.prompt is None or spec is None or spec.engine is None:
         return planner.plan_service(
-            [c for c in candidates if c.load.requests < c.slots * _PLAIN_QUEUE]
+            [c for c in candidates if c.load.requests < c.slots * _PLAIN_QUEUE],
+            state.rng,
         )
     may_lead = None
     if query.may_lead is not None:
@@ -209,6 +241,7 @@
         is_local=entry.data_centre == query.data_centre,
         may_help=not _is_limited(state, entry) and not is_cold,
         is_cold=is_cold,
+        speed=target_speeds.ratio(state, entry, now),
     )
 
 
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -19,6 +19,7 @@
     retry,
     sender,
     silence,
+    target_speeds,
 )
 from copperloom.platform import headers
 
@@ -62,6 +63,7 @@
 ) -> None:
     body = await long_answers.read_body(ex, reply)
     now = asyncio.get_running_loop().time()
+    target_speeds.observe(ex, head.status, now)
     responses.set_plain(ex, head, body, now)
 
 
@@ -86,6 +88,7 @@
         if not has_begun:
             has_begun = True
             ex.attempt_first_at = now
+            target_speeds.observe(ex, head.status, now)
             inflight_table.mark_decoding(ex.state.inflight, ex.id)
         else:
             decode_rate.record_gap(gaps, now - ex.last_at)
@@ -110,6 +113,7 @@
     engine = exchange.engine(ex)
     if engine is None:
         return
+    target_speeds.observe_gaps(ex, engine, gaps, now)
     if not decode_rate.is_slow(gaps, engine, ex.head.prompt_tokens):
         return
     ex.slow = True
--- a/copperloom/ingress/wire_knowledge.py
+++ b/copperloom/ingress/wire_knowledge.py
@@ -16,6 +16,7 @@
     "WireEvacuation",
     "WireEvidence",
     "WireLimit",
+    "WireSpeed",
     "decode_cold",
     "decode_evacuation",
     "decode_evidence",
@@ -92,6 +93,20 @@
     revision: int
 
 
+class WireSpeed(msgspec.Struct, array_like=True):
+    """An observation of a target's speed, as it is sent.
+
+    Attributes:
+        target: Incarnation of the target.
+        kind: The service and the kind of request.
+        value: Logarithm of the observed time over the expected one.
+    """
+
+    target: str
+    kind: str
+    value: float
+
+
 def encode_evidence(
     digest: bytes, evidence: crash_log.Evidence, now: float
 ) -> WireEvidence:
