Ingress: requests take turns while capacity is short

Change: the instance that places for a shard keeps the order of its waiting requests. In a small fleet the instances ask the first live owner of the service once a request finds no place, and as long as one waits. The queries have the organisation, the priority, the time left, and whether the caller returns. A request whose turn can't come in time is refused at once: 429 with code 3013 for an organisation over its share if it has not run, else 3001, with the predicted time as Retry-After. Engines admit prompts of an organisation over its share later. Orders are kept only if the configuration names several organisations.

--- a/copperloom/decisions/placement_query.py
+++ b/copperloom/decisions/placement_query.py
@@ -23,6 +23,10 @@
         is_repeat: Whether the request was sent before.
         is_away: Whether the owner of another data centre forwarded it.
         excluded: Targets that the sender knows to take no requests now.
+        organisation: Its organisation, "" if it has none.
+        priority: Its priority; 0 is the highest.
+        returned: Whether its caller was refused before and retries.
+        deadline_s: Time left until its deadline, in seconds.
     """
 
     request: str
@@ -35,6 +39,10 @@
     is_repeat: bool = False
     is_away: bool = False
     excluded: tuple[str, ...] = ()
+    organisation: str = ""
+    priority: int = 0
+    returned: bool = False
+    deadline_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,8 +50,8 @@
     """The reply to a placement query.
 
     Attributes:
-        choice: A plan, a deferral or a refusal; None if no target has a free
-            slot and enough memory.
+        choice: A plan, a deferral, a refusal or a position in the waiting
+            order; None if no target has a free slot and enough memory.
         targets: Number of targets considered.
         targets_version: Version of the target table used.
         decided_by: Name of the instance that decided.
@@ -51,6 +59,9 @@
         busy: Utilisation of the shard, see `spillover.utilisation`.
         remote: A less utilised shard in another data centre that should get
             the query instead; None if there is none.
+        is_over_share: Whether its organisation is over its fair share while
+            capacity is short.
+        is_short: Whether requests had to wait for the shard recently.
     """
 
     choice: plans.Choice
@@ -60,6 +71,8 @@
     staleness_s: float = 0.0
     busy: float = 0.0
     remote: spillover.RemoteShard | None = None
+    is_over_share: bool = False
+    is_short: bool = False
 
 
 def planned_work(
--- a/copperloom/decisions/planner.py
+++ b/copperloom/decisions/planner.py
@@ -16,6 +16,7 @@
 from copperloom.decisions import interference, iterations, plans
 
 __all__ = [
+    "count_places",
     "draw_targets",
     "is_refused",
     "plan_prompt",
@@ -256,6 +257,30 @@
     return need <= _free_tokens(engine, tgt)
 
 
+def count_places(
+    engine: routing.EngineSpec,
+    prompt: plans.Prompt,
+    candidates: list[plans.Candidate],
+) -> tuple[int, int]:
+    """Returns how many such prompts have a lead engine now, and if all idle.
+
+    Args:
+        engine: Figures of the service's engines.
+        prompt: The prompt.
+        candidates: The engines that may be used.
+    """
+    need = prompt.tokens + prompt.answer_tokens
+    if need > engine.kv_tokens - MEMORY_SLACK_TOKENS:
+        need = 1
+    free = places = 0
+    for tgt in candidates:
+        slots = min(tgt.slots, engine.slots)
+        places += slots
+        fitting = max(0, _free_tokens(engine, tgt)) // need
+        free += max(0, min(slots - tgt.load.requests, fitting))
+    return free, places
+
+
 def _part_counts(total_s: float, candidates: int) -> list[int]:
     """Returns the numbers of parts to try."""
     largest = min(MAX_HELPERS + 1, candidates)
--- a/copperloom/decisions/plans.py
+++ b/copperloom/decisions/plans.py
@@ -10,6 +10,7 @@
     "Hold",
     "Plan",
     "Prompt",
+    "Queued",
     "Refusal",
     "Deferral",
     "worth",
@@ -127,8 +128,31 @@
     plan: Plan
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queued:
+    """The position of a request whose turn has not come.
+
+    Attributes:
+        wait_s: Predicted wait in seconds; 0 if not known.
+        recheck_s: Time until it should ask again, in seconds.
+        ahead: Number of requests ahead of it.
+        is_refused: Whether it is refused instead of waiting.
+        is_over_share: Whether its organisation is over its fair share.
+        used: Recent usage of its organisation, decayed.
+        share: Fair share in the same unit; None if all demands were met.
+    """
+
+    wait_s: float
+    recheck_s: float
+    ahead: int
+    is_refused: bool = False
+    is_over_share: bool = False
+    used: float = 0.0
+    share: float | None = None
+
+
 # None if no target has a free slot and enough memory.
-Choice = Plan | Deferral | Refusal | None
+Choice = Plan | Deferral | Refusal | Queued | None
 
 
 def worth(tokens: int) -> float:
--- a/copperloom/exception.py
+++ b/copperloom/exception.py
@@ -34,6 +34,7 @@
     "RequestQuarantinedError",
     "Run",
     "SettingsError",
+    "ShareExceededError",
     "StaleConfigurationError",
     "StreamBrokenError",
     "StreamUnknownError",
@@ -260,6 +261,14 @@
     retry_after_s = 1.0
 
 
+class ShareExceededError(CopperloomError):
+    """The organisation is over its share while others wait for capacity."""
+
+    code = 3013
+    status = 429
+    retry_after_s = 1.0
+
+
 class TargetUnreachableError(CopperloomError):
     """The target accepted no connection, so nothing was sent.
 
--- a/copperloom/ingress/datagrams.py
+++ b/copperloom/ingress/datagrams.py
@@ -113,6 +113,8 @@
         draining_targets: Incarnations of targets that said in their answers
             that they drain.
         reaches_none: Whether it reaches no target.
+        short_services: Services for which requests wait in an order that it
+            keeps.
     """
 
     sender: Announcement
@@ -134,6 +136,7 @@
     limits: list[wire_knowledge.WireLimit] = []
     draining_targets: list[str] = []
     reaches_none: bool = False
+    short_services: list[str] = []
 
 
 class PlacementRequest(msgspec.Struct, array_like=True, tag="q"):
@@ -169,6 +172,9 @@
             relies on, in seconds.
         busy: Utilisation of the targets.
         remote: Shard of another data centre that has more capacity, if any.
+        queued: Position in the waiting order, if its turn has not come.
+        is_over_share: Whether its organisation is over its fair share.
+        is_short: Whether requests had to wait for the shard recently.
     """
 
     call_id: int
@@ -181,6 +187,9 @@
     staleness_s: float
     busy: float
     remote: spillover.RemoteShard | None
+    queued: plans.Queued | None = None
+    is_over_share: bool = False
+    is_short: bool = False
 
 
 class SendRequest(msgspec.Struct, array_like=True, tag="s"):
@@ -288,6 +297,9 @@
     """Builds the reply that holds a decision."""
     chosen = decision.choice
     wait_s = chosen.delay_s if isinstance(chosen, plans.Deferral) else 0.0
+    queued = chosen if isinstance(chosen, plans.Queued) else None
+    if queued is not None:
+        chosen = None
     return PlacementReply(
         call_id=query_id,
         owner=decision.decided_by,
@@ -299,12 +311,15 @@
         staleness_s=decision.staleness_s,
         busy=decision.busy,
         remote=decision.remote,
+        queued=queued,
+        is_over_share=decision.is_over_share,
+        is_short=decision.is_short,
     )
 
 
 def read_reply(reply: PlacementReply) -> placement_query.Decision:
     """Returns the decision that a reply holds."""
-    choice: plans.Choice = reply.plan
+    choice: plans.Choice = reply.queued or reply.plan
     if reply.refused:
         choice = plans.Refusal(reply.plan)
     elif reply.wait_s:
@@ -317,4 +332,6 @@
         staleness_s=reply.staleness_s,
         busy=reply.busy,
         remote=reply.remote,
+        is_over_share=reply.is_over_share,
+        is_short=reply.is_short,
     )
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -88,6 +88,9 @@
         slow: Whether its target decodes slowly.
         outcome: Outcome for the log.
         reason: Why it was refused or failed, for the log.
+        is_queued: Whether it had to wait for its turn.
+        is_over_share: Whether its organisation was over its share while
+            capacity was short when it was placed.
     """
 
     def __init__(self, state: IngressState, http: web.BaseRequest, now: float):
@@ -137,6 +140,8 @@
         self.slow = False
         self.outcome = ""
         self.reason = ""
+        self.is_queued = False
+        self.is_over_share = False
 
 
 def count_body(ex: Exchange, size: int) -> None:
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -48,6 +48,9 @@
 # prefill takes seconds, a short one hundredths of a second.
 SHORT_PRIORITY = 1
 LONG_PRIORITY = 6
+# Added for an organisation over its share while capacity is short. Its short
+# prompts still precede all long ones.
+OVER_SHARE_PRIORITY = 2
 _REFUSED_RETRY_S = 0.15
 _FIRST_ERROR_STATUS = 300
 # Memory is freed only as long answers end, about once a second, so a quick
@@ -321,6 +324,8 @@
     if ex.head.prompt_tokens:
         is_long = ex.head.prompt_tokens > plans.SHORT_TOKENS
         priority = LONG_PRIORITY if is_long else SHORT_PRIORITY
+        if ex.is_over_share:
+            priority += OVER_SHARE_PRIORITY
     paths = reserve.reservation_paths(ex)
     helpers = tuple(
         registry.find(ex.state.targets, name).address + paths.get(name, "")
--- a/copperloom/ingress/knowledge.py
+++ b/copperloom/ingress/knowledge.py
@@ -11,6 +11,7 @@
     drain_notices,
     registry,
     target_limits,
+    turns,
 )
 from copperloom.decisions.sharing import Occasion
 from copperloom.ingress import (
@@ -56,6 +57,7 @@
     if occasion is Occasion.BROADCAST and len(evidence) == _MAX_REQUESTS:
         # The rest follows in the next message.
         state.digest_due.set()
+    digest.short_services = turns.short_services(state.turns, now)
     digest.evidence_loaded = state.quarantines_loaded.is_set()
     limits = target_limits.to_share(state.limits, now, _MAX_LIMITS, occasion)
     digest.limits = [
@@ -79,6 +81,8 @@
     """
     if digest.evidence_loaded:
         state.quarantines_loaded.set()
+    known = state.table.services.keys()
+    turns.record_short(state.turns, known & set(digest.short_services), now)
     if not (digest.evidence or digest.limits or digest.draining_targets):
         return
     forwards = is_large_fleet(state) and recipients.owns_local_shards(
--- a/copperloom/ingress/local_placement.py
+++ b/copperloom/ingress/local_placement.py
@@ -14,7 +14,9 @@
     shards,
     spillover,
     target_limits,
+    waiting_order,
 )
+from copperloom.ingress import turn_taking
 from copperloom.ingress.state import IngressState
 
 __all__ = ["busy_by_service", "decide"]
@@ -29,6 +31,7 @@
     now: float,
     *,
     alone: bool = False,
+    is_ordered: bool = True,
 ) -> placement_query.Decision:
     """Decides whether and where to send an own or a peer's request.
 
@@ -39,6 +42,8 @@
         alone: Whether the work of other instances is not known here. Equal
             targets are then tried in random order, since other instances
             without this knowledge choose at the same time.
+        is_ordered: Whether the request takes its turn among those that wait,
+            if an order is kept.
 
     Returns:
         The decision, with the utilisation of the query's shard.
@@ -51,7 +56,11 @@
     if alone:
         drawn = state.rng.sample(drawn, len(drawn))
     candidates = _candidates(state, query, drawn, now)
-    chosen = _choose(state, query, candidates)
+    is_ordered = is_ordered and turn_taking.is_kept(state)
+    if is_ordered and candidates:
+        chosen, is_over_share = _choose_in_order(state, query, candidates, now)
+    else:
+        chosen, is_over_share = _choose(state, query, candidates), False
     busy = spillover.utilisation(candidates)
     remote = None
     if not alone and not query.is_away:
@@ -67,6 +76,8 @@
         staleness_s=inflight_table.staleness_s(state.inflight, now),
         busy=busy,
         remote=remote,
+        is_over_share=is_over_share,
+        is_short=is_ordered and turn_taking.is_short(state, query.shard, now),
     )
 
 
@@ -154,6 +165,42 @@
     )
 
 
+def _choose_in_order(
+    state: IngressState,
+    query: placement_query.Query,
+    candidates: list[plans.Candidate],
+    now: float,
+) -> tuple[plans.Choice, bool]:
+    """Returns the choice once it is the request's turn, and its position else.
+
+    The second value is whether its organisation is over its share.
+    """
+    free, places = _count_places(state, query, candidates)
+    chosen = None
+    if not turn_taking.is_behind(state, query, free):
+        chosen = _choose(state, query, candidates)
+    can_start = isinstance(chosen, plans.Plan)
+    room = waiting_order.Room(max(free, can_start), places, can_start)
+    return turn_taking.take(state, query, room, chosen, now)
+
+
+def _count_places(
+    state: IngressState,
+    query: placement_query.Query,
+    candidates: list[plans.Candidate],
+) -> tuple[int, int]:
+    """Returns how many such requests fit now, and on idle targets."""
+    spec = state.table.services.get(query.shard.service)
+    if query.prompt is None or spec is None or spec.engine is None:
+        places = [c.slots * _PLAIN_QUEUE for c in candidates]
+        free = [
+            max(0, count - c.load.requests)
+            for count, c in zip(places, candidates, strict=True)
+        ]
+        return sum(free), sum(places)
+    return planner.count_places(spec.engine, query.prompt, candidates)
+
+
 def _candidate(
     state: IngressState,
     query: placement_query.Query,
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -119,6 +119,12 @@
             ["result"],
             registry=self.registry,
         )
+        self.turns = prometheus_client.Counter(
+            "copperloom_turns",
+            "Requests that had to wait for their turn or were refused for it.",
+            ["result"],
+            registry=self.registry,
+        )
         self.active = prometheus_client.Gauge(
             "copperloom_active_requests",
             "Requests in progress.",
--- a/copperloom/ingress/outcome.py
+++ b/copperloom/ingress/outcome.py
@@ -11,13 +11,16 @@
 
 from copperloom import exception, logs
 from copperloom.filters import deadline
-from copperloom.ingress import exchange, metrics
+from copperloom.ingress import exchange, metrics, turn_taking
 
 __all__ = ["outcome"]
 
+_TOO_MANY = 429
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
+# Statuses after which callers retry.
+_RETRIED = (_TOO_MANY, _UNAVAILABLE, _BAD_GATEWAY, _GATEWAY_TIMEOUT)
 # A full target often has capacity again after a few iterations.
 _DEFAULT_RETRY_S = 0.2
 _TIME_LIMIT_RETRY_S = 0.05
@@ -75,8 +78,10 @@
             ex.http.transport.abort()
         return
     status = _status(ex, error)
+    if status in _RETRIED:
+        turn_taking.record_refused(ex)
     headers = {"Copperloom-Error": str(error.code)}
-    if status == _UNAVAILABLE:
+    if status in (_UNAVAILABLE, _TOO_MANY):
         headers["Retry-After"] = f"{_retry_after(error):.3f}"
     ex.response = web.Response(
         status=status,
--- a/copperloom/ingress/placement.py
+++ b/copperloom/ingress/placement.py
@@ -4,7 +4,7 @@
 
 from copperloom import exception, logs
 from copperloom.decisions import placement_query, plans, registry
-from copperloom.ingress import exchange, placement_rpc, target_room
+from copperloom.ingress import exchange, placement_rpc, target_room, turn_taking
 
 __all__ = ["place", "to_query"]
 
@@ -37,8 +37,11 @@
             requests for longer than the request can wait.
         copperloom.exception.TargetsLimitedError: All targets are at the rate
             limits that they name.
-        copperloom.exception.OverloadedError: All targets stayed full, or the
-            placement would cost other requests more than this one is worth.
+        copperloom.exception.OverloadedError: All targets stayed full, the
+            request's turn can't come in time, or the placement would cost
+            other requests more than this one is worth.
+        copperloom.exception.ShareExceededError: The turn can't come in time,
+            as the organisation is over its share.
     """
     loop = asyncio.get_running_loop()
     started_at = loop.time()
@@ -59,6 +62,7 @@
         choice = decision.choice
         if isinstance(choice, plans.Plan):
             _log_placement(ex, decision, choice, now - started_at)
+            ex.is_over_share = decision.is_over_share
             return choice
         if isinstance(choice, plans.Refusal):
             raise _refusal_error(ex, choice.plan)
@@ -67,6 +71,9 @@
             await asyncio.sleep(choice.delay_s)
             continue
         target_room.refuse_unplaced(ex, now)
+        if isinstance(choice, plans.Queued):
+            await turn_taking.wait(ex, choice, now)
+            continue
         if now >= wait_until:
             raise exception.OverloadedError(
                 f"all {decision.targets} targets of service {ex.service} "
@@ -107,6 +114,10 @@
         may_lead=exchange.may_lead(ex),
         is_repeat=bool(ex.sends),
         excluded=excluded,
+        organisation=ex.organisation,
+        priority=ex.priority,
+        returned=turn_taking.is_returned(ex, now),
+        deadline_s=max(0.0, ex.deadline - now),
     )
 
 
--- a/copperloom/ingress/placement_rpc.py
+++ b/copperloom/ingress/placement_rpc.py
@@ -15,8 +15,14 @@
     placement_query,
     plans,
     shards,
+    turns,
+)
+from copperloom.ingress import (
+    datagram_calls,
+    datagrams,
+    local_placement,
+    turn_taking,
 )
-from copperloom.ingress import datagram_calls, datagrams, local_placement
 from copperloom.ingress.state import IngressState, is_large_fleet
 
 __all__ = ["decide", "handle_request", "owner_order", "shard_of"]
@@ -44,7 +50,7 @@
 ) -> placement_query.Decision:
     """Returns the decision of this instance or a shard owner on a request."""
     if not is_large_fleet(state):
-        return local_placement.decide(state, query, now)
+        return await _decide_in_small_fleet(state, query, now)
     decision = await _decide_in_shard(state, query, now)
     state.shards_used[query.request] = (query.shard, now)
     remote = decision.remote
@@ -59,6 +65,23 @@
     return reply
 
 
+async def _decide_in_small_fleet(
+    state: IngressState, query: placement_query.Query, now: float
+) -> placement_query.Decision:
+    """Places a request here, or in its turn by the owner under shortage."""
+    if not turn_taking.is_kept(state):
+        return local_placement.decide(state, query, now)
+    service = query.shard.service
+    if not turns.is_short(state.turns, service, now):
+        decision = local_placement.decide(state, query, now, is_ordered=False)
+        if decision.choice is not None or not decision.targets:
+            return decision
+    decision = await _decide_in_shard(state, query, now)
+    if decision.is_short:
+        turns.record_short(state.turns, (service,), now)
+    return decision
+
+
 def _is_better(remote: plans.Choice, local: plans.Choice) -> bool:
     if not isinstance(remote, plans.Plan):
         return False
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -22,6 +22,7 @@
     rowlog,
     shards,
     target_limits,
+    turns,
 )
 from copperloom.decisions.members import Member
 from copperloom.ingress import metrics, sender
@@ -117,6 +118,7 @@
         exchanges: The requests in progress.
         changed: Set when a placement may have become possible.
         stop: Set when the process is to end.
+        turns: Requests that wait for their turn.
     """
 
     def __init__(self, own: settings.PlatformSettings):
@@ -180,6 +182,7 @@
         self.exchanges = set()
         self.changed = asyncio.Event()
         self.stop = asyncio.Event()
+        self.turns = turns.Turns()
         self._sequence = itertools.count(1)
 
     def next_name(self) -> str:
