--- a/copperloom/decisions/placement_query.py
+++ b/copperloom/decisions/placement_query.py
@@ -27,6 +27,8 @@
         priority: Its priority; 0 is the highest.
         returned: Whether its caller was refused before and retries.
         deadline_s: Time left until its deadline, in seconds.
+        digest: Its request digest while capacity is short, by which the owner
+            recognises a caller that it refused; empty otherwise.
     """
 
     request: str
@@ -43,6 +45,7 @@
     priority: int = 0
     returned: bool = False
     deadline_s: float = 0.0
+    digest: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/copperloom/decisions/waiting_order.py
+++ b/copperloom/decisions/waiting_order.py
@@ -51,13 +51,14 @@
 # nobody is refused.
 MIN_OBSERVED_S = 0.3
 # An observed rate is forgotten this long after the last shortage.
-RATE_KEPT_S = 10.0
+RATE_KEPT_S = 30.0
 # Longest wait that is predicted.
 MAX_WAIT_S = 60.0
-# Share of its time left that a granted request needs at least, and the most
-# that is kept for it.
+# Bounds of the time that is kept for a granted request, as shares of its time
+# limit; without a known rate of grants the third one is kept.
 MIN_SERVICE_SHARE = 0.05
-MAX_SERVICE_SHARE = 0.5
+MAX_SERVICE_SHARE = 0.25
+UNKNOWN_SERVICE_SHARE = 0.1
 # Share of the possible wait that a request outside its share gets, since
 # requests within theirs pass it, and that of one whose organisation is clearly
 # over its share.
@@ -144,6 +145,7 @@
     key: _Key
     cost: float
     expires_at: float
+    limit_s: float
 
 
 class WaitingOrder:
@@ -269,15 +271,16 @@
     rate = _grants_per_s(order)
     passing = _passing_per_s(order, request.priority) if is_after else 0.0
     wait_s = _wait_s(rate, room, ahead, left_s, passing)
-    is_granted = room.can_start and ahead < room.free
-    latest_s = left_s
-    if is_new:
-        latest_s = _latest_s(rate, room, left_s)
-        if is_after:
-            latest_s *= OVER_WAIT_SHARE if is_over else OUTSIDE_WAIT_SHARE
+    limit_s = order.waiting[request.id].limit_s
+    latest_s = left_s - _service_s(rate, room, limit_s)
+    is_granted = room.can_start and ahead < room.free and latest_s >= 0
+    is_late = latest_s < 0
+    if is_new and is_after:
+        latest_s *= OVER_WAIT_SHARE if is_over else OUTSIDE_WAIT_SHARE
+    is_late |= rate is not None and wait_s > latest_s
     return Turn(
         is_granted=is_granted,
-        is_refused=not is_granted and rate is not None and wait_s > latest_s,
+        is_refused=is_late and not is_granted,
         is_over_share=is_over,
         ahead=ahead,
         wait_s=wait_s,
@@ -367,14 +370,21 @@
     return sum(higher) / fair_share.DECAY_S
 
 
-def _latest_s(rate: float | None, room: Room, left_s: float) -> float:
-    """Returns the longest wait after which a new request is still served."""
-    taken = max(0, room.places - room.free)
+def _service_s(rate: float | None, room: Room, limit_s: float) -> float:
+    """Returns the time that a granted request should have left at least.
+
+    Args:
+        rate: Grants per second; None if not known.
+        room: The places.
+        limit_s: Time limit of the request when it began to wait.
+    """
+    if not rate:
+        return limit_s * UNKNOWN_SERVICE_SHARE
     # Little's law: mean time that a request holds its place.
-    service_s = taken / rate if rate else math.inf
-    least_s = left_s * MIN_SERVICE_SHARE
-    most_s = left_s * MAX_SERVICE_SHARE
-    return left_s - min(most_s, max(least_s, service_s))
+    mean_s = max(0, room.places - room.free) / rate
+    least_s = limit_s * MIN_SERVICE_SHARE
+    most_s = limit_s * MAX_SERVICE_SHARE
+    return min(most_s, max(least_s, mean_s))
 
 
 def _recheck_s(wait_s: float) -> float:
@@ -431,7 +441,11 @@
         request.id,
     )
     order.waiting[request.id] = _Waiting(
-        request.organisation, key, request.cost, now + SILENCE_S
+        request.organisation,
+        key,
+        request.cost,
+        now + SILENCE_S,
+        request.deadline - now,
     )
     bisect.insort(order.keys.setdefault(request.organisation, []), key)
     cost = order.costs.get(request.organisation, 0.0)
--- a/copperloom/ingress/placement.py
+++ b/copperloom/ingress/placement.py
@@ -118,6 +118,7 @@
         priority=ex.priority,
         returned=turn_taking.is_returned(ex, now),
         deadline_s=max(0.0, ex.deadline - now),
+        digest=turn_taking.digest_if_short(ex, now),
     )
 
 
--- a/copperloom/ingress/placement_rpc.py
+++ b/copperloom/ingress/placement_rpc.py
@@ -51,7 +51,7 @@
     """Returns the decision of this instance or a shard owner on a request."""
     if not is_large_fleet(state):
         return await _decide_in_small_fleet(state, query, now)
-    decision = await _decide_in_shard(state, query, now)
+    decision = await _decide_in_turn(state, query, now)
     state.shards_used[query.request] = (query.shard, now)
     remote = decision.remote
     if remote is None:
@@ -76,9 +76,16 @@
         decision = local_placement.decide(state, query, now, is_ordered=False)
         if decision.choice is not None or not decision.targets:
             return decision
+    return await _decide_in_turn(state, query, now)
+
+
+async def _decide_in_turn(
+    state: IngressState, query: placement_query.Query, now: float
+) -> placement_query.Decision:
+    """Has the owner decide, and records whether capacity is short there."""
     decision = await _decide_in_shard(state, query, now)
     if decision.is_short:
-        turns.record_short(state.turns, (service,), now)
+        turns.record_short(state.turns, (query.shard.service,), now)
     return decision
 
 
--- a/copperloom/ingress/turn_taking.py
+++ b/copperloom/ingress/turn_taking.py
@@ -16,6 +16,7 @@
 from copperloom.ingress.state import IngressState
 
 __all__ = [
+    "digest_if_short",
     "is_behind",
     "is_kept",
     "is_returned",
@@ -84,6 +85,8 @@
     turn = waiting_order.decide(order, request, room, now)
     if turn.is_granted:
         return chosen, turn.is_over_share
+    if turn.is_refused and query.digest:
+        turns.record_refused(state.turns, query.digest, request.deadline)
     queued = plans.Queued(
         wait_s=turn.wait_s,
         recheck_s=turn.recheck_s,
@@ -106,7 +109,8 @@
         organisation=query.organisation,
         cost=turns.cost(engine, query.prompt),
         priority=query.priority,
-        is_returned=query.returned,
+        is_returned=query.returned
+        or turns.is_returned(state.turns, query.digest, now),
         deadline=now + query.deadline_s,
     )
 
@@ -194,6 +198,15 @@
     )
 
 
+def digest_if_short(ex: exchange.Exchange, now: float) -> bytes:
+    """Returns the request digest while capacity is short, else b""."""
+    if not is_kept(ex.state):
+        return b""
+    if not turns.is_short(ex.state.turns, ex.service, now):
+        return b""
+    return exchange.content_digest(ex)
+
+
 def record_refused(ex: exchange.Exchange) -> None:
     """Records a request that was not served, whose caller may return."""
     if ex.service and is_kept(ex.state):
