Soak: one organisation floods a service whose targets are slow

Cause: no schedule had a service without capacity and several organisations. Change: the operators' document of the soak names a second organisation, so waiting requests have an order in all schedules; a new fault floods an instance with its requests while the targets of a service have one slot and are slow.

--- a/bench/frontsoak/callers.py
+++ b/bench/frontsoak/callers.py
@@ -92,7 +92,9 @@
         await asyncio.sleep(rng.uniform(0.0, _MAX_CRASHING_INTERVAL_S))
 
 
-async def flood(world: World, front, per_s: float, seconds: float) -> None:
+async def flood(
+    world: World, front, per_s: float, seconds: float, kind=0, key=fixtures.KEY
+) -> None:
     """Opens many new connections to one instance, with a request each."""
     loop = asyncio.get_running_loop()
     name = f"f{len(world.got)}"
@@ -102,7 +104,8 @@
         calls = []
         while loop.time() < end and not world.stopping:
             request_id = f"{name}-{len(calls)}"
-            sent = _call(session, front, request_id, *_REQUESTS[0])
+            request = _REQUESTS[kind]
+            sent = _call(session, front, request_id, *request, key=key)
             calls.append(asyncio.ensure_future(sent))
             await asyncio.sleep(1.0 / per_s)
         results = await asyncio.gather(*calls)
@@ -118,13 +121,14 @@
     prompt_tokens,
     sent=b"q",
     parts="",
+    key=fixtures.KEY,
 ) -> CallResult | None:
     """Makes one call; returns None if no connection could be opened."""
     loop = asyncio.get_running_loop()
     headers = wire.caller_headers(
         fixtures.HOST,
         request_id,
-        fixtures.KEY,
+        key,
         REQUEST_TIMEOUT_S,
         prompt_tokens,
     )
--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -4,8 +4,13 @@
 import signal
 
 from bench.frontsoak import callers
-from bench.frontsoak.world import LimitPeriod, LinkFault, World
-from copperloom.ingress.tests import fixtures
+from bench.frontsoak.world import (
+    LARGE_KEY,
+    LimitPeriod,
+    LinkFault,
+    World,
+    routes,
+)
 from copperloom.platform.standins import crashes, links
 from copperloom.platform.standins import target as target_standin
 from copperloom.standins import proxy
@@ -40,6 +45,8 @@
 _MAX_PARTITION_S = 6.0
 _MAX_FLOOD_PER_S = 120.0
 _MAX_FLOOD_S = 2.0
+# Of the stand-ins of targets.
+_USUAL_PAUSE_S = 0.01
 _MALFORMED_TIMES = ("", "-1", "nan", "9" * 30)
 
 
@@ -275,18 +282,38 @@
         )
 
 
+async def _flood_slow_service(world: World) -> None:
+    """One organisation floods a service whose targets have become slow."""
+    kind = world.rng.choice(("plain", "engine"))
+    slow = [n for n in world.targets if n.startswith(kind)]
+    for name in slow:
+        world.targets[name].pause_s = world.rng.uniform(0.05, 0.3)
+        world.register(name, slots=1)
+    await callers.flood(
+        world,
+        world.rng.choice(world.fronts),
+        world.rng.uniform(30.0, _MAX_FLOOD_PER_S),
+        world.rng.uniform(0.5, _MAX_FLOOD_S),
+        kind=1 if kind == "plain" else 3,
+        key=LARGE_KEY,
+    )
+    for name in slow:
+        world.targets[name].pause_s = _USUAL_PAUSE_S
+        world.register(name)
+
+
 async def _corrupt_rows(world: World) -> None:
     malformed = (b"\xff", {"state": "ready"}, {"service": 1, "address": []})
     for number, row in enumerate(malformed):
         world.store.put("servers", f"spoiled-{number}", row)
     world.store.put("op", "config", {"version": "none"})
-    world.store.put("op", "config", fixtures.routes(world.version))
+    world.store.put("op", "config", routes(world.version))
 
 
 async def _change_routes(world: World) -> None:
     for _ in range(world.rng.randint(1, 4)):
         world.version += world.rng.randint(1, 5)
-        world.store.put("op", "config", fixtures.routes(world.version))
+        world.store.put("op", "config", routes(world.version))
         await asyncio.sleep(world.rng.uniform(0.0, 0.1))
 
 
@@ -321,4 +348,5 @@
     _flood,
     _corrupt_rows,
     _change_routes,
+    _flood_slow_service,
 )
--- a/bench/frontsoak/world.py
+++ b/bench/frontsoak/world.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "CRASHING_PART",
+    "LARGE_KEY",
     "CallResult",
     "LimitPeriod",
     "LinkFault",
@@ -20,10 +21,13 @@
     "World",
     "close",
     "open_world",
+    "routes",
 ]
 
 # A part of prompts that crashes the targets that begin to write on it.
 CRASHING_PART = "bad1"
+# Key of the organisation that floods services.
+LARGE_KEY = "key-large"
 _READY_TIMEOUT_S = 40.0
 _POLL_S = 0.05
 
@@ -159,7 +163,7 @@
     """Starts a schedule's processes and waits until all instances are ready."""
     world = World(seed, sizes)
     world.store = await store_standin.serve()
-    world.store.put("op", "config", fixtures.routes())
+    world.store.put("op", "config", routes())
     for number in range(sizes.targets):
         for kind in ("engine", "plain"):
             await _add_target(world, f"{kind}-{number}")
@@ -179,6 +183,15 @@
     return world
 
 
+def routes(version: int = 1) -> dict:
+    """Returns the operators' document, with two organisations."""
+    rows = [
+        {"name": "lounge", "api_keys": [fixtures.KEY], "priority": 1},
+        {"name": "large", "api_keys": [LARGE_KEY]},
+    ]
+    return fixtures.routes(version, tenants=rows)
+
+
 async def _add_target(world: World, name: str) -> None:
     target = await target_standin.serve(name)
     target.crashes_on = lambda request: (
