--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -4,7 +4,13 @@
 import signal
 
 from bench.frontsoak import callers
-from bench.frontsoak.world import LimitPeriod, LinkFault, World, routes
+from bench.frontsoak.world import (
+    LARGE_KEY,
+    LimitPeriod,
+    LinkFault,
+    World,
+    routes,
+)
 from copperloom.platform.standins import crashes, links
 from copperloom.platform.standins import target as target_standin
 from copperloom.standins import proxy
@@ -41,6 +47,8 @@
 _MAX_PARTITION_S = 6.0
 _MAX_FLOOD_PER_S = 120.0
 _MAX_FLOOD_S = 2.0
+# Of the stand-ins of targets.
+_USUAL_PAUSE_S = 0.01
 _MALFORMED_TIMES = ("", "-1", "nan", "9" * 30)
 
 
@@ -309,6 +317,26 @@
     world.evacuations.append((name, since, loop.time()))
 
 
+async def _flood_slow_service(world: World) -> None:
+    """One organisation floods a service whose targets have become slow."""
+    kind = world.rng.choice(("plain", "engine"))
+    slow = [n for n in world.targets if n.startswith(kind)]
+    for name in slow:
+        world.targets[name].pause_s = world.rng.uniform(0.05, 0.3)
+        world.register(name, slots=1)
+    await callers.flood(
+        world,
+        world.rng.choice(world.fronts),
+        world.rng.uniform(30.0, _MAX_FLOOD_PER_S),
+        world.rng.uniform(0.5, _MAX_FLOOD_S),
+        kind=1 if kind == "plain" else 3,
+        key=LARGE_KEY,
+    )
+    for name in slow:
+        world.targets[name].pause_s = _USUAL_PAUSE_S
+        world.register(name)
+
+
 async def _corrupt_rows(world: World) -> None:
     malformed = (b"\xff", {"state": "ready"}, {"service": 1, "address": []})
     for number, row in enumerate(malformed):
@@ -357,4 +385,5 @@
     _corrupt_rows,
     _evacuate,
     _change_routes,
+    _flood_slow_service,
 )
--- a/bench/frontsoak/world.py
+++ b/bench/frontsoak/world.py
@@ -14,6 +14,7 @@
 __all__ = [
     "COLD_BOUND_PER_S",
     "CRASHING_PART",
+    "LARGE_KEY",
     "CallResult",
     "LimitPeriod",
     "LinkFault",
@@ -30,6 +31,8 @@
 _COLD_S = 1.5
 _COLD_PER_S = 6.0
 COLD_BOUND_PER_S = _COLD_PER_S * processes.COLD_OVER + processes.COLD_SLACK
+# Key of the organisation that floods services.
+LARGE_KEY = "key-large"
 _READY_TIMEOUT_S = 40.0
 _POLL_S = 0.05
 
@@ -191,8 +194,12 @@
 
 
 def routes(version: int) -> dict:
-    """Returns the operators' document, with cold starts."""
-    document = fixtures.routes(version)
+    """Returns the operators' document: two organisations and cold starts."""
+    rows = [
+        {"name": "lounge", "api_keys": [fixtures.KEY], "priority": 1},
+        {"name": "large", "api_keys": [LARGE_KEY]},
+    ]
+    document = fixtures.routes(version, tenants=rows)
     for service in document["services"]:
         service |= {"cold_start_s": _COLD_S, "cold_per_s": _COLD_PER_S}
     return document
--- a/copperloom/decisions/placement_query.py
+++ b/copperloom/decisions/placement_query.py
@@ -25,6 +25,12 @@
         excluded: Targets that the sender knows to take no requests now.
         data_centres: The data centres whose targets may be used; None for all.
         is_probe: Whether only the utilisation of the targets is asked for.
+        organisation: Its organisation, "" if it has none.
+        priority: Its priority; 0 is the highest.
+        returned: Whether its caller was refused before and retries.
+        deadline_s: Time left until its deadline, in seconds.
+        digest: Its request digest while capacity is short, by which the owner
+            recognises a caller that it refused; empty otherwise.
     """
 
     request: str
@@ -39,6 +45,11 @@
     excluded: tuple[str, ...] = ()
     data_centres: frozenset[str] | None = None
     is_probe: bool = False
+    organisation: str = ""
+    priority: int = 0
+    returned: bool = False
+    deadline_s: float = 0.0
+    digest: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,8 +57,8 @@
     """The reply to a placement query.
 
     Attributes:
-        choice: A plan, a deferral or a refusal; None if no target has a free
-            slot and enough memory.
+        choice: A plan, a deferral, a refusal or a position in the waiting
+            order; None if no target has a free slot and enough memory.
         targets: Number of targets considered.
         targets_version: Version of the target table used.
         decided_by: Name of the instance that decided.
@@ -55,6 +66,9 @@
         busy: Utilisation of the shard, see `spillover.utilisation`.
         remote: A less utilised shard in another data centre that should get
             the query instead; None if there is none.
+        is_over_share: Whether its organisation is over its fair share while
+            capacity is short.
+        is_short: Whether requests had to wait for the shard recently.
     """
 
     choice: plans.Choice
@@ -64,6 +78,8 @@
     staleness_s: float = 0.0
     busy: float = 0.0
     remote: spillover.RemoteShard | None = None
+    is_over_share: bool = False
+    is_short: bool = False
 
 
 def planned_work(
--- a/copperloom/exception.py
+++ b/copperloom/exception.py
@@ -37,6 +37,7 @@
     "RequestQuarantinedError",
     "Run",
     "SettingsError",
+    "ShareExceededError",
     "StaleConfigurationError",
     "StreamBrokenError",
     "StreamUnknownError",
@@ -263,6 +264,14 @@
     retry_after_s = 1.0
 
 
+class ShareExceededError(CopperloomError):
+    """The organisation is over its share while others wait for capacity."""
+
+    code = 3013
+    status = 429
+    retry_after_s = 1.0
+
+
 class DataCentreEvacuatedError(CopperloomError):
     """All targets of the service are in evacuated data centres."""
 
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -95,6 +95,9 @@
         answer_body: The body of its plain answer; None without one.
         outcome: Outcome for the log.
         reason: Why it was refused or failed, for the log.
+        is_queued: Whether it had to wait for its turn.
+        is_over_share: Whether its organisation was over its share while
+            capacity was short when it was placed.
     """
 
     def __init__(self, state: IngressState, http: web.BaseRequest, now: float):
@@ -149,6 +152,8 @@
         self.answer_body: answer_limits.Body | None = None
         self.outcome = ""
         self.reason = ""
+        self.is_queued = False
+        self.is_over_share = False
 
 
 def count_body(ex: Exchange, size: int) -> None:
--- a/copperloom/ingress/knowledge.py
+++ b/copperloom/ingress/knowledge.py
@@ -15,6 +15,7 @@
     registry,
     target_limits,
     target_speed,
+    turns,
 )
 from copperloom.decisions.sharing import Occasion
 from copperloom.ingress import (
@@ -67,6 +68,7 @@
     if occasion is Occasion.BROADCAST and len(evidence) == _MAX_REQUESTS:
         # The rest follows in the next message.
         state.digest_due.set()
+    digest.short_services = turns.short_services(state.turns, now)
     digest.evidence_loaded = state.quarantines_loaded.is_set()
     limits = target_limits.to_share(state.limits, now, _MAX_LIMITS, occasion)
     digest.limits = [
@@ -103,6 +105,8 @@
     """
     if digest.evidence_loaded:
         state.quarantines_loaded.set()
+    known = state.table.services.keys()
+    turns.record_short(state.turns, known & set(digest.short_services), now)
     target_speeds.apply(state, digest.speeds, now)
     target_backoff.apply(state, digest.holds, now, digest.sender.instance)
     if not (
