Hedging: a second copy of slow requests within the operators' limit

Cause: a request at a target that is frozen, silent or busy with unknown work waits many times as long as nearly all others, until the ordinary timeout, which has to be long as it gives the first attempt up. Change: requests that may be repeated are sent once more after a high quantile of recent answers of their kind. `[hedging] max_share` bounds the copies per request (0, the default: none); each copy is also taken from the retry budget and counts as one of the route's attempts. The first good answer counts, the other copy's connection is closed at once. No copy while utilisation is high.

--- a/copperloom/daemons/front.py
+++ b/copperloom/daemons/front.py
@@ -25,6 +25,7 @@
 
 from copperloom import exception, logs, settings
 from copperloom.daemons import held, running
+from copperloom.decisions import hedging
 from copperloom.ingress import (
     gossip,
     mechanisms,
@@ -93,6 +94,24 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class HedgingSection:
+    """Settings of second copies of slow requests."""
+
+    max_share: float = settings.setting(
+        0.0,
+        "Second copies per request that may be repeated; 0 sends none.",
+        low=0.0,
+        high=0.2,
+    )
+    quantile: float = settings.setting(
+        0.95,
+        "Share of recent requests answered before a copy is considered.",
+        low=0.5,
+        high=0.999,
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class FrontSettings:
     """All settings of `copperloom-front`."""
@@ -100,6 +119,7 @@
     log: LogSection = LogSection()
     metrics: MetricsSection = MetricsSection()
     decisions: DecisionsSection = DecisionsSection()
+    hedging: HedgingSection = HedgingSection()
 
 
 class FrontService(mode.Service):
@@ -252,6 +272,9 @@
     state = IngressState(platform_settings.load(path))
     logs.setup_bounded(own.log.level, instance=state.settings.instance)
     mechanisms.turn_off(own.decisions.disable)
+    state.hedging.policy = hedging.Policy(
+        own.hedging.max_share, own.hedging.quantile
+    )
     loop.add_signal_handler(signal.SIGHUP, reload, state, path)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, held.SIGNALS)
     port = own.metrics.port
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -88,6 +88,7 @@
         slow: Whether its target decodes slowly.
         outcome: Outcome for the log.
         reason: Why it was refused or failed, for the log.
+        is_copied: Whether a second copy of the current attempt is out.
     """
 
     def __init__(self, state: IngressState, http: web.BaseRequest, now: float):
@@ -137,6 +138,7 @@
         self.slow = False
         self.outcome = ""
         self.reason = ""
+        self.is_copied = False
 
 
 def count_body(ex: Exchange, size: int) -> None:
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 
 from copperloom import exception, logs, routing
 from copperloom.decisions import (
@@ -21,6 +22,7 @@
     answers,
     draining_targets,
     exchange,
+    hedged_sends,
     limited_targets,
     peer_relay,
     placement,
@@ -251,19 +253,12 @@
     if ex.route.repeatable:
         ex.abandon = asyncio.get_running_loop().create_future()
     try:
-        async with sender.send(
-            state.sender,
-            entry.address,
-            ex.http.method,
-            ex.http.raw_path,
-            _headers(ex, now),
-            ex.body,
-            timeout_s=_head_timeout_s(ex, now),
-            may_give_up=lambda: retry.may_give_up(ex),
-            abandon=ex.abandon,
+        async with hedged_sends.send(
+            ex, functools.partial(_open, ex, timeout_s=_head_timeout_s(ex, now))
         ) as reply:
             late.cancel()
             ex.abandon = None
+            entry = registry.find(state.targets, ex.plan.lead) or entry
             now = asyncio.get_running_loop().time()
             reachability.record_answer(state.reachability, ex.attempt_at, now)
             answer = answers.read(ex, entry, reply, now)
@@ -290,6 +285,27 @@
         state.changed.set()
 
 
+def _open(ex: exchange.Exchange, plan: plans.Plan, *, timeout_s: float | None):
+    """Returns the context of an attempt by a plan.
+
+    A second copy is no retry after a failure, so it has no timeout of its own,
+    and while it is out, the first one is not given up.
+    """
+    now = asyncio.get_running_loop().time()
+    is_first = plan is ex.plan
+    return sender.send(
+        ex.state.sender,
+        registry.find(ex.state.targets, plan.lead).address,
+        ex.http.method,
+        ex.http.raw_path,
+        _headers(ex, plan, now),
+        ex.body,
+        timeout_s=timeout_s if is_first else None,
+        may_give_up=lambda: not ex.is_copied and retry.may_give_up(ex),
+        abandon=ex.abandon if is_first else None,
+    )
+
+
 def _head_timeout_s(ex: exchange.Exchange, now: float) -> float | None:
     """Returns the timeout for an answer's head in seconds, or None for none.
 
@@ -316,7 +332,7 @@
     ex.state.metrics.attempts.labels("answered").inc()
 
 
-def _headers(ex: exchange.Exchange, now: float):
+def _headers(ex: exchange.Exchange, plan: plans.Plan, now: float):
     priority = None
     if ex.head.prompt_tokens:
         is_long = ex.head.prompt_tokens > plans.SHORT_TOKENS
@@ -324,10 +340,10 @@
     paths = reserve.reservation_paths(ex)
     helpers = tuple(
         registry.find(ex.state.targets, name).address + paths.get(name, "")
-        for name in reserve.helpers_in_order(ex.plan)
+        for name in reserve.helpers_in_order(plan)
     )
     target_headers = headers.TargetHeaders(
-        target=ex.plan.lead,
+        target=plan.lead,
         organisation=ex.organisation,
         time_left_s=ex.deadline - now,
         priority=priority,
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -66,6 +66,12 @@
             ["outcome"],
             registry=self.registry,
         )
+        self.hedges = prometheus_client.Counter(
+            "copperloom_hedges",
+            "Second copies of slow requests, by result.",
+            ["result"],
+            registry=self.registry,
+        )
         self.target_checks = prometheus_client.Counter(
             "copperloom_target_checks",
             "Targets checked after a broken connection, by result.",
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -15,6 +15,7 @@
     crash_log,
     fetch_policy,
     health,
+    hedging,
     inflight_table,
     members,
     reachability,
@@ -117,6 +118,7 @@
         exchanges: The requests in progress.
         changed: Set when a placement may have become possible.
         stop: Set when the process is to end.
+        hedging: Latencies and second copies of slow requests.
     """
 
     def __init__(self, own: settings.PlatformSettings):
@@ -180,6 +182,7 @@
         self.exchanges = set()
         self.changed = asyncio.Event()
         self.stop = asyncio.Event()
+        self.hedging = hedging.Hedging(hedging.Policy())
         self._sequence = itertools.count(1)
 
     def next_name(self) -> str:
