--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -98,6 +98,7 @@
         is_queued: Whether it had to wait for its turn.
         is_over_share: Whether its organisation was over its share while
             capacity was short when it was placed.
+        is_copied: Whether a second copy of the current attempt is out.
     """
 
     def __init__(self, state: IngressState, http: web.BaseRequest, now: float):
@@ -154,6 +155,7 @@
         self.reason = ""
         self.is_queued = False
         self.is_over_share = False
+        self.is_copied = False
 
 
 def count_body(ex: Exchange, size: int) -> None:
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -18,6 +18,7 @@
     evacuation,
     fetch_policy,
     health,
+    hedging,
     inflight_table,
     members,
     reachability,
@@ -128,6 +129,7 @@
         changed: Set when a placement may have become possible.
         stop: Set when the process is to end.
         turns: Requests that wait for their turn.
+        hedging: Latencies and second copies of slow requests.
     """
 
     def __init__(self, own: settings.PlatformSettings):
@@ -196,6 +198,7 @@
         self.changed = asyncio.Event()
         self.stop = asyncio.Event()
         self.turns = turns.Turns()
+        self.hedging = hedging.Hedging(hedging.Policy())
         self._sequence = itertools.count(1)
 
     def next_name(self) -> str:
