Soak: targets send answers without end

Two targets at a time send one kind of endless answer to requests, checks and orders, for up to 2 s.

--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -6,7 +6,7 @@
 from bench.frontsoak import callers
 from bench.frontsoak.world import LimitPeriod, LinkFault, World
 from copperloom.ingress.tests import fixtures
-from copperloom.platform.standins import crashes, links
+from copperloom.platform.standins import crashes, links, raw_answers
 from copperloom.platform.standins import target as target_standin
 from copperloom.standins import proxy
 
@@ -40,6 +40,7 @@
 _MAX_PARTITION_S = 6.0
 _MAX_FLOOD_PER_S = 120.0
 _MAX_FLOOD_S = 2.0
+_MAX_ENDLESS_S = 2.0
 _MALFORMED_TIMES = ("", "-1", "nan", "9" * 30)
 
 
@@ -142,6 +143,19 @@
     target.faults.extend([kind] * world.rng.randint(1, 4))
 
 
+async def _send_endless_answers(world: World) -> None:
+    """Has some targets send answers without end, also to checks and orders."""
+    names = world.rng.sample(list(world.targets), 2)
+    for name in names:
+        fault = world.rng.choice(raw_answers.ENDLESS_FAULTS)
+        world.targets[name].always = fault
+        world.targets[name].other_answers = fault
+    await asyncio.sleep(world.rng.uniform(0.1, _MAX_ENDLESS_S))
+    for name in names:
+        world.targets[name].always = None
+        world.targets[name].other_answers = None
+
+
 async def _crash_target(world: World) -> None:
     target = world.rng.choice(list(world.targets.values()))
     target.restart_after_s = world.rng.uniform(0.1, 2.0)
@@ -321,4 +335,5 @@
     _flood,
     _corrupt_rows,
     _change_routes,
+    _send_endless_answers,
 )
