Tests: a caller leaves, or reads nothing, while a stream goes on

Cause: the slow caller's request named more tokens than an engine holds, so it reached no target and the test passed without a stream; the stream of the caller that leaves had ended by its length before. Both now name 100,000 tokens and check that the stream goes on.

--- a/copperloom/ingress/tests/test_long_answers.py
+++ b/copperloom/ingress/tests/test_long_answers.py
@@ -107,11 +107,14 @@
             target = system.targets[name]
             target.always = fault
             prompt = 4000 if name == "engine-0" else 0
+            # Enough tokens that the stream does not end by its length.
+            headers = {wire.TOKENS: "4000,100000"} if prompt else {}
             task = asyncio.ensure_future(
-                fixtures.call(system, path, prompt=prompt)
+                fixtures.call(system, path, prompt=prompt, headers=headers)
             )
             await fixtures.until(lambda t=target: t.running)
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.5)
+            self.assertTrue(target.running)
             task.cancel()
             await _until_closed(system)
 
@@ -223,7 +226,7 @@
         headers = wire.caller_headers(
             fixtures.HOST, "slow", fixtures.KEY, 4.0, 4000
         )
-        headers[wire.TOKENS] = "4000,1000000"
+        headers[wire.TOKENS] = "4000,100000"
         lines = [f"{k}: {v}" for k, v in headers.items()]
         host, port = own.callers_listen.split(":")
         with mock.patch.object(answer_limits, "pause_s", lambda *_: 0.0):
@@ -235,6 +238,7 @@
             await reader.read(1)
             await asyncio.sleep(1.0)
             written = target.endless_bytes
+            self.assertGreater(written, 1_000_000)
             await asyncio.sleep(0.5)
             self.assertEqual(target.endless_bytes, written)
             self.assertLess(written, _MAX_SOCKET_BYTES)
