--- a/bench/frontsoak/faults.py
+++ b/bench/frontsoak/faults.py
@@ -11,7 +11,7 @@
     World,
     routes,
 )
-from copperloom.platform.standins import crashes, links
+from copperloom.platform.standins import crashes, links, raw_answers
 from copperloom.platform.standins import target as target_standin
 from copperloom.standins import proxy
 
@@ -49,6 +49,7 @@
 _MAX_FLOOD_S = 2.0
 # Of the stand-ins of targets.
 _USUAL_PAUSE_S = 0.01
+_MAX_ENDLESS_S = 2.0
 _MALFORMED_TIMES = ("", "-1", "nan", "9" * 30)
 
 
@@ -151,6 +152,19 @@
     target.faults.extend([kind] * world.rng.randint(1, 4))
 
 
+async def _send_endless_answers(world: World) -> None:
+    """Has some targets send answers without end, also to checks and orders."""
+    names = world.rng.sample(list(world.targets), 2)
+    for name in names:
+        fault = world.rng.choice(raw_answers.ENDLESS_FAULTS)
+        world.targets[name].always = fault
+        world.targets[name].other_answers = fault
+    await asyncio.sleep(world.rng.uniform(0.1, _MAX_ENDLESS_S))
+    for name in names:
+        world.targets[name].always = None
+        world.targets[name].other_answers = None
+
+
 async def _crash_target(world: World) -> None:
     target = world.rng.choice(list(world.targets.values()))
     target.restart_after_s = world.rng.uniform(0.1, 2.0)
@@ -386,4 +400,5 @@
     _evacuate,
     _change_routes,
     _flood_slow_service,
+    _send_endless_answers,
 )
--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -38,7 +38,6 @@
     reserve,
     retry,
     sender,
-    silence,
     stopping,
     target_backoff,
     target_checks,
