Tests: a target that ends during an evacuation is not checked

Cause: bare connections aren't recorded by the stand-ins, so that no test noticed when the check of a target whose connection broke went to an evacuated one. Change: a test of that path.

--- a/copperloom/ingress/tests/test_evacuations.py
+++ b/copperloom/ingress/tests/test_evacuations.py
@@ -6,7 +6,7 @@
 
 from copperloom import logs
 from copperloom.decisions import registry, shards
-from copperloom.ingress import evacuations, placement_rpc, table_watch
+from copperloom.ingress import evacuations, placement_rpc, sender, table_watch
 from copperloom.ingress.tests import fixtures, fleets
 from copperloom.platform.standins import crashes
 from copperloom.platform.standins.target import Fault
@@ -173,6 +173,21 @@
         self.assertEqual(answer.status, 200)
         self.assertEqual(arrivals(system, 0.0), [])
 
+    async def test_target_that_ends_is_not_checked(self):
+        """Guards against connections that check whether a target ended."""
+        system = await start_system(self, engines=0, plain=1, fronts=1)
+        target = system.targets["plain-0"]
+        target.pause_s, target.restart_after_s = 5.0, None
+        task = asyncio.ensure_future(fixtures.call(system, "/write/x"))
+        await fixtures.until(lambda: target.running)
+        system.store.put("op", "evacuate/a", {})
+        await fixtures.until(lambda: evacuated(system, "a"))
+        with mock.patch.object(sender, "is_listening") as is_listening:
+            crashes.crash(target)
+            self.assertEqual((await task).status, 502)
+            await asyncio.sleep(0.8)
+        is_listening.assert_not_called()
+
     async def test_all_evacuated_is_refused_truthfully(self):
         """Guards against a crash, a send, or a refusal without a reason."""
         system = await start_system(self, engines=2, plain=2, fronts=2)
