--- a/copperloom/exception.py
+++ b/copperloom/exception.py
@@ -229,7 +229,7 @@
 
 
 class TargetsLimitedError(CopperloomError):
-    """All targets are at the rate limits that they name."""
+    """All targets are at the rate limits that they name, or are cold."""
 
     code = 3008
     status = 503
--- a/copperloom/ingress/cold_checks.py
+++ b/copperloom/ingress/cold_checks.py
@@ -60,7 +60,7 @@
     loop = asyncio.get_running_loop()
     begun_at = loop.time()
     spec = state.table.services.get(target.service)
-    path = spec.check_path if spec is not None else routing.DEFAULT_CHECK_PATH
+    path = spec.health_path if spec is not None else routing.DEFAULT_CHECK_PATH
     try:
         async with sender.send(
             state.sender,
--- a/copperloom/ingress/tests/test_cold_targets.py
+++ b/copperloom/ingress/tests/test_cold_targets.py
@@ -182,21 +182,27 @@
         await _call_for(system, 2.0)
         self._check_bound(system)
 
-    async def test_reset_of_a_warm_target_is_forgotten(self):
+    async def test_resets_by_warm_targets_are_forgotten(self):
         """Guards against a lost connection that slows a warm target."""
         system = await self._begin(fronts=2, warm=0)
-        system.targets["cold-0"].faults.append(Fault.RESET)
-        while system.targets["cold-0"].faults:
-            await fixtures.call(system, "/read/x")
         colds = [f.entry.limits.cold for f in system.fronts]
-        name = "cold-0@1"
-        await fixtures.until(lambda: all(name in c.colds for c in colds))
         loop = asyncio.get_running_loop()
-        await fixtures.until(
-            lambda: (
-                not any(cold_start.is_cold(c, name, loop.time()) for c in colds)
+        for name, path in (("cold-0", "/read/x"), ("engine-0", "/chat/x")):
+            system.targets[name].faults.append(Fault.RESET)
+            while system.targets[name].faults:
+                await fixtures.call(system, path, prompt=4000)
+            start = f"{name}@1"
+            await fixtures.until(
+                lambda s=start: all(s in c.colds for c in colds)
+            )
+            await fixtures.until(
+                lambda s=start: (
+                    not any(
+                        cold_start.is_cold(c, s, loop.time()) for c in colds
+                    )
+                ),
+                limit_s=_COLD_S / 2,
             )
-        )
 
     async def test_answers_tell_of_a_cold_target(self):
         """Guards against a target that becomes cold without a new start."""
--- a/copperloom/platform/decoding.py
+++ b/copperloom/platform/decoding.py
@@ -174,12 +174,14 @@
     spec = raw.engine
     cold_start_s = max(0.0, raw.cold_start_s)
     cold_per_s = max(0.0, raw.cold_per_s)
+    health_path = raw.health_path or routing.DEFAULT_CHECK_PATH
     if spec is None or spec.read_per_s <= 0 or spec.kv_tokens <= 0:
         return routing.ServiceSpec(
             raw.name,
-            check_path=raw.health_path or routing.DEFAULT_CHECK_PATH,
+            check_path=health_path,
             cold_start_s=cold_start_s,
             cold_per_s=cold_per_s,
+            health_path=health_path,
         )
     engine = routing.EngineSpec(
         slots=max(1, spec.slots),
@@ -203,6 +205,7 @@
         check_path=_REPORT_PATH,
         cold_start_s=cold_start_s,
         cold_per_s=cold_per_s,
+        health_path=health_path,
     )
 
 
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -201,8 +201,10 @@
 async def _handle(target, request) -> web.StreamResponse:
     body = await request.read()
     if request.method == "GET" and request.path in wire.CHECK_PATHS:
-        headers = {wire.COLD: str(target.cold_left_ms)}
-        return web.Response(headers=headers | _own_headers(target))
+        headers = _own_headers(target)
+        if request.path == wire.HEALTH_PATH:
+            headers[wire.COLD] = str(target.cold_left_ms)
+        return web.Response(headers=headers)
     if request.path == "/copperloom/order":
         return _handle_order(target, msgspec.json.decode(body))
     expected = request.headers.get(wire.TARGET, target.name)
--- a/copperloom/platform/standins/wire.py
+++ b/copperloom/platform/standins/wire.py
@@ -8,6 +8,7 @@
     "CHECK_PATHS",
     "COLD",
     "DRAINING",
+    "HEALTH_PATH",
     "HELPERS",
     "INSTANCE_ENVIRONMENT",
     "KEY",
@@ -53,7 +54,8 @@
 # The call that reads rows of a table.
 READ_CALL = "rows-get"
 # Paths of checks whether a target answers, by the kind of service.
-CHECK_PATHS = ("/h", "/copperloom/report")
+HEALTH_PATH = "/h"
+CHECK_PATHS = (HEALTH_PATH, "/copperloom/report")
 # The environment variable that holds the path of the settings file.
 INSTANCE_ENVIRONMENT = "COPPERLOOM_SETTINGS"
 
--- a/copperloom/routing.py
+++ b/copperloom/routing.py
@@ -138,6 +138,8 @@
         cold_start_s: Time for which a target is cold after a start, in seconds.
         cold_per_s: Requests per second that a cold target bears from all
             instances together; 0 if its targets are never cold.
+        health_path: Path of the health check, which an engine answers only if
+            it has a free slot.
     """
 
     name: str
@@ -145,6 +147,7 @@
     check_path: str = DEFAULT_CHECK_PATH
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    health_path: str = DEFAULT_CHECK_PATH
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
