--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -213,8 +213,10 @@
             await raw_answers.write_endless(
                 target, request, {}, target.other_answers
             )
-        headers = {wire.COLD: str(target.cold_left_ms)}
-        return web.Response(headers=headers | _own_headers(target))
+        headers = _own_headers(target)
+        if request.path == wire.HEALTH_PATH:
+            headers[wire.COLD] = str(target.cold_left_ms)
+        return web.Response(headers=headers)
     if request.path == "/copperloom/order":
         order = msgspec.json.decode(body)
         _record_arrival(target, order["op"])
