Ingress: hints refuse no prompt

Cause: with hinted engines left out, the cost of a plan could rise so far that the prompt was refused. Change: a refusal among the other targets is decided again with all targets. Measured: the test fails without this (503), 8 tests of rejections pass.

--- a/copperloom/ingress/local_placement.py
+++ b/copperloom/ingress/local_placement.py
@@ -54,7 +54,8 @@
     candidates = _candidates(state, query, drawn, now)
     unhinted = _unhinted(state, drawn, candidates, now)
     chosen = _choose(state, query, unhinted)
-    if chosen is None and len(unhinted) < len(candidates):
+    is_refused = chosen is None or isinstance(chosen, plans.Refusal)
+    if is_refused and len(unhinted) < len(candidates):
         chosen = _choose(state, query, candidates)
     busy = spillover.utilisation(candidates)
     remote = None
--- a/copperloom/ingress/tests/test_rejections.py
+++ b/copperloom/ingress/tests/test_rejections.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from copperloom.decisions import choice, plans, registry
 from copperloom.ingress import rejections
 from copperloom.ingress.tests import fixtures
 from copperloom.platform.standins import target as target_standin
@@ -119,3 +121,18 @@
         target.retry_after = None
         answer = await fixtures.call(system, "/write/x", number=1)
         self.assertEqual(answer.status, 200)
+
+    async def test_prompt_is_not_refused_for_a_hint(self):
+        """Guards against a refusal since hinted engines were left out."""
+        system = await self._start(engines=2, plain=0, fronts=1)
+        entry = system.fronts[0].entry
+        name = registry.incarnation(entry.targets.entries["engine-0"])
+        entry.backoff.hinted[name] = asyncio.get_running_loop().time() + 60
+        plan = plans.Plan("engine-0", (), 0.1, 0.1, 0.0)
+
+        def choose(engine, prompt, candidates, **options):
+            return plan if len(candidates) == 2 else plans.Refusal(plan)
+
+        with mock.patch.object(choice, "choose", choose):
+            answer = await fixtures.call(system, "/chat/x", prompt=60_000)
+        self.assertEqual(answer.status, 200)
