--- a/copperloom/ingress/local_placement.py
+++ b/copperloom/ingress/local_placement.py
@@ -173,7 +173,8 @@
     """Chooses first among targets that don't reject requests of others."""
     unhinted = _unhinted(state, drawn, candidates, now)
     chosen = _choose(state, query, unhinted)
-    if chosen is None and len(unhinted) < len(candidates):
+    is_refused = chosen is None or isinstance(chosen, plans.Refusal)
+    if is_refused and len(unhinted) < len(candidates):
         chosen = _choose(state, query, candidates)
     return chosen
 
