Turns: full tables keep urgent requests; unknown waits

Cause: in a full table an urgent request of the organisation with the most waiting ones was refused instead of its last one, and a refusal without a known wait named a Retry-After of 0.05 s. Change: such a request takes the place of the last one; an unknown wait counts as long, so Retry-After is about a third of the time left.

--- a/copperloom/decisions/tests/test_waiting_order.py
+++ b/copperloom/decisions/tests/test_waiting_order.py
@@ -154,6 +154,8 @@
             turn = _wait(order, _request(f"q{number:05}"))
         self.assertTrue(turn.is_refused)
         self.assertFalse(_wait(order, _request("other", "b")).is_refused)
+        urgent = _request("urgent", priority=0)
+        self.assertFalse(_wait(order, urgent).is_refused)
         self.assertEqual(len(order.waiting), waiting_order.MAX_WAITING)
 
     def test_decision_takes_a_fraction_of_a_millisecond(self):
--- a/copperloom/decisions/waiting_order.py
+++ b/copperloom/decisions/waiting_order.py
@@ -429,17 +429,18 @@
 
 def _insert(order: WaitingOrder, request: Request, now: float) -> bool:
     """Adds a request; returns False if there is no room for it."""
-    if len(order.waiting) >= MAX_WAITING:
-        longest = max(order.keys, key=lambda name: len(order.keys[name]))
-        if longest == request.organisation:
-            return False
-        withdraw(order, order.keys[longest][-1][-1])
     key = (
         request.priority,
         not request.is_returned,
         request.deadline,
         request.id,
     )
+    if len(order.waiting) >= MAX_WAITING:
+        longest = max(order.keys, key=lambda name: len(order.keys[name]))
+        last = order.keys[longest][-1]
+        if longest == request.organisation and key > last:
+            return False
+        withdraw(order, last[-1])
     order.waiting[request.id] = _Waiting(
         request.organisation,
         key,
--- a/copperloom/ingress/turn_taking.py
+++ b/copperloom/ingress/turn_taking.py
@@ -158,8 +158,10 @@
 def _refusal_error(
     ex: exchange.Exchange, queued: plans.Queued, now: float
 ) -> exception.CopperloomError:
+    # A wait that is not known may be long.
+    wait_s = queued.wait_s or waiting_order.MAX_WAIT_S
     retry_s = waiting_order.retry_after_s(
-        queued.wait_s, ex.deadline - now, ex.state.rng
+        wait_s, ex.deadline - now, ex.state.rng
     )
     detail = (
         f"{queued.ahead} requests for service {ex.service} are ahead, and "
