Timeouts: a long prompt that is late waits for its first engine

Change: after the objective has passed, a retry comes only three quarters through the time after which the caller leaves, or three fifths through the time limit. The tests compare when the second attempt comes; counting attempts within 3.5 s can't tell them apart, as the last resort of so short a limit lies within it. test_fair_queueing counts rates and runs alone.

--- a/copperloom/decisions/timeouts.py
+++ b/copperloom/decisions/timeouts.py
@@ -30,9 +30,10 @@
 LOADED = 0.8
 # Interval at which the utilisation is asked for again.
 RECHECK_S = 1.0
-# Share of the time until callers leave, after which a silent engine is given up
-# whatever the load. The rest is for the retry.
+# Shares of the time until callers leave, and of the time limit, after which a
+# silent engine is given up in any case. The rest is for the retry.
 LAST_RESORT_SHARE = 0.75
+LAST_RESORT_LIMIT_SHARE = 0.6
 
 
 def first_event_timeout_s(predicted_s: float, left_s: float) -> float:
@@ -65,14 +66,23 @@
     return busy >= LOADED
 
 
-def last_resort_s(objective_s: float, pause_aim_s: float) -> float:
-    """Returns the time after which a silent engine is given up under any load.
+def last_resort_s(
+    objective_s: float, pause_aim_s: float, limit_s: float
+) -> float:
+    """Returns the time after which a silent engine is given up in any case.
+
+    A retry that can't meet the objective any more gains little, while the
+    prompt is read twice, so it comes as late as it can still be answered.
 
     Args:
         objective_s: First-token objective, in seconds.
         pause_aim_s: Inter-token objective, in seconds.
+        limit_s: Time limit of the request, in seconds.
     """
-    return LAST_RESORT_SHARE * abandon_after_s(objective_s, pause_aim_s)
+    return min(
+        LAST_RESORT_SHARE * abandon_after_s(objective_s, pause_aim_s),
+        LAST_RESORT_LIMIT_SHARE * limit_s,
+    )
 
 
 def abandon_after_s(objective_s: float, pause_aim_s: float) -> float:
--- a/copperloom/ingress/silence.py
+++ b/copperloom/ingress/silence.py
@@ -2,7 +2,8 @@
 
 The retry of a long prompt reads all of it again at other engines. While these
 are full, silence is explained by their load, and the retries of many prompts
-would delay each other and all that is in progress.
+would delay each other and all that is in progress. After the objective has
+passed, a retry is left for the time at which it can just be answered.
 """
 
 import asyncio
@@ -25,28 +26,40 @@
     """
     now = asyncio.get_running_loop().time()
     is_abandoned = ex.abandon is not None and ex.abandon.done()
-    if exchange.engine(ex) is not None and not is_abandoned:
-        waited_s = now - ex.arrived
-        last_s = timeouts.last_resort_s(
-            ex.route.target_latency_s, ex.route.pause_aim_s
-        )
-        busy = 0.0
-        if ex.head.prompt_tokens > plans.SHORT_TOKENS and waited_s < last_s:
-            busy = await _utilisation(ex, now)
-        if timeouts.is_explained_by_load(busy):
-            left_s = min(timeouts.RECHECK_S, last_s - waited_s)
-            _log(ex, busy, waited_s)
-            return max(0.0, left_s)
+    is_long = ex.head.prompt_tokens > plans.SHORT_TOKENS
+    if exchange.engine(ex) is not None and is_long and not is_abandoned:
+        left_s = await _withheld_s(ex, now)
+        if left_s > 0:
+            return left_s
     return None if retry.may_give_up(ex) else math.inf
 
 
+async def _withheld_s(ex: exchange.Exchange, now: float) -> float:
+    """Returns for how long a long prompt is not sent again, in seconds."""
+    route = ex.route
+    waited_s = now - ex.arrived
+    last_s = timeouts.last_resort_s(
+        route.target_latency_s, route.pause_aim_s, ex.deadline - ex.arrived
+    )
+    if waited_s >= last_s:
+        return 0.0
+    if waited_s >= route.target_latency_s:
+        _log(ex, None, waited_s)
+        return last_s - waited_s
+    busy = await _utilisation(ex, now)
+    if not timeouts.is_explained_by_load(busy):
+        return 0.0
+    _log(ex, busy, waited_s)
+    return min(timeouts.RECHECK_S, last_s - waited_s)
+
+
 async def _utilisation(ex: exchange.Exchange, now: float) -> float:
     query = dataclasses.replace(placement.to_query(ex, now), is_probe=True)
     decision = await placement_rpc.decide(ex.state, query, now)
     return decision.busy
 
 
-def _log(ex: exchange.Exchange, busy: float, waited_s: float) -> None:
+def _log(ex: exchange.Exchange, busy: float | None, waited_s: float) -> None:
     logs.event(
         "retry_withheld",
         request=ex.id,
--- a/copperloom/tests/run.py
+++ b/copperloom/tests/run.py
@@ -23,9 +23,11 @@
 import hypothesis
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
-# They compare durations of a few milliseconds, which other tests lengthen.
+# They compare durations of a few milliseconds, or rates of targets and callers,
+# which other tests change.
 _ALONE = (
     "copperloom.ingress.tests.test_admit",
+    "copperloom.ingress.tests.test_fair_queueing",
     "copperloom.ingress.tests.test_placement_rpc",
 )
 
