--- a/copperloom/ingress/cold_checks.py
+++ b/copperloom/ingress/cold_checks.py
@@ -38,6 +38,7 @@
         registry.incarnation(e): e
         for e in state.targets.entries.values()
         if not registry.is_draining(state.targets, e)
+        and not registry.is_evacuated(state.targets, e)
     }
     found = [entries[name] for name in unreached if name in entries]
     return [e for e in found if _is_granted(state, e, now)]
--- a/copperloom/ingress/tests/test_cold_targets.py
+++ b/copperloom/ingress/tests/test_cold_targets.py
@@ -182,6 +182,44 @@
         await _call_for(system, 2.0)
         self._check_bound(system)
 
+    async def _evacuate(self, system, data_centres: set[str]) -> None:
+        """Evacuates data centre "b", or ends its evacuation."""
+        if data_centres:
+            system.store.put("op", "evacuate/b", {})
+        else:
+            system.store.remove("op", "evacuate/b")
+        await fixtures.until(
+            lambda: all(
+                f.entry.targets.evacuated == data_centres for f in system.fronts
+            )
+        )
+
+    async def test_evacuated_data_centre_comes_back(self):
+        """Guards against a burst as soon as an evacuation is taken back."""
+        system = await self._begin(fronts=3, warm=0)
+        await self._evacuate(system, {"b"})
+        now = asyncio.get_running_loop().time()
+        for target in _cold_targets(system):
+            target.cold_until = now + 2 * _COLD_S
+        await self._evacuate(system, set())
+        await _call_for(system, 2.0)
+        self._check_bound(system)
+
+    async def test_evacuated_targets_that_failed_are_not_checked(self):
+        """Guards against checks that reach a data centre that gets nothing."""
+        system = await self._begin(fronts=2, warm=1)
+        await self._evacuate(system, {"b"})
+        now = asyncio.get_running_loop().time()
+        start = cold_start.Start(_PER_S, _COLD_S)
+        for front in system.fronts:
+            for target in _cold_targets(system):
+                name = f"{target.name}@{target.born}"
+                cold = front.entry.limits.cold
+                cold_start.record_failure(cold, name, start, now)
+        await asyncio.sleep(1.5)
+        late = [a for t in _cold_targets(system) for a in t.arrivals]
+        self.assertEqual([a for a in late if a[0] > now], [])
+
     async def test_resets_by_warm_targets_are_forgotten(self):
         """Guards against a lost connection that slows a warm target."""
         system = await self._begin(fronts=2, warm=0)
