--- a/copperloom/tests/run.py
+++ b/copperloom/tests/run.py
@@ -27,6 +27,7 @@
 # which other tests change.
 _ALONE = (
     "copperloom.ingress.tests.test_admit",
+    "copperloom.ingress.tests.test_cold_targets",
     "copperloom.ingress.tests.test_fair_queueing",
     "copperloom.ingress.tests.test_placement_rpc",
 )
