--- a/copperloom/ingress/tests/organisations.py
+++ b/copperloom/ingress/tests/organisations.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from copperloom.ingress.tests import fixtures
+from copperloom.platform.standins import wire
 
 __all__ = ["BIG", "SMALL", "Sent", "add_organisations", "send", "served_share"]
 
@@ -97,7 +98,7 @@
         system,
         path,
         number=number,
-        headers={"Copperloom-Key": f"key-{organisation}"},
+        headers={wire.KEY: f"key-{organisation}"},
         **request,
     )
     return Sent(organisation, answer, loop.time() - begin)
--- a/copperloom/ingress/tests/test_fair_queueing.py
+++ b/copperloom/ingress/tests/test_fair_queueing.py
@@ -10,6 +10,7 @@
 from copperloom.ingress import placement_rpc, turn_taking
 from copperloom.ingress.tests import fixtures, fleets, organisations
 from copperloom.ingress.tests.organisations import BIG, SMALL
+from copperloom.platform.standins import wire
 
 _SECONDS = 6.0
 _SMALL_PER_S = 1.4
@@ -102,8 +103,8 @@
         priorities = {}
         for target in system.targets.values():
             for received in target.seen:
-                name = received.headers["Copperloom-Tenant"]
-                sent = received.headers["Copperloom-Request-Priority"]
+                name = received.headers[wire.ORGANISATION]
+                sent = received.headers[wire.PRIORITY]
                 priorities.setdefault(name, set()).add(sent)
         self.assertEqual(priorities.pop(BIG), {"1", "3"})
         self.assertEqual(set().union(*priorities.values()), {"1"})
--- a/copperloom/platform/standins/wire.py
+++ b/copperloom/platform/standins/wire.py
@@ -17,6 +17,7 @@
     "NOT_RUN",
     "ORGANISATION",
     "PARTS",
+    "PRIORITY",
     "READ_CALL",
     "REQUEST",
     "RETRY_AFTER",
@@ -38,6 +39,7 @@
 ORGANISATION = "Copperloom-Tenant"
 TARGET = "Copperloom-Expect-Instance"
 HELPERS = "Copperloom-Helpers"
+PRIORITY = "Copperloom-Request-Priority"
 # Response headers: the target's signature, and its statement that the request
 # was not run.
 SEAL = "Copperloom-Response-Seal"
