Tests: bounds of two new tests as first written; soak and crashing parts run alone

Cause: the shares that a large organisation gets (0.25) and that callers get beside cold targets in a fleet of 20 (0.97) had been lowered after runs beside load. Change: the two bounds are as they were first. The soak's tests and those of crashing parts run after the others. A known failure of a subtest is listed by its parameters, so that the others still count.

--- a/copperloom/ingress/tests/test_cold_targets.py
+++ b/copperloom/ingress/tests/test_cold_targets.py
@@ -315,5 +315,4 @@
         answers = await calls
         for target in _cold_targets(system):
             self.assertLessEqual(_most_in_second(target), _ALLOWED)
-        # Delays of the common event loop cost some requests.
-        self.assertGreater(_served(answers), 0.8)
+        self.assertGreater(_served(answers), 0.97)
--- a/copperloom/ingress/tests/test_fair_queueing.py
+++ b/copperloom/ingress/tests/test_fair_queueing.py
@@ -61,7 +61,7 @@
         self.assertGreaterEqual(organisations.served_share(by_small), 0.95)
         # What the others leave is lent to it: an equal share would be 0.09 of
         # its requests, all that is left 0.36.
-        self.assertGreater(organisations.served_share(by_big), 0.2)
+        self.assertGreater(organisations.served_share(by_big), 0.25)
         refused = [s for s in sent if s.answer.status != 200]
         self.assertTrue(refused)
         self.assertEqual({s.organisation for s in refused}, {BIG})
--- a/copperloom/tests/run.py
+++ b/copperloom/tests/run.py
@@ -30,6 +30,8 @@
     "copperloom.ingress.tests.test_cold_targets",
     "copperloom.ingress.tests.test_fair_queueing",
     "copperloom.ingress.tests.test_placement_rpc",
+    "copperloom.ingress.tests.test_prompt_parts",
+    "copperloom.tests.test_frontsoak",
 )
 
 hypothesis.settings.register_profile(
@@ -133,7 +135,10 @@
     ran = frozenset(test.id() for test in _flatten(suite))
     stream = io.StringIO()
     result = unittest.TextTestRunner(stream, verbosity=2).run(suite)
-    failed = {t.id() for t, _ in result.failures + result.errors}
+    # The id of a subtest has a space before its parameters.
+    failed = {
+        t.id().replace(" ", "") for t, _ in result.failures + result.errors
+    }
     failed |= {t.id() for t in result.unexpectedSuccesses}
     return Result(
         ran, frozenset(failed), len(result.skipped), stream.getvalue()
