--- a/copperloom/cli/fronts.py
+++ b/copperloom/cli/fronts.py
@@ -49,8 +49,8 @@
         + (", draining" if answer["draining"] else ""),
         f"routes: version {routes['version']}, {routes['count']} routes, "
         f"adopted {routes['age_s']} s ago",
-        f"targets: version {targets['version']}, changed "
-        f"{targets['age_s']} s ago",
+        f"targets: version {targets['version']} of era {targets['era']}, "
+        f"changed {targets['age_s']} s ago",
     ]
     for service, counts in sorted(targets["by_service"].items()):
         retries_left = answer["repeats_left"].get(service)
--- a/copperloom/daemons/front.py
+++ b/copperloom/daemons/front.py
@@ -37,6 +37,7 @@
     sender,
     server,
     stopping,
+    store_eras,
     table_watch,
 )
 from copperloom.ingress.state import IngressState, budget_policy, cold_bound
@@ -154,6 +155,7 @@
         state = self.entry
         state.listening_since = asyncio.get_running_loop().time()
         state.hold_until = state.listening_since + START_HOLD_S
+        store_eras.watch_returns(state)
         self.gossip = await gossip.open_gossip(state)
         self.calls = await catalog.serve(
             state, relayed_requests.make_service(state)
--- a/copperloom/decisions/drain_notices.py
+++ b/copperloom/decisions/drain_notices.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Container
 
 from copperloom.decisions import sharing
@@ -38,10 +39,13 @@
 
     Attributes:
         noted_at: Monotonic time at which this instance learnt it.
+        last_resort_from: Monotonic time from which the target gets requests
+            that no other one can take; -inf if it gets none.
         sharing: When it was passed on.
     """
 
     noted_at: float
+    last_resort_from: float
     sharing: Sharing
 
 
@@ -60,7 +64,12 @@
 
 
 def note(
-    known: DrainNotices, incarnation: str, now: float, *, forwards: bool
+    known: DrainNotices,
+    incarnation: str,
+    now: float,
+    *,
+    forwards: bool,
+    is_last_resort: bool = True,
 ) -> bool:
     """Records that a target drains; returns whether that is new.
 
@@ -69,10 +78,15 @@
         incarnation: The target.
         now: Monotonic time.
         forwards: Whether this instance passes it on at once.
+        is_last_resort: Whether it gets requests for a time that no other one
+            can take.
     """
     if incarnation in known.notices:
         return False
-    known.notices[incarnation] = Notice(now, Sharing(now, forwards))
+    last_resort_from = now if is_last_resort else -math.inf
+    known.notices[incarnation] = Notice(
+        now, last_resort_from, Sharing(now, forwards)
+    )
     return True
 
 
@@ -86,7 +100,7 @@
     notice = known.notices.get(incarnation)
     if notice is None:
         return False
-    return now < notice.noted_at + known.last_resort_s
+    return now < notice.last_resort_from + known.last_resort_s
 
 
 def drop_oldest_gone(
--- a/copperloom/decisions/members.py
+++ b/copperloom/decisions/members.py
@@ -11,6 +11,7 @@
 import math
 from collections.abc import Iterable, Mapping
 
+from copperloom import versions
 from copperloom.decisions import shards
 
 __all__ = [
@@ -89,7 +90,7 @@
     data_centre: str = ""
     cores: float = 1.0
     routes_version: int = 0
-    targets_version: int = 0
+    targets_version: versions.Version = versions.NONE
     draining: bool = False
     table_unreachable: bool = False
     last_sent_at: float = -math.inf
--- a/copperloom/decisions/placement_query.py
+++ b/copperloom/decisions/placement_query.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from copperloom import versions
 from copperloom.decisions import inflight, plans, shards, spillover
 
 __all__ = ["Decision", "Query", "planned_work"]
@@ -73,7 +74,7 @@
 
     choice: plans.Choice
     targets: int
-    targets_version: int
+    targets_version: versions.Version
     decided_by: str
     staleness_s: float = 0.0
     busy: float = 0.0
--- a/copperloom/decisions/registry.py
+++ b/copperloom/decisions/registry.py
@@ -13,7 +13,7 @@
 
 from collections.abc import Iterable
 
-from copperloom import routing
+from copperloom import routing, versions
 from copperloom.decisions import drain_notices, shards
 
 __all__ = [
@@ -73,7 +73,7 @@
     def __init__(self, drain_s: float = 0.0):
         self.entries: dict[str, routing.TargetEntry] = {}
         self.missing: dict[str, tuple[routing.TargetEntry, float]] = {}
-        self.version = 0
+        self.version = versions.NONE
         self.outage_at = float("-inf")
         self.divisions: dict[str, shards.Division] = {}
         self.restricted: dict[tuple[str, frozenset[str]], shards.Division] = {}
@@ -92,7 +92,7 @@
 def replace(
     reg: Registry,
     entries: Iterable[routing.TargetEntry],
-    version: int,
+    version: versions.Version,
     now: float,
 ) -> list[routing.TargetEntry]:
     """Adopts the rows of the whole table; an older version is ignored.
@@ -103,14 +103,38 @@
     if version < reg.version:
         return []
     wanted = {e.name: e for e in entries}
+    if version.era != reg.version.era:
+        _keep_draining(reg, wanted, now)
     changes = [(name, None) for name in reg.entries if name not in wanted]
     return update(reg, [*changes, *wanted.items()], version, now)
 
 
+def _keep_draining(
+    reg: Registry, wanted: dict[str, routing.TargetEntry], now: float
+) -> None:
+    """Notes the targets that drain although an older copy says otherwise.
+
+    A target that has begun to drain does so until it ends, and its row in the
+    copy may be older.
+    """
+    for name, entry in wanted.items():
+        old = reg.entries.get(name)
+        if old is None or not old.draining or entry.draining:
+            continue
+        if old.born_ms == entry.born_ms:
+            drain_notices.note(
+                reg.drain_notices,
+                incarnation(entry),
+                now,
+                forwards=True,
+                is_last_resort=False,
+            )
+
+
 def update(
     reg: Registry,
     changes: Iterable[tuple[str, routing.TargetEntry | None]],
-    version: int,
+    version: versions.Version,
     now: float,
 ) -> list[routing.TargetEntry]:
     """Applies changed rows; None stands for a removed target.
--- a/copperloom/decisions/rowlog.py
+++ b/copperloom/decisions/rowlog.py
@@ -8,6 +8,8 @@
 import dataclasses
 from collections.abc import Iterable
 
+from copperloom import versions
+
 __all__ = ["Difference", "Row", "RowLog", "replace", "since", "update"]
 
 # Number of latest removed rows that are kept, so that differences include
@@ -26,7 +28,7 @@
     """
 
     key: str
-    version: int
+    version: versions.Version
     value: bytes | None
 
 
@@ -54,10 +56,12 @@
 
     def __init__(self):
         self.rows: dict[str, Row] = {}
-        self.floor = 0
+        self.floor = versions.NONE
 
 
-def replace(log: RowLog, rows: Iterable[Row], version: int) -> None:
+def replace(
+    log: RowLog, rows: Iterable[Row], version: versions.Version
+) -> None:
     """Adopts the whole table as of a version."""
     log.rows = {row.key: row for row in rows}
     log.floor = version
@@ -72,8 +76,8 @@
     _prune_removed(log)
 
 
-def since(log: RowLog, version: int) -> Difference:
-    """Returns the changes after a version."""
+def since(log: RowLog, version: versions.Version) -> Difference:
+    """Returns the changes after a version; all rows if its era is another."""
     if version < log.floor:
         live = (row for row in log.rows.values() if row.value is not None)
         return Difference(True, tuple(live))
--- a/copperloom/decisions/tests/test_inflight_table.py
+++ b/copperloom/decisions/tests/test_inflight_table.py
@@ -10,6 +10,7 @@
     inflight_table,
     registry,
 )
+from copperloom.versions import Version
 
 
 def _work(
@@ -206,50 +207,51 @@
 class RegistryTest(unittest.TestCase):
     def test_removal_without_outage_is_immediate(self):
         reg = registry.Registry()
-        registry.update(reg, [("t", _entry())], 1, 0.0)
-        registry.update(reg, [("t", None)], 2, 1.0)
+        registry.update(reg, [("t", _entry())], Version(0, 1), 0.0)
+        registry.update(reg, [("t", None)], Version(0, 2), 1.0)
         self.assertEqual(registry.usable(reg, "s", 1.0), [])
         self.assertIsNone(registry.find(reg, "t"))
 
     def test_entries_outlast_their_expiry_after_an_outage(self):
         """Targets register again only some time after an outage."""
         reg = registry.Registry()
-        registry.update(reg, [("t", _entry())], 1, 0.0)
+        registry.update(reg, [("t", _entry())], Version(0, 1), 0.0)
         registry.record_outage(reg, 10.0)
-        registry.replace(reg, [], 2, 10.1)
+        registry.replace(reg, [], Version(0, 2), 10.1)
         self.assertEqual(registry.usable(reg, "s", 11.0), [_entry()])
         self.assertEqual(registry.usable(reg, "s", 12.1), [])
-        registry.update(reg, [("t", _entry())], 3, 12.2)
+        registry.update(reg, [("t", _entry())], Version(0, 3), 12.2)
         self.assertEqual(registry.usable(reg, "s", 12.2), [_entry()])
 
     def test_registered_targets_precede_missing_ones(self):
         reg = registry.Registry()
         entries = [("t", _entry()), ("u", _entry("u"))]
-        registry.update(reg, entries, 1, 0.0)
+        registry.update(reg, entries, Version(0, 1), 0.0)
         registry.record_outage(reg, 10.0)
-        registry.update(reg, [("t", None)], 2, 10.1)
+        registry.update(reg, [("t", None)], Version(0, 2), 10.1)
         self.assertEqual(registry.usable(reg, "s", 10.2), [_entry("u")])
 
     def test_draining_target_is_not_kept_after_an_outage(self):
         reg = registry.Registry()
-        registry.update(reg, [("t", _entry(draining=True))], 1, 0.0)
+        registry.update(reg, [("t", _entry(draining=True))], Version(0, 1), 0.0)
         registry.record_outage(reg, 10.0)
-        registry.update(reg, [("t", None)], 2, 10.1)
+        registry.update(reg, [("t", None)], Version(0, 2), 10.1)
         self.assertEqual(registry.usable(reg, "s", 10.2), [])
 
     def test_older_version_of_the_table_is_ignored(self):
         reg = registry.Registry()
-        registry.replace(reg, [_entry()], 9, 0.0)
-        registry.replace(reg, [], 8, 0.1)
+        registry.replace(reg, [_entry()], Version(0, 9), 0.0)
+        registry.replace(reg, [], Version(0, 8), 0.1)
         self.assertEqual(registry.usable(reg, "s", 0.2), [_entry()])
 
     def test_update_returns_restarted_targets(self):
         reg = registry.Registry()
-        registry.update(reg, [("t", _entry(born_ms=1))], 1, 0.0)
+        registry.update(reg, [("t", _entry(born_ms=1))], Version(0, 1), 0.0)
         restarted = _entry(born_ms=2)
         self.assertEqual(
-            registry.update(reg, [("t", restarted)], 2, 0.1), [restarted]
+            registry.update(reg, [("t", restarted)], Version(0, 2), 0.1),
+            [restarted],
         )
         older = [("t", _entry(born_ms=1))]
-        self.assertEqual(registry.update(reg, older, 3, 0.2), [])
+        self.assertEqual(registry.update(reg, older, Version(0, 3), 0.2), [])
         self.assertEqual(reg.entries["t"], restarted)
--- a/copperloom/decisions/tests/test_registry.py
+++ b/copperloom/decisions/tests/test_registry.py
@@ -5,6 +5,7 @@
 
 from copperloom import routing
 from copperloom.decisions import registry
+from copperloom.versions import Version
 
 _DRAIN_S = 2.0
 _LATE = 100.0
@@ -18,7 +19,7 @@
 
 def _registry(*names: str) -> registry.Registry:
     reg = registry.Registry(_DRAIN_S)
-    registry.update(reg, [(n, _entry(n)) for n in names], 1, 0.0)
+    registry.update(reg, [(n, _entry(n)) for n in names], Version(0, 1), 0.0)
     return reg
 
 
@@ -31,6 +32,17 @@
 
 
 class DrainNoticeTest(unittest.TestCase):
+    def test_target_drains_across_a_return_of_the_table(self):
+        """Guards against an older copy that names a draining target ready."""
+        reg = registry.Registry(_DRAIN_S)
+        rows = [("t", _entry("t", draining=True)), ("u", _entry("u"))]
+        registry.update(reg, rows, Version(1, 9), 0.0)
+        entries = [_entry("t"), _entry("u")]
+        registry.replace(reg, entries, Version(2, 3), 1.0)
+        self.assertEqual(_names(reg, 1.1), ["u"])
+        registry.update(reg, [("u", None)], Version(2, 4), _LATE)
+        self.assertEqual(_names(reg, _LATE), [])
+
     def test_notice_counts_at_once(self):
         """Guards against a cached division that still names the target."""
         reg = _registry("t", "u")
@@ -43,23 +55,23 @@
         """Guards against rows that are read late and whole tables."""
         reg = _registry("t", "u")
         _note(reg, "t@1", 0.1)
-        registry.update(reg, [("t", _entry("t"))], 2, _LATE)
+        registry.update(reg, [("t", _entry("t"))], Version(0, 2), _LATE)
         self.assertEqual(_names(reg, _LATE), ["u"])
-        registry.update(reg, [("t", None)], 3, _LATE)
-        registry.replace(reg, [_entry("t"), _entry("u")], 4, _LATE)
+        registry.update(reg, [("t", None)], Version(0, 3), _LATE)
+        registry.replace(reg, [_entry("t"), _entry("u")], Version(0, 4), _LATE)
         self.assertEqual(_names(reg, _LATE), ["u"])
 
     def test_notice_may_come_before_the_row(self):
         reg = _registry("u")
         _note(reg, "t@1", 0.1)
-        registry.update(reg, [("t", _entry("t"))], 2, _LATE)
+        registry.update(reg, [("t", _entry("t"))], Version(0, 2), _LATE)
         self.assertEqual(_names(reg, _LATE), ["u"])
 
     def test_new_start_ends_the_notice(self):
         """Guards against a late answer that marks the later start."""
         reg = _registry("t", "u")
         _note(reg, "t@1", 0.1)
-        registry.update(reg, [("t", _entry("t", 2))], 2, 1.0)
+        registry.update(reg, [("t", _entry("t", 2))], Version(0, 2), 1.0)
         self.assertEqual(_names(reg, 1.0), ["t", "u"])
         _note(reg, "t@1", 1.1)
         self.assertEqual(_names(reg, 1.1), ["t", "u"])
@@ -72,7 +84,7 @@
                 if noted_at < 10:
                     _note(reg, "t@1", noted_at)
                 registry.record_outage(reg, 10.0)
-                registry.update(reg, [("t", None)], 2, 10.1)
+                registry.update(reg, [("t", None)], Version(0, 2), 10.1)
                 _note(reg, "t@1", noted_at)
                 self.assertEqual(_names(reg, 10.3), [])
 
@@ -90,14 +102,18 @@
     def test_row_that_says_draining_is_no_last_resort(self):
         reg = _registry("t")
         _note(reg, "t@1", 0.1)
-        registry.update(reg, [("t", _entry("t", draining=True))], 2, 0.2)
+        registry.update(
+            reg, [("t", _entry("t", draining=True))], Version(0, 2), 0.2
+        )
         self.assertEqual(_names(reg, 0.2), [])
 
     def test_noted_lists_what_peers_may_not_know(self):
         reg = _registry("t", "u", "v")
         _note(reg, "t@1", 0.1)
         _note(reg, "u@1", 0.1)
-        registry.update(reg, [("u", _entry("u", draining=True))], 2, 0.2)
+        registry.update(
+            reg, [("u", _entry("u", draining=True))], Version(0, 2), 0.2
+        )
         self.assertEqual(registry.noted(reg, "s", 0.2), ("t",))
         self.assertEqual(registry.noted(reg, "other", 0.2), ())
         self.assertEqual(
@@ -108,7 +124,7 @@
 def _two_data_centres() -> registry.Registry:
     reg = registry.Registry(_DRAIN_S)
     entries = [_entry("t"), dataclasses.replace(_entry("u"), data_centre="b")]
-    registry.update(reg, [(e.name, e) for e in entries], 1, 0.0)
+    registry.update(reg, [(e.name, e) for e in entries], Version(0, 1), 0.0)
     return reg
 
 
@@ -130,11 +146,11 @@
         """Guards against targets that vanished or drain and then get work."""
         reg = _two_data_centres()
         other = dataclasses.replace(_entry("v"), data_centre="b")
-        registry.update(reg, [("v", other)], 1, 0.0)
+        registry.update(reg, [("v", other)], Version(0, 1), 0.0)
         registry.set_evacuated(reg, frozenset("b"))
         _note(reg, "v@1", 1.0)
         registry.record_outage(reg, 1.0)
-        registry.update(reg, [("t", None), ("u", None)], 2, 1.1)
+        registry.update(reg, [("t", None), ("u", None)], Version(0, 2), 1.1)
         self.assertEqual(_names(reg, 1.2), ["t"])
 
     def test_work_stays_in_its_data_centres(self):
@@ -144,7 +160,7 @@
             usable = registry.usable(reg, "s", 0.0, frozenset(wanted))
             self.assertEqual([e.name for e in usable], names)
         registry.record_outage(reg, 1.0)
-        registry.update(reg, [("t", None)], 2, 1.1)
+        registry.update(reg, [("t", None)], Version(0, 2), 1.1)
         usable = registry.usable(reg, "s", 1.2, frozenset("a"))
         self.assertEqual([e.name for e in usable], ["t"])
         self.assertEqual(_names(reg, 1.2), ["u"])
--- a/copperloom/decisions/tests/test_rowlog.py
+++ b/copperloom/decisions/tests/test_rowlog.py
@@ -3,39 +3,59 @@
 import unittest
 
 from copperloom.decisions import rowlog
+from copperloom.versions import Version
+
+
+def _row(key, number, value):
+    return rowlog.Row(key, Version(0, number), value)
 
 
 def _log(*rows, floor=0):
     log = rowlog.RowLog()
-    rowlog.replace(log, [rowlog.Row(*row) for row in rows], floor)
+    rowlog.replace(log, [_row(*row) for row in rows], Version(0, floor))
     return log
 
 
 class RowLogTest(unittest.TestCase):
     def test_difference_has_only_changed_rows(self):
         log = _log(("a", 3, b"1"), ("b", 4, b"2"), floor=4)
-        rowlog.update(log, [rowlog.Row("b", 7, b"3")])
-        difference = rowlog.since(log, 4)
+        rowlog.update(log, [rowlog.Row("b", Version(0, 7), b"3")])
+        difference = rowlog.since(log, Version(0, 4))
         self.assertFalse(difference.whole)
-        self.assertEqual(difference.rows, (rowlog.Row("b", 7, b"3"),))
+        self.assertEqual(
+            difference.rows, (rowlog.Row("b", Version(0, 7), b"3"),)
+        )
 
     def test_difference_has_removed_rows(self):
         log = _log(("a", 3, b"1"), floor=3)
-        rowlog.update(log, [rowlog.Row("a", 5, None)])
-        self.assertEqual(rowlog.since(log, 3).rows, (rowlog.Row("a", 5, None),))
+        rowlog.update(log, [rowlog.Row("a", Version(0, 5), None)])
+        self.assertEqual(
+            rowlog.since(log, Version(0, 3)).rows,
+            (rowlog.Row("a", Version(0, 5), None),),
+        )
 
     def test_whole_table_is_returned_for_a_version_before_the_floor(self):
         log = _log(("a", 3, b"1"), ("b", 4, b"2"), floor=4)
-        rowlog.update(log, [rowlog.Row("a", 5, None)])
-        difference = rowlog.since(log, 2)
+        rowlog.update(log, [rowlog.Row("a", Version(0, 5), None)])
+        difference = rowlog.since(log, Version(0, 2))
         self.assertTrue(difference.whole)
-        self.assertEqual(difference.rows, (rowlog.Row("b", 4, b"2"),))
+        self.assertEqual(
+            difference.rows, (rowlog.Row("b", Version(0, 4), b"2"),)
+        )
 
     def test_delayed_older_rows_are_ignored(self):
         log = _log(("a", 5, b"new"), floor=5)
-        rowlog.update(log, [rowlog.Row("a", 4, b"old")])
+        rowlog.update(log, [rowlog.Row("a", Version(0, 4), b"old")])
         self.assertEqual(log.rows["a"].value, b"new")
 
+    def test_whole_table_is_returned_for_a_version_of_another_era(self):
+        """Guards against a difference between two eras."""
+        log = rowlog.RowLog()
+        row = rowlog.Row("a", Version(2, 3), b"1")
+        rowlog.replace(log, [row], Version(2, 3))
+        difference = rowlog.since(log, Version(1, 90))
+        self.assertEqual(difference, rowlog.Difference(True, (row,)))
+
     def test_removed_rows_are_bounded(self):
         """Removed rows must not accumulate while targets come and go.
 
@@ -44,8 +64,8 @@
         log = _log()
         count = rowlog.MAX_REMOVED + 5
         for number in range(count):
-            row = rowlog.Row(f"t{number}", number + 1, None)
+            row = rowlog.Row(f"t{number}", Version(0, number + 1), None)
             rowlog.update(log, [row])
         self.assertEqual(len(log.rows), rowlog.MAX_REMOVED)
-        self.assertTrue(rowlog.since(log, 4).whole)
-        self.assertFalse(rowlog.since(log, 5).whole)
+        self.assertTrue(rowlog.since(log, Version(0, 4)).whole)
+        self.assertFalse(rowlog.since(log, Version(0, 5)).whole)
--- a/copperloom/ingress/datagrams.py
+++ b/copperloom/ingress/datagrams.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from copperloom import versions
 from copperloom.decisions import inflight, placement_query, plans, spillover
 from copperloom.ingress import wire_knowledge
 
@@ -96,7 +97,7 @@
         boot: Random name of this run of its process.
         sequence: Sequence number within that run.
         routes_version: Version of its routes.
-        targets_version: Version of its targets.
+        targets_version: Number of the version of its targets.
         draining: Whether it is stopping.
         table_unreachable: Whether it can't read a table of the platform.
         work: All its work in progress.
@@ -120,6 +121,9 @@
             sender, by incarnation of the target.
         short_services: Services for which requests wait in an order that it
             keeps.
+        targets_era: Era of the version of its targets; None from an instance
+            that knows no eras.
+        store_era: Highest era of the platform's table service that it knows.
     """
 
     sender: Announcement
@@ -146,6 +150,8 @@
     speeds: list[wire_knowledge.WireSpeed] = []
     holds: dict[str, int] = {}
     short_services: list[str] = []
+    targets_era: int | None = None
+    store_era: int | None = None
 
 
 class PlacementRequest(msgspec.Struct, array_like=True, tag="q"):
@@ -176,7 +182,8 @@
         wait_s: Seconds until the request is placed again; 0 if not deferred.
         refused: Whether the request is refused.
         targets: Number of usable targets that the owner knows.
-        targets_version: Version of the targets that the decision is based on.
+        targets_version: Number of the version of the targets that the decision
+            is based on.
         staleness_s: Age of the oldest message of a peer that the decision
             relies on, in seconds.
         busy: Utilisation of the targets.
@@ -184,6 +191,7 @@
         queued: Position in the waiting order, if its turn has not come.
         is_over_share: Whether its organisation is over its fair share.
         is_short: Whether requests had to wait for the shard recently.
+        targets_era: Era of the version of the targets.
     """
 
     call_id: int
@@ -199,6 +207,7 @@
     queued: plans.Queued | None = None
     is_over_share: bool = False
     is_short: bool = False
+    targets_era: int = 0
 
 
 class SendRequest(msgspec.Struct, array_like=True, tag="s"):
@@ -318,13 +327,14 @@
         wait_s=wait_s,
         refused=isinstance(chosen, plans.Refusal),
         targets=decision.targets,
-        targets_version=decision.targets_version,
+        targets_version=decision.targets_version.number,
         staleness_s=decision.staleness_s,
         busy=decision.busy,
         remote=decision.remote,
         queued=queued,
         is_over_share=decision.is_over_share,
         is_short=decision.is_short,
+        targets_era=decision.targets_version.era,
     )
 
 
@@ -338,7 +348,9 @@
     return placement_query.Decision(
         choice=choice,
         targets=reply.targets,
-        targets_version=reply.targets_version,
+        targets_version=versions.Version(
+            reply.targets_era, reply.targets_version
+        ),
         decided_by=reply.owner,
         staleness_s=reply.staleness_s,
         busy=reply.busy,
--- a/copperloom/ingress/digests.py
+++ b/copperloom/ingress/digests.py
@@ -61,7 +61,7 @@
         boot=state.boot,
         sequence=state.sequence,
         routes_version=state.table.version,
-        targets_version=state.targets.version,
+        targets_version=state.targets.version.number,
         draining=state.draining,
         table_unreachable=bool(state.unreachable_tables),
         work=[
@@ -76,6 +76,8 @@
         },
         announced=announced,
         fleet_size=fleet_size(state),
+        targets_era=state.targets.version.era,
+        store_era=state.store.era,
     )
 
 
--- a/copperloom/ingress/gossip.py
+++ b/copperloom/ingress/gossip.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from copperloom import logs
+from copperloom import logs, versions
 from copperloom.decisions import health, inflight_table, members
 from copperloom.decisions.sharing import Occasion
 from copperloom.ingress import (
@@ -29,12 +29,14 @@
     peer_fetch,
     placement_rpc,
     recipients,
+    store_eras,
 )
 from copperloom.ingress.state import (
     IngressState,
     Member,
     is_large_fleet,
 )
+from copperloom.platform import store
 
 __all__ = [
     "Gossip",
@@ -85,7 +87,7 @@
         self.transport: asyncio.DatagramTransport | None = None
         self.fetches = peer_fetch.PeerFetch()
         self.minor_change: asyncio.TimerHandle | None = None
-        self.broadcast_versions = (0, 0)
+        self.broadcast_versions = (0, versions.NONE)
         self.broadcast_quarantines = 0
         self.reported_at = float("-inf")
 
@@ -291,6 +293,8 @@
     """Applies a peer's digest unless it is older than the last one."""
     state = gossip.state
     now = asyncio.get_running_loop().time()
+    if digest.store_era is not None:
+        store.note_era(state.store, digest.store_era)
     knowledge.apply(state, digest, now)
     work = tuple(datagrams.decode_work(w, now) for w in digest.work)
     update = inflight_table.PeerWork(digest.boot, digest.sequence, now, work)
@@ -306,7 +310,7 @@
     started = member.boot != digest.boot
     if started:
         logs.event("member_joined", member=member.instance, boot=digest.boot)
-    _update_member(member, digest)
+    _update_member(state, member, digest)
     state.reported_fleet_size = max(
         state.reported_fleet_size, digest.fleet_size
     )
@@ -326,7 +330,9 @@
     peer_fetch.fetch_if_behind(gossip.fetches, state, member)
 
 
-def _update_member(member: Member, digest: datagrams.Digest) -> None:
+def _update_member(
+    state: IngressState, member: Member, digest: datagrams.Digest
+) -> None:
     member.boot = digest.boot
     member.datagrams = digest.sender.datagrams
     member.calls = digest.sender.calls
@@ -336,4 +342,6 @@
     member.reaches_none = digest.reaches_none
     member.table_unreachable = digest.table_unreachable
     member.routes_version = digest.routes_version
-    member.targets_version = digest.targets_version
+    member.targets_version = store_eras.peer_version(
+        state, digest.targets_era, digest.targets_version
+    )
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -148,6 +148,11 @@
             ["table"],
             registry=self.registry,
         )
+        self.store_returns = prometheus_client.Counter(
+            "copperloom_store_returns",
+            "Returns of the platform's table service from an older copy.",
+            registry=self.registry,
+        )
         self.owner_queries = prometheus_client.Counter(
             "copperloom_owner_questions",
             "Placement queries to shard owners, by result.",
--- a/copperloom/ingress/quarantine_rows.py
+++ b/copperloom/ingress/quarantine_rows.py
@@ -33,14 +33,18 @@
     """Loads the quarantines, then saves their changes, until cancelled."""
     await _load(state)
     saved: dict[bytes, catalog.QuarantineRow] = {}
+    era = state.store.era
     while True:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_REWRITE_S):
                 await state.quarantine_changed.wait()
         is_rewrite = not state.quarantine_changed.is_set()
+        # The table may have returned from a copy without these rows.
+        is_rewrite |= era != state.store.era
         state.quarantine_changed.clear()
         try:
             await _save(state, {} if is_rewrite else saved, saved)
+            era = state.store.era
         except exception.CopperloomError as error:
             logs.event("quarantine_unsaved", code=error.code, error=str(error))
             state.quarantine_changed.set()
--- a/copperloom/ingress/registration.py
+++ b/copperloom/ingress/registration.py
@@ -46,6 +46,7 @@
     state = protocol.state
     await _contact_seeds(protocol)
     is_registered = False
+    era = None
     failures = 0
     empty_rounds = 0
     while True:
@@ -59,9 +60,13 @@
             if not is_registered and _needs_row(state):
                 await _write_row(state)
                 is_registered = True
+            era = state.store.era
             failures = 0
             empty_rounds = empty_rounds + 1 if _is_alone(state) else 0
-            await _await_check(state, empty_rounds)
+            await _await_check(state, empty_rounds, era)
+            # The older copy that the table service returned from may not have
+            # the row.
+            is_registered = is_registered and era == state.store.era
         except exception.CopperloomError as error:
             failures += 1
             logs.event("members_unread", code=error.code, failures=failures)
@@ -91,11 +96,19 @@
     return not is_large_fleet(state) or recipients.owns_local_shards(state, now)
 
 
-async def _await_check(state: IngressState, empty_rounds: int) -> None:
+async def _await_check(
+    state: IngressState, empty_rounds: int, era: int | None
+) -> None:
     """Waits for the next check, which comes sooner if the fleet proves large.
 
     An instance may know few members, and of no large fleet, when it begins to
-    wait.
+    wait. It also comes sooner if the table service returns from an older copy,
+    at instances in turn.
+
+    Args:
+        state: The instance's state.
+        empty_rounds: Number of checks in a row that found no live member.
+        era: Era of the table service in which the row was written.
     """
     loop = asyncio.get_running_loop()
     begun_at = loop.time()
@@ -103,7 +116,7 @@
     while True:
         end = begun_at + spread * _check_delay_s(state, empty_rounds)
         left_s = end - loop.time()
-        if left_s <= 0.0:
+        if left_s <= 0.0 or state.store.era != era:
             return
         await asyncio.sleep(min(left_s, _OWNERSHIP_CHECK_S))
 
--- a/copperloom/ingress/scrape.py
+++ b/copperloom/ingress/scrape.py
@@ -95,6 +95,12 @@
         "Time since that version was applied.",
         labels=["of"],
     )
+    era = core.GaugeMetricFamily(
+        "copperloom_version_era",
+        "Era of the platform's table service to which the version belongs.",
+        labels=["of"],
+    )
+    era.add_metric(["targets"], status["targets"]["era"])
     for name in ("routes", "targets"):
         version.add_metric([name], status[name]["version"])
         if status[name]["age_s"] is not None:
@@ -107,7 +113,7 @@
     for service, counts in status["targets"]["by_service"].items():
         for condition, count in counts.items():
             targets.add_metric([service, condition], count)
-    return version, age, targets
+    return version, era, age, targets
 
 
 def _members(state: IngressState, now: float):
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -8,7 +8,7 @@
 import secrets
 from collections.abc import Callable
 
-from copperloom import routing
+from copperloom import routing, versions
 from copperloom.decisions import (
     answer_limits,
     backoff,
@@ -141,7 +141,7 @@
         self.routes_raw = b""
         self.routes_packed = b""
         self.targets = registry.Registry(own.drain_s)
-        self.targets_packed = (0, b"")
+        self.targets_packed = (versions.NONE, b"")
         self.targets_at = float("-inf")
         self.target_rows = rowlog.RowLog()
         self.unreachable_tables: set[str] = set()
--- a/copperloom/ingress/table_watch.py
+++ b/copperloom/ingress/table_watch.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 
-from copperloom import exception, logs
+from copperloom import exception, logs, versions
 from copperloom.decisions import registry, rowlog
 from copperloom.ingress import evacuations, startup, updates, watchers
 from copperloom.ingress.state import (
@@ -63,8 +63,9 @@
 
 
 async def _watch(state: IngressState, table: str, apply) -> None:
-    version: int | None = None
+    version: versions.Version | None = None
     failures = 0
+    rereads = 0
     await _wait_for_peers(state)
     is_due = not state.routing_known.is_set()
     while True:
@@ -79,17 +80,26 @@
                 feed = await store.feed(state.store, table, version, wait_s)
                 _check_not_older(table, feed, version)
                 apply(state, feed, whole=False)
-            version = max(version or 0, feed.version)
+            version = max(version or versions.NONE, feed.version)
+            rereads = 0
             if feed.rows:
                 await asyncio.sleep(_BATCH_S)
             if failures:
                 logs.event("store_regained", table=table, version=version)
             failures = 0
             state.unreachable_tables.discard(table)
-        except exception.HistoryGoneError:
-            logs.event("store_history_gone", table=table, version=version)
+        except exception.HistoryGoneError as error:
+            logs.event(
+                "store_history_gone",
+                table=table,
+                version=version,
+                error=str(error),
+            )
             version = None
             is_due = True
+            # At once unless that did not help.
+            await asyncio.sleep(_backoff(state, rereads) if rereads else 0.0)
+            rereads += 1
         except exception.CopperloomError as error:
             failures += 1
             _record_outage(state, table, error, failures)
@@ -97,11 +107,14 @@
             await asyncio.sleep(_backoff(state, failures))
 
 
-def _check_not_older(table: str, feed: store.Feed, version: int) -> None:
+def _check_not_older(
+    table: str, feed: store.Feed, version: versions.Version
+) -> None:
     """Checks that the operators' table is no older copy of what was read.
 
-    Its later versions would be below the known one, so that an evacuation in
-    them would never be seen.
+    A table service that names no era may return from one. Its later versions
+    would be below the known one, so that an evacuation in them would never be
+    seen.
 
     Raises:
         copperloom.exception.HistoryGoneError: The whole table has to be read.
@@ -195,7 +208,7 @@
     evacuations.apply_rows(
         state,
         catalog.evacuation_rows(feed),
-        feed.version if whole else None,
+        feed.version.number if whole else None,
     )
     row = catalog.routes_row(feed)
     if row is not None:
@@ -211,7 +224,8 @@
     # The version is that of the newest row, not of the table service, so that
     # instances with the same rows have the same version, and none fetches from
     # another in vain.
-    newest = max((row.version for row in feed.rows), default=0)
+    start = versions.Version(feed.version.era)
+    newest = max((row.version for row in feed.rows), default=start)
     newest = max(newest, state.targets.version)
     rows = [rowlog.Row(r.key, r.version, _content(r)) for r in feed.rows]
     updates.apply_targets(state, rows, newest, whole=whole, source="store")
--- a/copperloom/ingress/tests/fixtures.py
+++ b/copperloom/ingress/tests/fixtures.py
@@ -238,6 +238,7 @@
     engines: int = 2,
     plain: int = 2,
     fronts: int = 1,
+    era: int | None = 1,
 ) -> System:
     """Starts a system; returns it once its instances are ready."""
     # The stack traces that debug mode records of all callbacks take as much
@@ -245,6 +246,7 @@
     asyncio.get_running_loop().set_debug(False)
     store = await store_standin.serve()
     case.addAsyncCleanup(store.close)
+    store.era = era
     session = aiohttp.ClientSession(auto_decompress=False)
     case.addAsyncCleanup(session.close)
     system = System(case, store, session, {}, [])
--- a/copperloom/ingress/tests/test_evacuations.py
+++ b/copperloom/ingress/tests/test_evacuations.py
@@ -260,7 +260,9 @@
         short_wait = mock.patch.object(table_watch, "FEED_WAIT_S", 0.3)
         short_wait.start()
         self.addCleanup(short_wait.stop)
-        system = await start_system(self, engines=0, plain=1, fronts=1)
+        system = await start_system(
+            self, engines=0, plain=1, fronts=1, era=None
+        )
         state = system.fronts[0].entry
         system.store.version += 100
         system.store.put("op", _ROW, {})
--- a/copperloom/ingress/tests/test_peer_fetch.py
+++ b/copperloom/ingress/tests/test_peer_fetch.py
@@ -5,11 +5,15 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from copperloom.decisions import health
 from copperloom.ingress import datagrams, gossip, peer_fetch
 from copperloom.ingress.state import IngressState, Member
 from copperloom.ingress.tests import fixtures
 from copperloom.peers import catalog
+from copperloom.platform import store
+from copperloom.versions import Version
 
 
 def _state() -> IngressState:
@@ -69,6 +73,47 @@
         self.assertEqual(health.penalty(reported, now), 0.0)
 
 
+class EraTest(unittest.IsolatedAsyncioTestCase):
+    async def test_peer_that_knows_no_eras_is_followed(self):
+        """Guards against followers of an earlier release's watchers."""
+        state = _state()
+        state.targets.version = Version(3, 7)
+        protocol = gossip.Gossip(state, "127.0.0.1:9")
+        protocol.transport = mock.Mock()
+        digest = _digest(sequence=1, penalties={})
+        digest.targets_version = 8
+        fields = msgspec.msgpack.decode(datagrams.encode(digest))
+        earlier = datagrams.decode(msgspec.msgpack.encode(fields[:24]))
+        gossip._apply_digest(protocol, earlier)
+        member = state.members["front-2"]
+        self.assertEqual(member.targets_version, Version(3, 8))
+        self.assertTrue(peer_fetch._is_ahead(state, member))
+        self.assertIsNone(state.store.era)
+
+    async def test_peer_of_an_earlier_era_is_not_ahead(self):
+        """Guards against old registrations that a peer brings back."""
+        state = _state()
+        state.targets.version = Version(2, 7)
+        member = _member(state, 0)
+        member.targets_version = Version(1, 90)
+        self.assertFalse(peer_fetch._is_ahead(state, member))
+        member.targets_version = Version(3, 1)
+        self.assertTrue(peer_fetch._is_ahead(state, member))
+
+    async def test_digest_names_the_era_to_peers(self):
+        """Guards against a return that only some instances hear of."""
+        state = _state()
+        returns = []
+        state.store.on_return = returns.append
+        store.note_era(state.store, 1)
+        protocol = gossip.Gossip(state, "127.0.0.1:9")
+        protocol.transport = mock.Mock()
+        digest = _digest(sequence=1, penalties={})
+        digest.store_era = 2
+        gossip._apply_digest(protocol, digest)
+        self.assertEqual((state.store.era, returns), (2, [1]))
+
+
 def _digest(sequence: int, penalties: dict[str, float]) -> datagrams.Digest:
     return datagrams.Digest(
         sender=datagrams.Announcement("front-2", "127.0.0.1:9", "", "a", 1.0),
--- a/copperloom/ingress/tests/test_spill_places.py
+++ b/copperloom/ingress/tests/test_spill_places.py
@@ -14,6 +14,7 @@
 )
 from copperloom.ingress import local_placement, state
 from copperloom.ingress.tests import fixtures
+from copperloom.versions import Version
 
 _NOW = 100.0
 
@@ -27,7 +28,9 @@
         for dc in "abc"
         for n in range(shards.MIN_SHARD_TARGETS)
     ]
-    registry.update(own.targets, [(e.name, e) for e in entries], 1, _NOW)
+    registry.update(
+        own.targets, [(e.name, e) for e in entries], Version(0, 1), _NOW
+    )
     for entry in entries:
         work = inflight.Work(entry.name, 0.1, True, 1, 0.0, _NOW)
         inflight_table.begin(own.inflight, entry.name, [work])
--- a/copperloom/ingress/updates.py
+++ b/copperloom/ingress/updates.py
@@ -5,7 +5,7 @@
 
 import asyncio
 
-from copperloom import logs
+from copperloom import logs, versions
 from copperloom.decisions import (
     drain_notices,
     inflight_table,
@@ -69,7 +69,7 @@
 def apply_targets(
     state: IngressState,
     rows: list[rowlog.Row],
-    version: int,
+    version: versions.Version,
     *,
     whole: bool,
     source: str,
@@ -84,7 +84,7 @@
         source: Where they come from, for the log.
     """
     now = asyncio.get_running_loop().time()
-    is_first = not state.targets.version
+    is_first = not state.targets.version.number
     touched = [r.key for r in rows]
     if whole:
         touched = [*{*touched, *state.targets.entries}]
--- a/copperloom/ingress/views.py
+++ b/copperloom/ingress/views.py
@@ -42,10 +42,12 @@
             "count": len(state.table.routes),
         },
         "targets": {
-            "version": state.targets.version,
+            "version": state.targets.version.number,
+            "era": state.targets.version.era,
             "age_s": _age(now, state.targets_at),
             "by_service": _by_service(state, now),
         },
+        "store_era": state.store.era,
         "lost_tables": sorted(state.unreachable_tables),
         "repeats_left": {
             service: budget.left(state.budget, service, now, sharing)
@@ -93,7 +95,7 @@
                 "data_centre": m.data_centre,
                 "heard_s": _age(now, m.last_received_at),
                 "routes_version": m.routes_version,
-                "targets_version": m.targets_version,
+                "targets_version": str(m.targets_version),
                 "leaving": m.draining,
                 "store_lost": m.table_unreachable,
             }
--- a/copperloom/peers/catalog.py
+++ b/copperloom/peers/catalog.py
@@ -13,9 +13,9 @@
 import grpclib.server
 import msgspec
 
-from copperloom import logs
+from copperloom import logs, versions
 from copperloom.decisions import fetch_policy, rowlog
-from copperloom.ingress import announcements, updates
+from copperloom.ingress import announcements, store_eras, updates
 from copperloom.ingress.state import IngressState
 from copperloom.peers import client, peers_grpc, peers_pb2
 from copperloom.platform import catalog
@@ -41,9 +41,16 @@
     alternatives: tuple[str, ...] = ()
 
 
+class _WireRow(msgspec.Struct):
+    key: str
+    version: int
+    value: bytes | None
+
+
 class _Targets(msgspec.Struct):
+    # All rows have the era of the version that they are sent with.
     whole: bool
-    rows: list[rowlog.Row]
+    rows: list[_WireRow]
 
 
 class _Catalog(peers_grpc.CatalogBase):
@@ -61,17 +68,19 @@
 def _reply(state: IngressState, request) -> peers_pb2.CatalogReply:
     reply = peers_pb2.CatalogReply(
         routes_version=state.table.version,
-        targets_version=state.targets.version,
+        targets_version=state.targets.version.number,
+        targets_era=state.targets.version.era,
     )
     if request.wants_members:
         reply.members = msgspec.json.encode(_member_rows(state))
     # Targets first: draining targets must soon get no more requests.
-    if request.targets_version < state.targets.version:
-        packed = _packed_targets(state, request.targets_version)
+    known = _targets_version(state, request)
+    if known < state.targets.version:
+        packed = _packed_targets(state, known)
         reply.targets = _if_capacity(state, packed)
     if request.routes_version < state.table.version:
         reply.routes = _if_capacity(state, _packed_routes(state))
-    if not _is_complete(reply, request):
+    if not _is_complete(state, reply, request):
         alternatives = fetch_policy.alternatives(
             state.uplink, request.address, state.rng
         )
@@ -88,10 +97,17 @@
     )
 
 
-def _is_complete(reply, request) -> bool:
+def _targets_version(state: IngressState, message) -> versions.Version:
+    """Returns the version of the targets that a request or a reply names."""
+    has_era = message.HasField("targets_era")
+    era = message.targets_era if has_era else None
+    return store_eras.peer_version(state, era, message.targets_version)
+
+
+def _is_complete(state: IngressState, reply, request) -> bool:
     """Returns whether a reply holds all newer data of its sender."""
-    has_targets = (
-        reply.targets or reply.targets_version <= request.targets_version
+    has_targets = reply.targets or (
+        _targets_version(state, reply) <= _targets_version(state, request)
     )
     has_routes = reply.routes or reply.routes_version <= request.routes_version
     return bool(has_targets and has_routes)
@@ -114,7 +130,7 @@
     return state.routes_packed
 
 
-def _packed_targets(state: IngressState, after: int) -> bytes:
+def _packed_targets(state: IngressState, after: versions.Version) -> bytes:
     """Compresses the registrations that changed after a version.
 
     The compressed whole table is cached for instances that start at the same
@@ -126,7 +142,8 @@
         if cached_version == version:
             return packed
     changed = rowlog.since(state.target_rows, after)
-    targets = _Targets(changed.whole, list(changed.rows))
+    rows = [_WireRow(r.key, r.version.number, r.value) for r in changed.rows]
+    targets = _Targets(changed.whole, rows)
     packed = zlib.compress(msgspec.msgpack.encode(targets), _COMPRESSION_LEVEL)
     if changed.whole:
         state.targets_packed = (version, packed)
@@ -162,7 +179,8 @@
     """
     request = peers_pb2.CatalogRequest(
         routes_version=state.table.version,
-        targets_version=state.targets.version,
+        targets_version=state.targets.version.number,
+        targets_era=state.targets.version.era,
         wants_members=not state.members,
         address=state.settings.peers_listen,
     )
@@ -174,13 +192,15 @@
         timeout_s=_CALL_TIMEOUT_S,
         stub=peers_grpc.CatalogStub,
     )
-    if reply.targets and reply.targets_version > state.targets.version:
-        _apply_targets(state, reply, address)
+    version = _targets_version(state, reply)
+    if reply.targets and version > state.targets.version:
+        _apply_targets(state, reply.targets, version, address)
     if reply.routes:
         _apply_routes(state, reply.routes, address)
     if reply.members:
         _add_members(state, reply.members)
-    return Fetched(_is_complete(reply, request), tuple(reply.sources))
+    is_complete = _is_complete(state, reply, request)
+    return Fetched(is_complete, tuple(reply.sources))
 
 
 def _apply_routes(state: IngressState, packed: bytes, address: str) -> None:
@@ -193,18 +213,28 @@
         state.routes_packed = packed
 
 
-def _apply_targets(state: IngressState, reply, address: str) -> None:
+def _apply_targets(
+    state: IngressState, packed: bytes, version: versions.Version, address: str
+) -> None:
     try:
-        targets = msgspec.msgpack.decode(
-            zlib.decompress(reply.targets), type=_Targets
-        )
+        targets = msgspec.msgpack.decode(zlib.decompress(packed), type=_Targets)
     except (zlib.error, msgspec.MsgspecError) as error:
         logs.event("peer_unreadable", peer=address, error=str(error))
         return
+    if not targets.whole and version.era != state.targets.version.era:
+        logs.event("peer_era_differs", peer=address, version=version)
+        return
     updates.apply_targets(
         state,
-        targets.rows,
-        reply.targets_version,
+        [
+            rowlog.Row(
+                row.key,
+                versions.Version(version.era, row.version),
+                row.value,
+            )
+            for row in targets.rows
+        ],
+        version,
         whole=targets.whole,
         source=address,
     )
--- a/copperloom/platform/catalog.py
+++ b/copperloom/platform/catalog.py
@@ -106,7 +106,7 @@
     return [
         EvacuationRow(
             data_centre=row.key.removeprefix(_EVACUATION_PREFIX),
-            version=row.version,
+            version=row.version.number,
             active=not row.removed,
         )
         for row in feed.rows
--- a/copperloom/platform/standins/store.py
+++ b/copperloom/platform/standins/store.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-__all__ = ["StoreStandin", "serve"]
+__all__ = ["Copy", "StoreStandin", "serve"]
 
 _MAX_ROWS = 500
 
@@ -18,12 +18,27 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """A copy of all rows.
+
+    Attributes:
+        rows: Rows by table and key.
+        version: Version of the last transaction in it.
+    """
+
+    rows: dict[str, dict[str, _Row]]
+    version: int
+
+
 class StoreStandin:
     """The rows of the service and the faults that a test injects.
 
     Attributes:
         rows: Rows by table and key; value None marks a removed row.
         version: Version of the last transaction.
+        era: Number of its returns from a copy, named in all answers; None for
+            a service that names none.
         history_from: Version before which changes are no longer available.
         down: Status returned to every call; None to serve calls.
         rejected_callers: Addresses of callers that receive status 503.
@@ -41,6 +56,7 @@
     def __init__(self):
         self.rows: dict[str, dict[str, _Row]] = {}
         self.version = 0
+        self.era: int | None = 1
         self.history_from = 0
         self.down: int | None = None
         self.rejected_callers: set[str] = set()
@@ -70,6 +86,31 @@
         self.history_from = self.version
         self._notify()
 
+    def copy(self) -> "Copy":
+        """Returns a copy of the rows and their version."""
+        rows = {name: dict(table) for name, table in self.rows.items()}
+        return Copy(rows, self.version)
+
+    def leave(self) -> None:
+        """Goes away: open feeds and new calls are refused."""
+        self.down = 503
+        self._notify()
+
+    def return_from(self, backup: "Copy", *, ends_feeds: bool = True) -> None:
+        """Returns from a copy, in the next era.
+
+        Args:
+            backup: The copy.
+            ends_feeds: Whether open feeds see the return at once.
+        """
+        self.rows = {name: dict(table) for name, table in backup.rows.items()}
+        self.version = backup.version
+        self.history_from = min(self.history_from, backup.version)
+        self.era += 1
+        self.down = None
+        if ends_feeds:
+            self._notify()
+
     async def close(self) -> None:
         """Stops the service."""
         await self.runner.cleanup()
@@ -88,7 +129,7 @@
 async def serve(host: str = "127.0.0.1", port: int = 0) -> StoreStandin:
     """Starts a table service."""
     store = StoreStandin()
-    app = web.Application(middlewares=[_faults(store)])
+    app = web.Application(middlewares=[_name_era(store), _faults(store)])
     app.add_routes(
         [
             web.get("/copperloom/rows-get", _bind(store, _get)),
@@ -104,6 +145,17 @@
     return store
 
 
+def _name_era(store: StoreStandin):
+    @web.middleware
+    async def middleware(request, handler):
+        response = await handler(request)
+        if store.era is not None:
+            response.headers["Store-Era"] = str(store.era)
+        return response
+
+    return middleware
+
+
 def _faults(store: StoreStandin):
     @web.middleware
     async def middleware(request, handler):
@@ -148,7 +200,8 @@
     end = asyncio.get_running_loop().time()
     end += int(request.query["wait_ms"]) / 1000
     while True:
-        if after < store.history_from:
+        is_unknown = store.era is not None and after > store.version
+        if after < store.history_from or is_unknown:
             return web.Response(status=410)
         if request.remote in store.rejected_callers or store.down is not None:
             return web.Response(status=503)
--- a/copperloom/platform/store.py
+++ b/copperloom/platform/store.py
@@ -4,19 +4,25 @@
 from a single counter over all tables. Errors distinguish whether a write may
 have taken effect: only a connection that was never established, status 429 or
 503, or a failed condition proves that it did not.
+
+The service may return from an older copy of its rows. Its answers name the era,
+which rises each time; a late answer of an earlier era is rejected, since what
+it says may be undone.
 """
 
+import asyncio
 import base64
 import binascii
 import collections
 import dataclasses
 import urllib.parse
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
 import yarl
 
-from copperloom import exception
+from copperloom import exception, logs, versions
 from copperloom.utils import bounded_read, sockets
 
 __all__ = [
@@ -25,6 +31,7 @@
     "StoredRow",
     "close",
     "feed",
+    "note_era",
     "put_row",
     "read_all",
     "remove_row",
@@ -34,6 +41,8 @@
 _GONE = 410
 _FAILED_CONDITION = 412
 _REFUSED = (429, 503)
+_ERA_HEADER = "Store-Era"
+_MAX_ERA_DIGITS = 15
 # Short, because an unreachable service doesn't reject connections but leaves
 # them unanswered.
 _CONNECT_S = 0.5
@@ -58,7 +67,7 @@
 
     key: str
     value: bytes | None
-    version: int
+    version: versions.Version
     removed: bool = False
 
 
@@ -72,7 +81,7 @@
     """
 
     rows: tuple[StoredRow, ...]
-    version: int
+    version: versions.Version
 
 
 class _WireRow(msgspec.Struct):
@@ -91,16 +100,29 @@
 _ROWS = msgspec.json.Decoder(_WireRows)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: bytes
+    era: int
+
+
 class Store:
     """The connection to the platform's table service.
 
     Attributes:
         address: IP:port; may be changed at any time.
+        era: Highest era that an answer or a peer has named; None if none has.
+        era_changed: Set when the era rises, and then replaced.
+        on_return: Called with the former era when the era rises.
         calls: Number of calls by name and result: a status, or "lost".
     """
 
     def __init__(self, address: str):
         self.address = address
+        self.era: int | None = None
+        self.era_changed = asyncio.Event()
+        self.on_return: Callable[[int], None] = _ignore
         self.calls: collections.Counter = collections.Counter()
         self.session: aiohttp.ClientSession | None = None
 
@@ -118,6 +140,26 @@
         return self.session
 
 
+def _ignore(before: int) -> None:
+    """Replaces `on_return` until it is set."""
+
+
+def note_era(store: Store, era: int) -> None:
+    """Records an era that an answer or a peer has named.
+
+    A rise from a known era is a return of the service from an older copy.
+    """
+    before = store.era
+    if before is not None and era <= before:
+        return
+    store.era = era
+    if before is None:
+        return
+    store.era_changed.set()
+    store.era_changed = asyncio.Event()
+    store.on_return(before)
+
+
 async def close(store: Store) -> None:
     """Closes the connections of a client."""
     if store.session is not None:
@@ -125,24 +167,35 @@
 
 
 async def read_all(store: Store, table: str) -> Feed:
-    """Reads a whole table, page by page."""
+    """Reads a whole table, page by page.
+
+    Raises:
+        copperloom.exception.HistoryGoneError: The service has returned from an
+            older copy between two pages.
+        copperloom.exception.PlatformDownError: A call failed.
+    """
     rows: list[StoredRow] = []
     start = ""
-    version = 0
+    version = versions.NONE
     while True:
         query = {"table": table, "part": ""}
         if start:
             query["from"] = start
-        page = await _get(store, "rows-get", query, _CALL_S)
-        version = version or page.ver
-        rows.extend(_row(r) for r in page.rows)
+        page, era = await _get(store, "rows-get", query, _CALL_S)
+        if not start:
+            version = versions.Version(era, page.ver)
+        elif era != version.era:
+            raise exception.HistoryGoneError(f"{table}: pages of two eras")
+        rows.extend(_row(r, era) for r in page.rows)
         if not page.has_more or not page.rows:
             return Feed(tuple(rows), version)
         # The smallest key greater than the last one.
         start = page.rows[-1].key + "\0"
 
 
-async def feed(store: Store, table: str, after: int, wait_s: float) -> Feed:
+async def feed(
+    store: Store, table: str, after: versions.Version, wait_s: float
+) -> Feed:
     """Waits for changes to a table after a version.
 
     Args:
@@ -153,12 +206,40 @@
             seconds.
 
     Raises:
-        copperloom.exception.HistoryGoneError: The changes are no longer kept.
+        copperloom.exception.HistoryGoneError: The changes are no longer kept,
+            or the service has returned from an older copy.
         copperloom.exception.PlatformDownError: The call failed.
     """
-    query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
-    page = await _get(store, "rows-feed", query, wait_s + _FEED_MARGIN_S)
-    return Feed(tuple(_row(r) for r in page.rows), page.ver)
+    _check_era(store, table, after.era)
+    query = {
+        "table": table,
+        "after": after.number,
+        "wait_ms": int(wait_s * 1000),
+    }
+    call = asyncio.ensure_future(
+        _get(store, "rows-feed", query, wait_s + _FEED_MARGIN_S)
+    )
+    returned = asyncio.ensure_future(store.era_changed.wait())
+    try:
+        await asyncio.wait(
+            (call, returned), return_when=asyncio.FIRST_COMPLETED
+        )
+        # Another call may have shown a newer era.
+        _check_era(store, table, after.era)
+        page, era = await call
+    finally:
+        call.cancel()
+        returned.cancel()
+    if era != after.era:
+        raise exception.HistoryGoneError(f"{table}: era {era}")
+    return Feed(
+        tuple(_row(r, era) for r in page.rows), versions.Version(era, page.ver)
+    )
+
+
+def _check_era(store: Store, table: str, era: int) -> None:
+    if store.era is not None and era != store.era:
+        raise exception.HistoryGoneError(f"{table}: era {store.era}")
 
 
 async def put_row(store: Store, table: str, key: str, value: bytes) -> None:
@@ -183,32 +264,44 @@
 async def _write(store: Store, body: dict) -> None:
     raw = msgspec.json.encode(body)
     url = f"http://{store.address}/copperloom/rows-tx"
-    status, _ = await _call(
+    answer = await _call(
         store, "POST", url, raw, _CALL_S, exception.PlatformUnknownError
     )
+    status = answer.status
     if status in _REFUSED or status == _FAILED_CONDITION:
         raise exception.PlatformDownError(f"rows-tx: {status}")
     if status != _OK:
         raise exception.PlatformUnknownError(f"rows-tx: {status}")
+    if _is_outdated(store, answer):
+        raise exception.PlatformUnknownError(f"rows-tx: era {answer.era}")
+
+
+def _is_outdated(store: Store, answer: _Answer) -> bool:
+    return store.era is not None and answer.era < store.era
 
 
-async def _get(store: Store, call: str, query: dict, timeout_s: float):
+async def _get(
+    store: Store, call: str, query: dict, timeout_s: float
+) -> tuple[_WireRows, int]:
+    """Returns the rows of an answer, and its era."""
     text = urllib.parse.urlencode(query)
     url = f"http://{store.address}/copperloom/{call}?{text}"
-    status, raw = await _call(
+    answer = await _call(
         store, "GET", url, None, timeout_s, exception.PlatformDownError
     )
-    if status == _GONE:
+    if answer.status == _GONE:
         raise exception.HistoryGoneError(call)
-    if status != _OK:
-        raise exception.PlatformDownError(f"{call}: {status}")
+    if answer.status != _OK:
+        raise exception.PlatformDownError(f"{call}: {answer.status}")
+    if _is_outdated(store, answer):
+        raise exception.HistoryGoneError(f"{call}: era {answer.era}")
     try:
-        return _ROWS.decode(raw)
+        return _ROWS.decode(answer.body), answer.era
     except msgspec.MsgspecError as error:
         raise exception.PlatformDownError(f"{call}: {error}") from error
 
 
-async def _call(store, method, url, body, timeout_s, unknown_error):
+async def _call(store, method, url, body, timeout_s, unknown_error) -> _Answer:
     """Calls once; raises `unknown_error` if the outcome is unknown."""
     name = url.partition("?")[0].rpartition("/")[2]
     result = "lost"
@@ -222,9 +315,10 @@
             headers=headers,
             timeout=timeout,
         ) as reply:
+            era = _read_era(store, reply.headers.get(_ERA_HEADER))
             raw = await bounded_read.read(reply, _MAX_ANSWER_BYTES)
             result = str(reply.status)
-            return reply.status, raw
+            return _Answer(reply.status, raw, era)
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
@@ -236,11 +330,22 @@
         store.calls[name, result] += 1
 
 
-def _row(raw: _WireRow) -> StoredRow:
+def _read_era(store: Store, text: str | None) -> int:
+    """Returns the era of an answer; that of the earlier ones if it has none."""
+    if text is not None:
+        if text.isascii() and text.isdigit() and len(text) <= _MAX_ERA_DIGITS:
+            note_era(store, int(text))
+            return int(text)
+        logs.event("store_era_unreadable", era=ascii(text[:_MAX_ERA_DIGITS]))
+    return store.era or 0
+
+
+def _row(raw: _WireRow, era: int) -> StoredRow:
     value = None
     if not raw.removed and raw.value is not None:
         try:
             value = base64.b64decode(raw.value, validate=True)
         except (binascii.Error, ValueError):
             value = None
-    return StoredRow(raw.key, value, raw.ver, raw.removed)
+    version = versions.Version(era, raw.ver)
+    return StoredRow(raw.key, value, version, raw.removed)
--- a/copperloom/platform/tests/test_decoding.py
+++ b/copperloom/platform/tests/test_decoding.py
@@ -11,6 +11,7 @@
 from copperloom.ingress import events
 from copperloom.ingress.tests import fixtures
 from copperloom.platform import catalog, decoding, headers, store
+from copperloom.versions import Version
 
 _JSON = st.recursive(
     st.none() | st.booleans() | st.floats() | st.integers() | st.text(),
@@ -152,12 +153,12 @@
 class EvacuationTest(unittest.TestCase):
     def test_rows_of_evacuations_are_told_from_the_routes(self):
         rows = [
-            store.StoredRow("config", b"{}", 3),
-            store.StoredRow("evacuate/a", b"{}", 4),
-            store.StoredRow("evacuate/b", None, 5, removed=True),
-            store.StoredRow("evacuate/", b"\xff", 6),
+            store.StoredRow("config", b"{}", Version(0, 3)),
+            store.StoredRow("evacuate/a", b"{}", Version(0, 4)),
+            store.StoredRow("evacuate/b", None, Version(0, 5), removed=True),
+            store.StoredRow("evacuate/", b"\xff", Version(0, 6)),
         ]
-        found = catalog.evacuation_rows(store.Feed(tuple(rows), 6))
+        found = catalog.evacuation_rows(store.Feed(tuple(rows), Version(0, 6)))
         self.assertEqual(
             found,
             [
--- a/copperloom/platform/tests/test_store.py
+++ b/copperloom/platform/tests/test_store.py
@@ -1,8 +1,9 @@
 """Tests of the client of the table service, including failed calls."""
 
+import asyncio
 import unittest
 
-from copperloom import exception
+from copperloom import exception, versions
 from copperloom.platform import store
 from copperloom.platform.standins import store as store_standin
 
@@ -85,4 +86,79 @@
         service.put("t", "k", b"v")
         service.forget_history()
         with self.assertRaises(exception.HistoryGoneError):
-            await store.feed(client, "t", 0, 0.1)
+            await store.feed(client, "t", versions.NONE, 0.1)
+
+
+class EraTest(unittest.IsolatedAsyncioTestCase):
+    async def test_versions_of_a_later_era_are_higher(self):
+        service, client = await _start(self)
+        service.put("t", "k", b"v")
+        backup = service.copy()
+        service.put("t", "k", b"w")
+        before = await store.read_all(client, "t")
+        service.return_from(backup)
+        after = await store.read_all(client, "t")
+        self.assertLess(after.version.number, before.version.number)
+        self.assertGreater(after.version, before.version)
+        self.assertGreater(after.rows[0].version, before.rows[0].version)
+
+    async def test_service_that_names_no_era_has_era_0(self):
+        service, client = await _start(self)
+        service.era = None
+        version = service.put("t", "k", b"v")
+        found = await store.read_all(client, "t")
+        self.assertEqual(found.version, versions.Version(0, version))
+        self.assertIsNone(client.era)
+
+    async def test_era_of_an_error_ends_a_feed(self):
+        """Guards against a return that only refused calls have shown."""
+        service, client = await _start(self)
+        service.put("t", "k", b"v")
+        version = (await store.read_all(client, "t")).version
+        task = asyncio.ensure_future(store.feed(client, "t", version, 5.0))
+        await asyncio.sleep(0.1)
+        service.down, service.era = 503, 2
+        with self.assertRaises(exception.PlatformDownError):
+            await store.put_row(client, "t", "k", b"w")
+        with self.assertRaises(exception.HistoryGoneError):
+            await asyncio.wait_for(task, 1.0)
+
+    async def test_late_answers_of_an_earlier_era_are_rejected(self):
+        """Guards against an old state that comes back with a late answer."""
+        service, client = await _start(self)
+        service.put("t", "k", b"v")
+        version = (await store.read_all(client, "t")).version
+        store.note_era(client, 2)
+        with self.assertRaises(exception.HistoryGoneError):
+            await store.read_all(client, "t")
+        with self.assertRaises(exception.HistoryGoneError):
+            await store.feed(client, "t", version, 0.1)
+        with self.assertRaises(exception.PlatformUnknownError):
+            await store.put_row(client, "t", "k", b"w")
+
+    async def test_pages_of_two_eras_make_no_table(self):
+        """Guards against a table that never was."""
+        service, client = await _start(self)
+        for number in range(1203):
+            service.put("t", f"k{number:05}", b"v")
+        service.delays_s["t"] = 0.1
+        task = asyncio.ensure_future(store.read_all(client, "t"))
+        await asyncio.sleep(0.15)
+        service.return_from(service.copy())
+        with self.assertRaises(exception.HistoryGoneError):
+            await task
+
+    async def test_unreadable_era_is_ignored(self):
+        service, client = await _start(self)
+        for era in ("-1", "x", "9" * 40, "1.5"):
+            service.era = era
+            found = await store.read_all(client, "t")
+            self.assertEqual(found.version.era, 0)
+
+    async def test_return_is_reported_once(self):
+        _, client = await _start(self)
+        returns = []
+        client.on_return = returns.append
+        for era in (3, 3, 4, 3, 4, 6):
+            store.note_era(client, era)
+        self.assertEqual(returns, [3, 4])
