Evacuations: reports ordered by era, and kept while operators write them again

Cause: the end of an earlier evacuation (version 10) was kept against the row that was written after the drill (version 9, given out again). The row was read: the log has the whole read, so the feed isn't at fault.

Change: reports have a versions.Version, in digests too (a field appended; a peer without it is taken to be of the own era). An evacuation in force that the copy lacks ends only 2 s after the return was noticed; one that the copy brings back is in force.

--- a/copperloom/decisions/evacuation.py
+++ b/copperloom/decisions/evacuation.py
@@ -5,11 +5,16 @@
 operators' row says that it gets nothing new, also at instances that can't read
 that row. Each row has the version of the transaction that wrote or removed it.
 The higher version wins, so reports may come late, often, and in any order.
+
+The table may return from an older copy. An evacuation that it lacks then stays
+in force for a time in which operators write its row again.
 """
 
 import dataclasses
+import math
 from collections.abc import Container, Iterable
 
+from copperloom import versions
 from copperloom.decisions import sharing
 from copperloom.decisions.sharing import Occasion, Sharing
 
@@ -18,6 +23,7 @@
     "Evacuations",
     "Report",
     "active",
+    "end_lapsed",
     "is_name",
     "record",
     "record_whole",
@@ -43,7 +49,7 @@
     """
 
     data_centre: str
-    version: int
+    version: versions.Version
     active: bool
 
 
@@ -83,10 +89,13 @@
         known: The latest report and when it was passed on, by data centre.
             Ends of evacuations stay known, so that an older copy of the table
             can't bring an evacuation back.
+        lapsing: Ends of evacuations that an older copy lacks, and the monotonic
+            time at which they count, by data centre.
     """
 
     def __init__(self):
         self.known: dict[str, _Known] = {}
+        self.lapsing: dict[str, tuple[Report, float]] = {}
 
 
 def is_name(text: str) -> bool:
@@ -157,21 +166,25 @@
 def record_whole(
     evacuations: Evacuations,
     reports: Iterable[Report],
-    version: int,
+    version: versions.Version,
     now: float,
     *,
+    lapse_at: float = -math.inf,
     with_targets: Container[str] = (),
 ) -> list[Change]:
     """Records all rows of the table as of a version.
 
     An evacuation whose row is missing has ended, unless its row is newer than
-    the table that was read.
+    the table that was read. If its row is of an earlier era, it ends later (see
+    `end_lapsed`).
 
     Args:
         evacuations: What is known.
         reports: What the rows say.
         version: Version of the table.
         now: Monotonic time.
+        lapse_at: Monotonic time until which operators may write rows of an
+            earlier era again.
         with_targets: Data centres that have targets.
 
     Returns:
@@ -179,11 +192,14 @@
     """
     reports = list(reports)
     present = {report.data_centre for report in reports}
-    ended = [
-        Report(name, version, False)
-        for name in active(evacuations)
-        if name not in present
-    ]
+    ended = []
+    for name in active(evacuations) - present:
+        end = Report(name, version, False)
+        era = evacuations.known[name].report.version.era
+        if era < version.era and now < lapse_at:
+            evacuations.lapsing[name] = end, lapse_at
+        else:
+            ended.append(end)
     return record(
         evacuations,
         [*reports, *ended],
@@ -193,6 +209,22 @@
     )
 
 
+def end_lapsed(evacuations: Evacuations, now: float) -> list[Change]:
+    """Ends evacuations whose rows were not written again in time.
+
+    Args:
+        evacuations: What is known.
+        now: Monotonic time.
+
+    Returns:
+        What has changed.
+    """
+    ends = [end for end, at in evacuations.lapsing.values() if at <= now]
+    for end in ends:
+        del evacuations.lapsing[end.data_centre]
+    return record(evacuations, ends, now, forwards=True)
+
+
 def to_share(
     evacuations: Evacuations, now: float, occasion: Occasion
 ) -> list[Report]:
--- a/copperloom/ingress/evacuations.py
+++ b/copperloom/ingress/evacuations.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 
-from copperloom import logs
+from copperloom import logs, versions
 from copperloom.decisions import evacuation, registry
 from copperloom.decisions.sharing import Occasion
 from copperloom.ingress import cold_targets, wire_knowledge
@@ -19,7 +19,7 @@
 def apply_rows(
     state: IngressState,
     rows: Iterable[catalog.EvacuationRow],
-    whole_version: int | None,
+    whole_version: versions.Version | None,
 ) -> None:
     """Applies rows of the operators' table.
 
@@ -45,8 +45,30 @@
             reports,
             whole_version,
             now,
+            lapse_at=state.targets.outage_at + registry.LAPSE_S,
             with_targets=with_targets,
         )
+        _schedule_lapse(state)
+    _adopt(state, changes, now, _STORE)
+    if changes:
+        state.digest_due.set()
+
+
+def _schedule_lapse(state: IngressState) -> None:
+    """Has evacuations end whose rows an older copy of the table lacks."""
+    for name, (_, lapse_at) in state.evacuations.lapsing.items():
+        logs.event(
+            "evacuation_missing",
+            data_centre=name,
+            version=state.evacuations.known[name].report.version,
+        )
+        loop = asyncio.get_running_loop()
+        loop.call_at(lapse_at, _end_lapsed, state)
+
+
+def _end_lapsed(state: IngressState) -> None:
+    now = asyncio.get_running_loop().time()
+    changes = evacuation.end_lapsed(state.evacuations, now)
     _adopt(state, changes, now, _STORE)
     if changes:
         state.digest_due.set()
@@ -93,7 +115,10 @@
     """
     changes = evacuation.record(
         state.evacuations,
-        map(wire_knowledge.decode_evacuation, wires),
+        [
+            wire_knowledge.decode_evacuation(wire, state.store.era or 0)
+            for wire in wires
+        ],
         now,
         forwards=forwards,
         with_targets=_data_centres(state),
--- a/copperloom/ingress/table_watch.py
+++ b/copperloom/ingress/table_watch.py
@@ -208,7 +208,7 @@
     evacuations.apply_rows(
         state,
         catalog.evacuation_rows(feed),
-        feed.version.number if whole else None,
+        feed.version if whole else None,
     )
     row = catalog.routes_row(feed)
     if row is not None:
--- a/copperloom/ingress/tests/test_evacuations.py
+++ b/copperloom/ingress/tests/test_evacuations.py
@@ -8,8 +8,10 @@
 from copperloom.decisions import registry, shards
 from copperloom.ingress import evacuations, placement_rpc, sender, table_watch
 from copperloom.ingress.tests import fixtures, fleets
+from copperloom.platform import catalog
 from copperloom.platform.standins import crashes
 from copperloom.platform.standins.target import Fault
+from copperloom.versions import Version
 
 _ROW = "evacuate/b"
 # Time from the row to the last arrival; the platform allows 5 s.
@@ -255,6 +257,60 @@
         self.assertEqual(service.entry.targets.evacuated, {"b"})
         self.assertEqual(arrivals(system, 0.0), [])
 
+    async def test_row_written_again_after_a_return_counts(self):
+        """Guards against an evacuation that seems older than an earlier end."""
+        system = await start_system(self, engines=0, plain=2, fronts=9)
+        backup = system.store.copy()
+        system.store.put("op", "evacuate/a", {})
+        await fixtures.until(lambda: evacuated(system, "a"))
+        system.store.remove("op", "evacuate/a")
+        await fixtures.until(lambda: evacuated(system))
+        system.store.leave()
+        await asyncio.sleep(0.5)
+        system.store.return_from(backup)
+        await fixtures.call_often(system, "/read/x", 0.5, 0.05)
+        at = asyncio.get_running_loop().time()
+        system.store.put("op", "evacuate/a", {})
+        answers = await fixtures.call_often(system, "/read/x", 2.0, 0.05)
+        self.assertEqual({a.status for a in answers}, {200})
+        late = [
+            name
+            for name in ("plain-0", "plain-1")
+            for arrived_at, _ in system.targets[name].arrivals
+            if arrived_at > at + _BOUND_S
+        ]
+        self.assertEqual(late, [])
+        self.assertTrue(evacuated(system, "a"))
+
+    async def test_row_that_the_copy_lacks_stays_in_force_for_a_time(self):
+        """Guards against requests before operators write the row again."""
+        system = await start_system(self, engines=0, plain=2, fronts=3)
+        backup = system.store.copy()
+        system.store.put("op", _ROW, {})
+        system.store.put("op", "evacuate/c", {})
+        await fixtures.until(lambda: evacuated(system, "b", "c"))
+        since = asyncio.get_running_loop().time()
+        system.store.return_from(backup)
+        await fixtures.call_often(system, "/read/x", 0.7, 0.05)
+        self.assertTrue(evacuated(system, "b", "c"))
+        system.store.put("op", _ROW, {})
+        await fixtures.call_often(system, "/read/x", 2.5, 0.05)
+        self.assertTrue(evacuated(system, "b"))
+        self.assertEqual(arrivals(system, since), [])
+
+    async def test_row_that_the_copy_brings_back_counts(self):
+        """Guards against requests that the returned table forbids."""
+        system = await start_system(self, engines=0, plain=2, fronts=3)
+        system.store.put("op", _ROW, {})
+        await fixtures.until(lambda: evacuated(system, "b"))
+        backup = system.store.copy()
+        system.store.remove("op", _ROW)
+        await fixtures.until(lambda: evacuated(system))
+        system.store.return_from(backup)
+        await fixtures.until(lambda: evacuated(system, "b"))
+        system.store.remove("op", _ROW)
+        await fixtures.until(lambda: evacuated(system))
+
     async def test_table_from_an_older_copy_changes_nothing(self):
         """Guards against a table that came back without the row."""
         short_wait = mock.patch.object(table_watch, "FEED_WAIT_S", 0.3)
@@ -273,12 +329,13 @@
         await fixtures.until(lambda: system.store.pages["op"] > reads)
         system.store.put("op", "evacuate/c", {})
         await fixtures.until(lambda: evacuated(system, "b", "c"))
-        self.assertLess(state.evacuations.known["c"].report.version, 100)
+        version = state.evacuations.known["c"].report.version
+        self.assertLess(version, Version(0, 100))
         self.assertEqual((await fixtures.call(system, "/write/x")).status, 200)
 
 
-def _row(name: str, version: int) -> evacuations.catalog.EvacuationRow:
-    return evacuations.catalog.EvacuationRow(name, version, True)
+def _row(name: str, version: int) -> catalog.EvacuationRow:
+    return catalog.EvacuationRow(name, Version(1, version), True)
 
 
 class LargeFleetTest(unittest.IsolatedAsyncioTestCase):
--- a/copperloom/ingress/views.py
+++ b/copperloom/ingress/views.py
@@ -81,7 +81,7 @@
             if until > now
         },
         "evacuated": {
-            name: known.report.version
+            name: str(known.report.version)
             for name, known in state.evacuations.known.items()
             if known.report.active
         },
--- a/copperloom/ingress/wire_knowledge.py
+++ b/copperloom/ingress/wire_knowledge.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from copperloom import versions
 from copperloom.decisions import (
     cold_start,
     crash_log,
@@ -65,13 +66,15 @@
 
     Attributes:
         data_centre: Name of the data centre.
-        version: Version of the operators' row or of its removal.
+        version: Number of the version of the operators' row or of its removal.
         active: Whether the data centre is evacuated.
+        era: Era of the version; None from an instance that knows no eras.
     """
 
     data_centre: str
     version: int
     active: bool
+    era: int | None = None
 
 
 class WireCold(msgspec.Struct, array_like=True):
@@ -148,12 +151,22 @@
 
 def encode_evacuation(report: evacuation.Report) -> WireEvacuation:
     """Encodes what is known about a data centre."""
-    return WireEvacuation(report.data_centre, report.version, report.active)
+    version = report.version
+    return WireEvacuation(
+        report.data_centre, version.number, report.active, version.era
+    )
+
 
+def decode_evacuation(wire: WireEvacuation, era: int) -> evacuation.Report:
+    """Decodes what a peer knows about a data centre.
 
-def decode_evacuation(wire: WireEvacuation) -> evacuation.Report:
-    """Decodes what a peer knows about a data centre."""
-    return evacuation.Report(wire.data_centre, wire.version, wire.active)
+    Args:
+        wire: What the peer has sent.
+        era: Era that is assumed if the peer names none.
+    """
+    era = era if wire.era is None else wire.era
+    version = versions.Version(era, wire.version)
+    return evacuation.Report(wire.data_centre, version, wire.active)
 
 
 def encode_cold(target: str, report: cold_start.Report) -> WireCold:
--- a/copperloom/platform/catalog.py
+++ b/copperloom/platform/catalog.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from copperloom import versions
 from copperloom.platform import store
 
 __all__ = [
@@ -73,7 +74,7 @@
     """
 
     data_centre: str
-    version: int
+    version: versions.Version
     active: bool
 
 
@@ -106,7 +107,7 @@
     return [
         EvacuationRow(
             data_centre=row.key.removeprefix(_EVACUATION_PREFIX),
-            version=row.version.number,
+            version=row.version,
             active=not row.removed,
         )
         for row in feed.rows
--- a/copperloom/platform/tests/test_decoding.py
+++ b/copperloom/platform/tests/test_decoding.py
@@ -162,9 +162,9 @@
         self.assertEqual(
             found,
             [
-                catalog.EvacuationRow("a", 4, True),
-                catalog.EvacuationRow("b", 5, False),
-                catalog.EvacuationRow("", 6, True),
+                catalog.EvacuationRow("a", Version(0, 4), True),
+                catalog.EvacuationRow("b", Version(0, 5), False),
+                catalog.EvacuationRow("", Version(0, 6), True),
             ],
         )
 
