Watchers: others take over before silent ones count as gone

Cause: a follower judged the watchers by the time after which a member counts as gone for all purposes (3 s), and read nothing before.

Change: decisions/handover. Followers take over, in rank, if fewer than two watchers were heard within two intervals of their messages. Silence counts only while the own loop has been on time, so an instance that was frozen waits for messages. In a large fleet, members that nothing is known of get 0.1 s each to go first, and a substitute says so to all members that it knows.

--- a/copperloom/ingress/gossip.py
+++ b/copperloom/ingress/gossip.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from copperloom import logs, versions
-from copperloom.decisions import health, inflight_table, members
+from copperloom.decisions import handover, health, inflight_table, members
 from copperloom.decisions.sharing import Occasion
 from copperloom.ingress import (
     announcements,
@@ -30,6 +30,7 @@
     placement_rpc,
     recipients,
     store_eras,
+    watchers,
 )
 from copperloom.ingress.state import (
     IngressState,
@@ -54,9 +55,6 @@
 # placement before the engine's next iteration, and most of them are sent along
 # with the next added work.
 MINOR_CHANGE_DELAY_S = 0.05
-HEARTBEAT_S = 0.5
-# In a large fleet the heartbeats of idle instances dominate the traffic.
-LARGE_FLEET_HEARTBEAT_S = 1.0
 # An instance without routes or targets sends digests to the owners to get their
 # versions; they may not listen yet when the first one comes.
 START_HEARTBEAT_S = 0.15
@@ -75,6 +73,8 @@
         fetches: Fetches newer routes and targets from peers.
         minor_change: Timer of the digest for minor changes, if one is due.
         broadcast_versions: Versions of routes and targets broadcast last.
+        broadcast_role: Whether the latest broadcast said that this instance
+            has taken over the watch of the tables.
         broadcast_quarantines: Number of changes of quarantines at the latest
             broadcast.
         reported_at: Monotonic time at which new members and the utilisation of
@@ -88,6 +88,7 @@
         self.fetches = peer_fetch.PeerFetch()
         self.minor_change: asyncio.TimerHandle | None = None
         self.broadcast_versions = (0, versions.NONE)
+        self.broadcast_role = False
         self.broadcast_quarantines = 0
         self.reported_at = float("-inf")
 
@@ -141,6 +142,7 @@
     state = gossip.state
     state.inflight.on_change = functools.partial(_schedule_digest, gossip)
     while True:
+        handover.tick(state.attention, loop.time(), watchers.heartbeat_s(state))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_heartbeat_s(state)):
                 await state.digest_due.wait()
@@ -152,7 +154,7 @@
 def _heartbeat_s(state: IngressState) -> float:
     if not state.routing_known.is_set():
         return START_HEARTBEAT_S
-    return LARGE_FLEET_HEARTBEAT_S if is_large_fleet(state) else HEARTBEAT_S
+    return watchers.heartbeat_s(state)
 
 
 def _schedule_digest(gossip: Gossip, added: bool) -> None:
@@ -181,7 +183,8 @@
         busy = local_placement.busy_by_service(state, now)
     data = digests.encode(state, now, announced, busy=busy)
     _send(gossip, data, receivers, now)
-    if _has_new_versions(gossip) or _has_new_quarantine(gossip, now):
+    is_new = _has_new_versions(gossip) or _has_new_role(gossip)
+    if is_new or _has_new_quarantine(gossip, now):
         _broadcast(gossip, data, receivers, now)
 
 
@@ -197,6 +200,17 @@
     return is_new
 
 
+def _has_new_role(gossip: Gossip) -> bool:
+    """Returns whether this instance has taken over the watch of the tables.
+
+    The instances ranked after it would take over as well.
+    """
+    takes_over = gossip.state.substitutes_watcher
+    is_new = takes_over and not gossip.broadcast_role
+    gossip.broadcast_role = takes_over
+    return is_new
+
+
 def _has_new_quarantine(gossip: Gossip, now: float) -> bool:
     """Returns whether owners should broadcast a quarantine, and records it.
 
--- a/copperloom/ingress/recipients.py
+++ b/copperloom/ingress/recipients.py
@@ -52,9 +52,15 @@
 def for_broadcast(state: IngressState, now: float) -> list[Member]:
     """Lists the members that new versions are broadcast to.
 
-    In a small fleet these are none, since all members get each digest.
+    In a small fleet these are none, since all members get each digest. An
+    instance that has taken over the watch of the tables may not have heard of
+    those that rely on it.
     """
-    return members.live(state.members, now) if is_large_fleet(state) else []
+    if not is_large_fleet(state):
+        return []
+    if state.substitutes_watcher:
+        return list(state.members.values())
+    return members.live(state.members, now)
 
 
 def local_members(state: IngressState) -> list[Member]:
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -17,6 +17,7 @@
     crash_log,
     evacuation,
     fetch_policy,
+    handover,
     health,
     hedging,
     inflight_table,
@@ -67,6 +68,9 @@
         target_rows: The registrations as rows of the platform's table.
         unreachable_tables: Names of the tables whose last read failed.
         read_tables_now: Set when the tables should be read without delay.
+        attention: Since when the loop of this instance runs without a break.
+        substitutes_watcher: Whether it watches the tables in place of others
+            that rank before it.
         inflight: Work in progress at the targets, of all instances.
         digest_due: Set when a digest should be sent to peers at once.
         sequence: Sequence number of the last digest sent.
@@ -146,6 +150,8 @@
         self.target_rows = rowlog.RowLog()
         self.unreachable_tables: set[str] = set()
         self.read_tables_now = asyncio.Event()
+        self.attention = handover.Attention()
+        self.substitutes_watcher = False
         self.inflight = inflight_table.InflightTable()
         self.digest_due = asyncio.Event()
         self.sequence = 0
--- a/copperloom/ingress/table_watch.py
+++ b/copperloom/ingress/table_watch.py
@@ -169,7 +169,9 @@
     scale = max(1.0, (len(state.members) + 1) / POLL_BASE_FLEET)
     poll_at = loop.time() + POLL_S * scale * jitter
     while loop.time() < poll_at:
-        if watchers.is_watcher(state, loop.time()):
+        role = watchers.role(state, loop.time())
+        watchers.adopt(state, role)
+        if role.is_watcher:
             return FEED_WAIT_S * jitter
         if await _read_requested(state):
             break
