Soak: the table service returns from older copies

Beside the other faults, drawn apart from them, so that the schedules of earlier seeds stay as they are. At the end a route is added under a number that is given out again, and each undisturbed instance has to know it within 3 s.

--- a/bench/frontsoak/main.py
+++ b/bench/frontsoak/main.py
@@ -2,6 +2,7 @@
 
 Usage:
   frontsoak [--schedules=N] [--seed=N] [--seconds=S] [--fronts=N] [--targets=N]
+            [--returns=N]
 
 Options:
   --schedules N  How many schedules to play [default: 10].
@@ -10,6 +11,7 @@
   --seconds S    Length of each [default: 8].
   --fronts N     Instances [default: 3].
   --targets N    Targets of each service [default: 3].
+  --returns N    Returns of the table service from an older copy [default: 0].
 
 The table service and the targets run in this process, on loopback and behind
 proxies, and record every run of a request. Callers keep their connections while
@@ -26,7 +28,15 @@
 import aiohttp
 import docopt
 
-from bench.frontsoak import callers, checks, faults, findings, processes, world
+from bench.frontsoak import (
+    callers,
+    checks,
+    faults,
+    findings,
+    processes,
+    returns,
+    world,
+)
 
 __all__ = ["main", "play"]
 
@@ -64,13 +74,18 @@
             restart_tasks = [
                 asyncio.ensure_future(processes.keep(f)) for f in run.fronts
             ]
-            await faults.inject_faults(run)
+            await asyncio.gather(
+                faults.inject_faults(run), returns.inject_returns(run, seed)
+            )
+            found = []
+            if sizes.returns:
+                found = await returns.check_configuration(run, session)
             run.stopping = True
             await asyncio.gather(*call_tasks)
             for task in restart_tasks:
                 task.cancel()
             await asyncio.sleep(_SETTLE_S)
-            return checks.check(run)
+            return found + checks.check(run)
         finally:
             await world.close(run)
 
@@ -85,6 +100,7 @@
         targets=int(args["--targets"]),
         callers=fronts * _CALLERS_PER_INSTANCE,
         seconds=float(args["--seconds"]),
+        returns=int(args["--returns"]),
     )
     failed = 0
     for seed in range(first, first + int(args["--schedules"])):
--- a/bench/frontsoak/world.py
+++ b/bench/frontsoak/world.py
@@ -48,6 +48,7 @@
         read_cost_ms: Delay of the first instance's event loop for each request
             that it reads, in milliseconds.
         seconds: Duration, in seconds.
+        returns: How often the table service returns from an older copy.
     """
 
     fronts: int = 3
@@ -55,6 +56,7 @@
     callers: int = 9
     seconds: float = 8.0
     read_cost_ms: float = 0.0
+    returns: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/copperloom/tests/test_frontsoak.py
+++ b/copperloom/tests/test_frontsoak.py
@@ -14,6 +14,8 @@
 # a request has crashed three targets.
 _CRASH_SEEDS = (100, 101)
 _CRASH_SIZES = world.Sizes(seconds=14.0)
+_RETURN_SEED = 9700
+_RETURN_SIZES = world.Sizes(seconds=6.0, returns=2)
 
 
 class FrontSoakTest(unittest.TestCase):
@@ -27,6 +29,14 @@
                 findings = asyncio.run(main.play(seed, _SIZES, folder))
                 self.assertEqual(findings, [])
 
+    def test_table_service_returns_from_copies(self):
+        """Guards against instances that go on with the lost rows."""
+        with tempfile.TemporaryDirectory() as folder:
+            findings = asyncio.run(
+                main.play(_RETURN_SEED, _RETURN_SIZES, folder)
+            )
+            self.assertEqual(findings, [])
+
     def test_requests_that_crash_targets(self):
         """Guards against repeats of such a request beyond the allowed ones."""
         for seed in _CRASH_SEEDS:
