Watchers: the first call after an outage doesn't wait for changes

Cause: feeds were opened again behind a number that had been given out again by then. The service neither refuses such a feed nor has rows for it, and so answers, and names its era, only at the end of the wait (up to 6.25 s). Calls of a start hid it from the test of this class.

Change: after a failed call the next one is answered at once. It shows the era, and costs one call for each table and watcher after an outage.

--- a/copperloom/ingress/table_watch.py
+++ b/copperloom/ingress/table_watch.py
@@ -72,6 +72,10 @@
         try:
             wait_s = 0.0 if is_due else await _next_read(state)
             is_due = False
+            if failures:
+                # The table service may have returned from an older copy, and
+                # names its era only when it answers.
+                wait_s = 0.0
             if version is None:
                 _log_whole_read(state, table)
                 feed = await store.read_all(state.store, table)
--- a/copperloom/ingress/tests/test_store_returns.py
+++ b/copperloom/ingress/tests/test_store_returns.py
@@ -14,6 +14,7 @@
 # Above the largest delay between two tries.
 _AWAY_S = 0.6
 _REWRITE_LIMIT_S = 5.0
+_STARTED_S = 4.0
 
 
 def put_routes(system: fixtures.System, version: int) -> None:
@@ -61,6 +62,23 @@
         put_routes(system, 4)
         await fixtures.until(lambda: have_routes(system, 4), limit_s=_BOUND_S)
 
+    async def test_number_given_out_again_equals_the_known_one(self):
+        """Guards against a feed that waits behind a cursor of an earlier era.
+
+        It is answered, and names the era, only when it ends.
+        """
+        system = await fixtures.start_system(self, plain=1, fronts=3)
+        # The calls of a start would show the era.
+        await asyncio.sleep(_STARTED_S)
+        backup = system.store.copy()
+        for version in (2, 3):
+            put_routes(system, version)
+            await fixtures.until(lambda v=version: have_routes(system, v))
+        await lose_writes(system, backup)
+        put_routes(system, 3)
+        put_routes(system, 4)
+        await fixtures.until(lambda: have_routes(system, 4), limit_s=_BOUND_S)
+
     async def test_feed_that_stays_open_across_two_returns(self):
         """Guards against a feed that doesn't see the copy under it."""
         system = await fixtures.start_system(self, plain=1, fronts=2)
