Stand-ins: targets take heads and bodies of any size

Cause: the stand-in of a target refused fields over 8 kB, heads of more than 128 fields and bodies over 1 MiB, which the operators' limits may allow; a test at the edge of these limits would test the stand-in. Change: its HTTP server is started with bounds far above any such limit.

--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import time
 from collections.abc import Callable
 
@@ -20,6 +21,8 @@
 ]
 
 _SHUTDOWN_S = 0.1
+# More than any limit on what callers send.
+_MAX_HEAD_BYTES = 10_000_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -176,11 +179,16 @@
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             return await _handle(self, request)
 
+        loop = asyncio.get_running_loop()
         server = web.Server(
             handle,
             access_log=None,
             handler_cancellation=True,
             auto_decompress=False,
+            request_factory=functools.partial(_make_request, loop),
+            max_line_size=_MAX_HEAD_BYTES,
+            max_field_size=_MAX_HEAD_BYTES,
+            max_headers=_MAX_HEAD_BYTES,
         )
         self.runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_S)
         await self.runner.setup()
@@ -205,6 +213,11 @@
     return target
 
 
+def _make_request(loop, *parts) -> web.BaseRequest:
+    """Returns a request whose body may have any size."""
+    return web.BaseRequest(*parts, loop, client_max_size=0)
+
+
 async def _handle(target, request) -> web.StreamResponse:
     body = await request.read()
     if request.method == "GET" and request.path in wire.CHECK_PATHS:
