--- a/copperloom/tests/run.py
+++ b/copperloom/tests/run.py
@@ -24,10 +24,11 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 # They compare durations of a few milliseconds, or rates of targets and callers,
-# which other tests change.
+# which other tests change, or fill what one process may take.
 _ALONE = (
     "copperloom.ingress.tests.test_admit",
     "copperloom.ingress.tests.test_cold_targets",
+    "copperloom.ingress.tests.test_crowds",
     "copperloom.ingress.tests.test_fair_queueing",
     "copperloom.ingress.tests.test_placement_rpc",
     "copperloom.ingress.tests.test_prompt_parts",
