Framing: one count of bytes that belong to no body

Cause: bytes beside a body were counted only in answers of targets, by a function that belongs to them; requests need the same count with other bounds. Change: decisions/framing.py counts the excess over what the body accounts for, with a bound and a limited credit; the sender counts answers with it. The bound of answers is unchanged, and its test checks the same figures through it.

--- a/copperloom/decisions/answer_limits.py
+++ b/copperloom/decisions/answer_limits.py
@@ -10,13 +10,15 @@
 import dataclasses
 from collections.abc import Callable
 
+from copperloom.decisions import framing
+
 __all__ = [
+    "FRAMING",
     "Body",
     "BodyMemory",
     "Pace",
     "add_bytes",
     "end_body",
-    "is_framing_too_long",
     "max_body_bytes",
     "max_stream_bytes",
     "pause_s",
@@ -30,8 +32,7 @@
 # Bytes of an answer beside its body: heads, chunk sizes, chunk extensions and
 # trailers. Each chunk has at least 5 such bytes, and parsing it takes as long
 # as some hundred bytes of a body.
-MAX_FRAMING_BYTES = 262_144
-_FRAMING_SHARE = 0.5
+FRAMING = framing.Bound(max_bytes=262_144, per_body_byte=0.5)
 MAX_EVENT_BYTES = 524_288
 # An event with the probabilities of alternative tokens has some kilobytes.
 _TOKEN_BYTES = 4096
@@ -63,11 +64,6 @@
     return _STREAM_BASE_BYTES + max_tokens * _TOKEN_BYTES
 
 
-def is_framing_too_long(framing_bytes: int, body_bytes: int) -> bool:
-    """Returns whether an answer has too many bytes beside its body."""
-    return framing_bytes > MAX_FRAMING_BYTES + body_bytes * _FRAMING_SHARE
-
-
 def _ignore() -> None:
     """Does nothing; the default of `Body.on_end`."""
 
--- a/copperloom/decisions/tests/test_answer_limits.py
+++ b/copperloom/decisions/tests/test_answer_limits.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from copperloom.decisions import answer_limits
+from copperloom.decisions import answer_limits, framing
 
 _MEMORY_BYTES = 152_000_000.0
 _MEGABYTE = 1_000_000
@@ -55,6 +55,12 @@
         self.assertEqual(_fill(memory, bodies, 60_000, 1), [])
 
 
+def _is_framing_too_long(framing_bytes: int, body_bytes: int) -> bool:
+    counted = framing.Framing()
+    bound = answer_limits.FRAMING
+    return framing.add(counted, bound, framing_bytes, body_bytes)
+
+
 class BoundTest(unittest.TestCase):
     def test_bounds_follow_memory_and_tokens(self):
         """Guards against a bound that small instances cannot hold."""
@@ -66,11 +72,9 @@
 
     def test_small_chunks_are_bounded_before_the_body(self):
         """Guards against chunks of one byte that take the event loop."""
-        self.assertTrue(answer_limits.is_framing_too_long(600_000, 120_000))
-        self.assertFalse(answer_limits.is_framing_too_long(100_000, 16_000))
-        self.assertFalse(
-            answer_limits.is_framing_too_long(1_500_000, 16 * _MEGABYTE)
-        )
+        self.assertTrue(_is_framing_too_long(600_000, 120_000))
+        self.assertFalse(_is_framing_too_long(100_000, 16_000))
+        self.assertFalse(_is_framing_too_long(1_500_000, 16 * _MEGABYTE))
 
 
 class PaceTest(unittest.TestCase):
--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -20,7 +20,7 @@
 from aiohttp import client_proto, http_exceptions, streams
 
 from copperloom import exception
-from copperloom.decisions import answer_limits
+from copperloom.decisions import answer_limits, framing
 from copperloom.utils import sockets
 
 __all__ = ["Reply", "Sender", "close", "is_listening", "send"]
@@ -50,7 +50,8 @@
     def __init__(self, **kwargs):
         super().__init__(**kwargs)
         self.reset: BaseException | None = None
-        self.received_bytes = 0
+        self.framing = framing.Framing()
+        self.framing_bytes = 0
         self.body: streams.StreamReader | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -69,23 +70,28 @@
         self._parse(data)
 
     def _parse(self, data: bytes) -> None:
-        self.received_bytes += len(data)
+        known_bytes = self._body_bytes()
         super().data_received(data)
         if self._payload not in (None, streams.EMPTY_PAYLOAD):
             self.body = self._payload
-        body_bytes = self.body.total_bytes if self.body is not None else 0
-        framing_bytes = self.received_bytes - body_bytes
-        if answer_limits.is_framing_too_long(framing_bytes, body_bytes):
-            self._end_too_long(framing_bytes)
-
-    def _end_too_long(self, framing_bytes: int) -> None:
+        body_bytes = self._body_bytes() - known_bytes
+        framing_bytes = len(data) - body_bytes
+        self.framing_bytes += framing_bytes
+        if framing.add(
+            self.framing, answer_limits.FRAMING, framing_bytes, body_bytes
+        ):
+            self._end_too_long()
+
+    def _body_bytes(self) -> int:
+        return self.body.total_bytes if self.body is not None else 0
+
+    def _end_too_long(self) -> None:
         place = "head" if self.body is None else "chunks"
-        bound = answer_limits.MAX_FRAMING_BYTES
         error = exception.AnswerTooLongError(
-            f"{place} of the answer have {framing_bytes} bytes",
+            f"{place} of the answer have {self.framing_bytes} bytes",
             place=place,
-            size=framing_bytes,
-            bound=bound,
+            size=self.framing_bytes,
+            bound=answer_limits.FRAMING.max_bytes,
         )
         self.abort()
         self.set_exception(error)
