Intake: requests of callers are received within bounds

What callers saw: clients outside the limits made an instance grow until it was ended (2,212 MB by fields of 60 kB, 787 MB by a method without end, 480 MB by trailers, 152 allowed), or took all descriptors, so that ordinary callers got closed connections. A proper head of more than 128 fields got 400.

Cause: the limits for heads and times of the operators' document were never read; the HTTP library bounds a line and a number of lines, not a head; all that has arrived is parsed in one iteration, and a short field takes a hundred times its bytes; memory was checked only when a connection was opened; refusals were logged with what was sent; nothing displaced silent connections.

Change: bytes are kept as they came until a head is complete (decoded limit), bodies are parsed in small parts, in turns; what all connections hold is counted, and requests that are still being received, without progress first, are refused (3016) when a quarter of the memory is full; heads (2011) and silence (2012) are bounded; a new connection displaces the one that is silent for longest; listeners for readiness checks and metrics use the same. What a parse error says is neither answered nor logged.

Why it works: memory is counted before it is taken, and an iteration of the event loop takes a thirty-second part of it before handlers run; only requests that have run nowhere are ended, so that a refusal is true.

--- a/copperloom/decisions/load_shedding.py
+++ b/copperloom/decisions/load_shedding.py
@@ -36,21 +36,21 @@
         standing_s: Time for which some have waited without interruption.
         is_shedding: Whether connections are being shed.
         pace_s: Time between two connections that are read, in seconds.
-        descriptors_left: Descriptors that may still be opened.
-        body_bytes_left: Memory that bodies may still take, in bytes.
+        has_descriptor: Whether another connection may be open.
+        bytes_left: Memory that requests may still take, in bytes.
     """
 
     pending: int
     standing_s: float
     is_shedding: bool
     pace_s: float
-    descriptors_left: int
-    body_bytes_left: int
+    has_descriptor: bool
+    bytes_left: int
 
 
 def accepts(load: Load) -> bool:
     """Returns whether a new connection will be read soon enough."""
-    if load.descriptors_left <= 0 or load.body_bytes_left <= 0:
+    if not load.has_descriptor or load.bytes_left <= 0:
         return False
     limit_s = MAX_WAIT_S
     if load.is_shedding:
--- a/copperloom/decisions/tests/test_load_shedding.py
+++ b/copperloom/decisions/tests/test_load_shedding.py
@@ -9,8 +9,8 @@
     standing_s=0.0,
     is_shedding=False,
     pace_s=0.0,
-    descriptors_left=100,
-    body_bytes_left=100,
+    has_descriptor=True,
+    bytes_left=100,
 )
 
 
@@ -47,8 +47,8 @@
 
     def test_descriptors_and_memory_are_kept_for_requests_in_progress(self):
         """Guards against accepting until nothing more can be opened."""
-        self.assertFalse(_accepts(descriptors_left=0))
-        self.assertFalse(_accepts(body_bytes_left=-1))
+        self.assertFalse(_accepts(has_descriptor=False))
+        self.assertFalse(_accepts(bytes_left=-1))
 
     def test_pace_follows_the_latest_samples(self):
         pace_s = 0.0
--- a/copperloom/exception.py
+++ b/copperloom/exception.py
@@ -17,12 +17,14 @@
     "CopperloomError",
     "DataCentreEvacuatedError",
     "DrainingError",
+    "HeadTooLargeError",
     "HeaderOutOfRangeError",
     "HistoryGoneError",
     "KeyConflictError",
     "KeyInUseError",
     "LimitExceededError",
     "MalformedRequestError",
+    "MemoryFullError",
     "NoTargetError",
     "NoTargetInRegionError",
     "NotAuthorisedError",
@@ -35,6 +37,7 @@
     "PromptTooLargeError",
     "RateLimitedError",
     "RequestQuarantinedError",
+    "RequestTimeoutError",
     "Run",
     "SettingsError",
     "ShareExceededError",
@@ -168,6 +171,20 @@
     run = Run.MAY_HAVE_RUN
 
 
+class HeadTooLargeError(CopperloomError):
+    """The request's head, or its chunk lines and trailers, are too large."""
+
+    code = 2011
+    status = 431
+
+
+class RequestTimeoutError(CopperloomError):
+    """The request was not received in time."""
+
+    code = 2012
+    status = 408
+
+
 class OverloadedError(CopperloomError):
     """The predicted wait is longer than the request's time limit."""
 
@@ -288,6 +305,13 @@
     retry_after_s = 1.0
 
 
+class MemoryFullError(CopperloomError):
+    """The instance has no memory left for the request."""
+
+    code = 3016
+    status = 503
+
+
 class TargetUnreachableError(CopperloomError):
     """The target accepted no connection, so nothing was sent.
 
--- a/copperloom/ingress/admit.py
+++ b/copperloom/ingress/admit.py
@@ -126,6 +126,7 @@
         await ex.http.writer.write(_CONTINUE)
     chunks = []
     size = 0
+    chunk = b""
     async for chunk in ex.http.content.iter_any():
         size += len(chunk)
         if size > max_bytes:
@@ -133,6 +134,8 @@
                 f"request body exceeds the limit of {max_bytes} bytes"
             )
         chunks.append(chunk)
-        exchange.count_body(ex, len(chunk))
     ex.body = b"".join(chunks)
+    # This frame lives as long as the request.
+    chunks.clear()
+    del chunk
     await nxt(ex)
--- a/copperloom/ingress/connection_gate.py
+++ b/copperloom/ingress/connection_gate.py
@@ -8,23 +8,16 @@
 import asyncio
 import collections
 import dataclasses
-import resource
-
-from aiohttp import web
+from collections.abc import Callable
 
 from copperloom import logs
 from copperloom.decisions import load_shedding
 from copperloom.ingress.state import IngressState
+from copperloom.intake import connection, descriptors, pool
 
 __all__ = ["Gate", "close"]
 
 _LOG_INTERVAL_S = 1.0
-# Descriptors for files, and share of the others that callers' connections may
-# leave open; requests to targets and peers need the rest.
-_RESERVED_DESCRIPTORS = 200
-_DESCRIPTOR_SHARE = 0.8
-# Share of the memory that bodies of requests in progress may take.
-_BODY_SHARE = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,7 +31,7 @@
 
     Attributes:
         state: The instance's state.
-        server: aiohttp's server, which gets the admitted connections.
+        factory: Makes the protocols of admitted connections.
         pending: Connections that wait to be read, the oldest first.
         standing_since: Monotonic time since which some wait; None if none do.
         admitted_at: Monotonic time of the latest admission; None once its work
@@ -46,21 +39,21 @@
         pace_s: Time between two admissions, in seconds, if any is waiting.
         shed: Number of connections closed unread since the latest log line.
         next_line: Timer of the next one; None if it has no connections.
-        max_descriptors: Descriptors that may be open.
-        max_body_bytes: Memory that bodies may take, in bytes.
     """
 
-    def __init__(self, state: IngressState, server: web.Server):
+    def __init__(
+        self,
+        state: IngressState,
+        factory: Callable[[], connection.Connection],
+    ):
         self.state = state
-        self.server = server
+        self.factory = factory
         self.pending: collections.deque[_Pending] = collections.deque()
         self.standing_since: float | None = None
         self.admitted_at: float | None = None
         self.pace_s = 0.0
         self.shed = 0
         self.next_line: asyncio.TimerHandle | None = None
-        self.max_descriptors = _max_descriptors(state)
-        self.max_body_bytes = int(state.settings.memory_bytes * _BODY_SHARE)
 
     def __call__(self) -> asyncio.Protocol:
         """Returns the protocol of a new connection."""
@@ -84,23 +77,16 @@
     gate.pending.clear()
 
 
-def _max_descriptors(state: IngressState) -> int:
-    limit = state.settings.max_descriptors
-    if not limit:
-        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return int((limit - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE)
-
-
 def _arrive(gate: Gate, transport: asyncio.Transport, now: float) -> None:
-    # The lowest free number is given to each new descriptor.
-    used = transport.get_extra_info("socket").fileno()
+    own = gate.state.connections
+    has_descriptor = descriptors.admits(own, transport, _max_descriptor(gate))
     load = load_shedding.Load(
         pending=len(gate.pending),
         standing_s=_standing_s(gate, now),
         is_shedding=load_shedding.is_shedding(gate.state.shed_at, now),
         pace_s=gate.pace_s,
-        descriptors_left=gate.max_descriptors - used,
-        body_bytes_left=gate.max_body_bytes - gate.state.body_bytes,
+        has_descriptor=has_descriptor,
+        bytes_left=pool.bytes_left(own),
     )
     if not load_shedding.accepts(load):
         _shed(gate, transport, now)
@@ -111,6 +97,12 @@
         if gate.standing_since is None:
             gate.standing_since = now
         gate.pending.append(_Pending(transport, now))
+        own.has_arrivals = True
+
+
+def _max_descriptor(gate: Gate) -> int:
+    limit = gate.state.settings.max_descriptors
+    return descriptors.max_open(limit, descriptors.CALLERS_SHARE)
 
 
 def _standing_s(gate: Gate, now: float) -> float:
@@ -118,7 +110,7 @@
 
 
 def _admit(gate: Gate, transport: asyncio.Transport, now: float) -> None:
-    handler = gate.server()
+    handler = gate.factory()
     transport.set_protocol(handler)
     handler.connection_made(transport)
     transport.resume_reading()
@@ -142,6 +134,7 @@
             return
         _shed(gate, waiting.transport, now)
     gate.standing_since = None
+    gate.state.connections.has_arrivals = False
 
 
 def _shed(gate: Gate, transport: asyncio.Transport, now: float) -> None:
@@ -160,7 +153,7 @@
         connections=gate.shed,
         pending=len(gate.pending),
         pace_s=round(gate.pace_s, 4),
-        body_bytes=gate.state.body_bytes,
+        held_bytes=gate.state.connections.held_bytes,
         active=gate.state.active,
     )
     gate.shed = 0
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -23,7 +23,6 @@
     "Next",
     "closes_connection",
     "content_digest",
-    "count_body",
     "engine",
     "may_lead",
     "part_digests",
@@ -54,7 +53,6 @@
         priority: Its priority; 0 is the highest.
         data_centres: The data centres whose targets may run it; None for all.
         body: The complete body.
-        body_bytes: Bytes of the body that were received.
         digest: Identity shared with repeats, see `content_digest`; empty until
             it is needed.
         parts: Digests of the parts of its prompt that others may share; None
@@ -119,7 +117,6 @@
         self.priority = 0
         self.data_centres: frozenset[str] | None = None
         self.body = b""
-        self.body_bytes = 0
         self.digest = b""
         self.parts: frozenset[bytes] | None = None
         self.quarantined_as = b""
@@ -158,12 +155,6 @@
         self.is_copied = False
 
 
-def count_body(ex: Exchange, size: int) -> None:
-    """Counts bytes of the body, which take memory until the request ends."""
-    ex.body_bytes += size
-    ex.state.body_bytes += size
-
-
 def content_digest(ex: Exchange) -> bytes:
     """Returns the identity that repeats of the request share.
 
--- a/copperloom/ingress/metrics.py
+++ b/copperloom/ingress/metrics.py
@@ -137,6 +137,12 @@
             ["place"],
             registry=self.registry,
         )
+        self.ended_connections = prometheus_client.Counter(
+            "copperloom_ended_connections",
+            "Connections ended before a request was received, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.shed_connections = prometheus_client.Counter(
             "copperloom_shed_connections",
             "Connections of callers that were closed unread.",
--- a/copperloom/ingress/outcome.py
+++ b/copperloom/ingress/outcome.py
@@ -41,7 +41,6 @@
         code = await _settle(ex, nxt)
     finally:
         state.active -= 1
-        state.body_bytes -= ex.body_bytes
         state.exchanges.discard(ex)
         state.metrics.active.dec()
         _record(ex, code)
--- a/copperloom/ingress/relayed_requests.py
+++ b/copperloom/ingress/relayed_requests.py
@@ -210,7 +210,6 @@
     ex.deadline = now + offer.time_left_ms / _MS
     ex.id = offer.request
     ex.body = body
-    exchange.count_body(ex, len(body))
     ex.last_event = offer.last_event_id
     ex.sent_to = set(offer.sent_to)
     ex.relayed_by = offer.instance
--- a/copperloom/ingress/server.py
+++ b/copperloom/ingress/server.py
@@ -18,10 +18,10 @@
     views,
 )
 from copperloom.ingress.state import IngressState
+from copperloom.intake import connection, descriptors, pool
 
 __all__ = ["Listeners", "close", "close_callers", "is_ready", "listen"]
 
-_MAX_LINE_BYTES = 65_536
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 # Callers of another instance reconnect together when it stops.
@@ -72,13 +72,7 @@
     own = Listeners()
     own.callers = web.Server(
         _caller_handler(state, own.busy),
-        access_log=None,
         handler_cancellation=True,
-        auto_decompress=False,
-        keepalive_timeout=_KEEPALIVE_S,
-        max_line_size=_MAX_LINE_BYTES,
-        max_field_size=_MAX_LINE_BYTES,
-        lingering_time=0,
     )
     addresses = {
         "readiness": (
@@ -89,11 +83,13 @@
     }
     for name, (address, handler) in addresses.items():
         if address:
-            server = web.Server(handler, access_log=None)
-            own.sockets[name] = await _open(address, server)
-    own.gate = connection_gate.Gate(state, own.callers)
+            factory = _factory(
+                state, web.Server(handler), lambda: _max_descriptor(state)
+            )
+            own.sockets[name] = await _open(state, address, factory)
+    own.gate = connection_gate.Gate(state, _factory(state, own.callers))
     own.sockets["callers"] = await _open(
-        state.settings.callers_listen, own.gate, callers
+        state, state.settings.callers_listen, own.gate, callers
     )
     return own
 
@@ -113,12 +109,14 @@
     for _ in range(_READ_ITERATIONS):
         # Lets the requests that have already arrived start.
         await asyncio.sleep(0)
-    for connection in own.callers.connections:
-        if connection in own.busy:
-            connection.close()
-        elif connection.transport is not None:
+    # Their rest would not be read.
+    pool.end_receiving(own.gate.state.connections, pool.loop_time())
+    for opened in own.callers.connections:
+        if opened in own.busy:
+            opened.close()
+        elif opened.transport is not None:
             # aiohttp's close() would leave the connection open but unread.
-            connection.transport.close()
+            opened.transport.close()
 
 
 async def close(own: Listeners) -> None:
@@ -131,32 +129,63 @@
 
 
 async def _open(
+    state: IngressState,
     address: str,
-    server: Callable[[], asyncio.Protocol],
+    factory: Callable[[], asyncio.Protocol],
     listening_socket: socket.socket | None = None,
 ) -> asyncio.Server:
-    loop = asyncio.get_running_loop()
-    if listening_socket is not None:
-        return await loop.create_server(
-            server, sock=listening_socket, backlog=_BACKLOG
-        )
-    host, _, port = address.rpartition(":")
-    return await loop.create_server(
-        server, host, int(port), backlog=_BACKLOG, reuse_address=True
+    if listening_socket is None:
+        host, _, port = address.rpartition(":")
+        listening_socket = socket.create_server((host, int(port)))
+    return await descriptors.listen(
+        factory, listening_socket, _BACKLOG, state.settings.max_descriptors
     )
 
 
+def _factory(
+    state: IngressState,
+    server: web.Server,
+    max_descriptor: Callable[[], int] | None = None,
+) -> Callable[[], connection.Connection]:
+    return connection.make_factory(
+        state.connections,
+        server,
+        _describe_unread,
+        max_descriptor,
+        auto_decompress=False,
+        keepalive_timeout=_KEEPALIVE_S,
+    )
+
+
+def _max_descriptor(state: IngressState) -> int:
+    limit = state.settings.max_descriptors
+    return descriptors.max_open(limit, descriptors.OTHERS_SHARE)
+
+
+def _describe_unread(
+    error: exception.CopperloomError,
+) -> tuple[dict[str, str], bytes]:
+    """Returns headers and body for a request that was not read."""
+    headers = {
+        "Content-Type": "text/plain; charset=utf-8",
+        "Copperloom-Error": str(error.code),
+    }
+    if error.retry_after_s is not None:
+        headers["Retry-After"] = f"{error.retry_after_s:.3f}"
+    return headers, f"{error.code} {error}\n".encode()
+
+
 def _caller_handler(state: IngressState, busy: set):
-    async def handle(http: web.BaseRequest) -> web.StreamResponse:
+    async def handle(req: web.BaseRequest) -> web.StreamResponse:
         now = asyncio.get_running_loop().time()
-        ex = exchange.Exchange(state, http, now)
-        busy.add(http.protocol)
+        ex = exchange.Exchange(state, req, now)
+        busy.add(req.protocol)
         try:
             await chains.run(chain.REQUESTS, ex)
             await _send_response(ex)
         finally:
             long_answers.release(ex)
-            busy.discard(http.protocol)
+            busy.discard(req.protocol)
         return ex.response
 
     return handle
@@ -182,7 +211,7 @@
 
 
 def _readiness_handler(state: IngressState):
-    async def handle(http: web.BaseRequest) -> web.Response:
+    async def handle(req: web.BaseRequest) -> web.Response:
         now = asyncio.get_running_loop().time()
         is_in = is_ready(state) and not reachability_checks.is_withdrawn(
             state, now
@@ -195,12 +224,12 @@
 def _operator_handler(state: IngressState):
     """Serves /metrics, /status and /explain?host=..&path=..&key=..."""
 
-    async def handle(http: web.BaseRequest) -> web.Response:
+    async def handle(req: web.BaseRequest) -> web.Response:
         now = asyncio.get_running_loop().time()
-        if http.path == "/status":
+        if req.path == "/status":
             return _json(views.status(state, now))
-        if http.path == "/explain":
-            arguments = [http.query.get(n, "") for n in ("host", "path", "key")]
+        if req.path == "/explain":
+            arguments = [req.query.get(n, "") for n in ("host", "path", "key")]
             return _json(views.explain(state, *arguments, now))
         return web.Response(
             body=scrape.page(state, now), content_type="text/plain"
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -32,6 +32,7 @@
 )
 from copperloom.decisions.members import Member
 from copperloom.ingress import metrics, sender
+from copperloom.intake import pool
 from copperloom.peers import client
 from copperloom.platform import settings, store
 
@@ -121,7 +122,7 @@
         routing_known: Set once routes and targets are known.
         hold_until: Monotonic time until which requests are held while routes
             and targets are not known yet.
-        body_bytes: Memory that bodies of requests in progress take, in bytes.
+        connections: What the connections of callers, peers and operators hold.
         body_memory: The bodies of plain answers that this instance holds.
         shed_at: Monotonic time at which a connection was last closed unread, as
             there were more than can be served.
@@ -194,7 +195,11 @@
         self.background: set[asyncio.Task] = set()
         self.routing_known = asyncio.Event()
         self.hold_until = float("-inf")
-        self.body_bytes = 0
+        self.connections = pool.Pool(
+            lambda: self.table.limits,
+            lambda: self.settings.memory_bytes,
+            self.metrics.ended_connections,
+        )
         self.body_memory = answer_limits.BodyMemory(own.memory_bytes)
         self.shed_at = float("-inf")
         self.draining = False
--- /dev/null
+++ b/copperloom/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Receives requests within bounds of memory, descriptors and time."""
--- /dev/null
+++ b/copperloom/intake/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of how requests are received."""
--- a/copperloom/platform/decoding.py
+++ b/copperloom/platform/decoding.py
@@ -15,7 +15,9 @@
 __all__ = ["decode_target", "decode_table"]
 
 _DEFAULT_IDLE_MS = 15_000
+_DEFAULT_HEADER_BYTES = 65_536
 _DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+_DEFAULT_HEADER_MS = 15_000
 _MS = 1000.0
 _MILLION = 1_000_000.0
 # Route kinds by their name in the document.
@@ -81,7 +83,9 @@
 
 
 class _Limits(msgspec.Struct):
+    max_header_bytes: int = _DEFAULT_HEADER_BYTES
     max_body_bytes: int = _DEFAULT_BODY_BYTES
+    header_timeout_ms: float = _DEFAULT_HEADER_MS
     idle_timeout_ms: float = _DEFAULT_IDLE_MS
 
 
@@ -131,7 +135,9 @@
     routes = [r for r in (_route(r) for r in doc.routes) if r is not None]
     key_holders = None if doc.tenants is None else _key_holders(doc.tenants)
     limits = routing.RequestLimits(
+        max_header_bytes=doc.limits.max_header_bytes,
         max_body_bytes=doc.limits.max_body_bytes,
+        header_timeout_s=doc.limits.header_timeout_ms / _MS,
         idle_timeout_s=doc.limits.idle_timeout_ms / _MS,
     )
     services = [_service(s) for s in doc.services]
--- a/copperloom/platform/tests/test_decoding.py
+++ b/copperloom/platform/tests/test_decoding.py
@@ -31,6 +31,22 @@
 }
 
 
+class LimitsTest(unittest.TestCase):
+    def test_limits_of_callers_are_decoded(self):
+        """Guards against a limit that the operators set in vain."""
+        document = fixtures.routes() | {
+            "limits": {
+                "max_header_bytes": 9000,
+                "max_body_bytes": 70_000,
+                "header_timeout_ms": 2500,
+                "idle_timeout_ms": 4000,
+            }
+        }
+        table = decoding.decode_table(json.dumps(document).encode())
+        expected = routing.RequestLimits(9000, 70_000, 2.5, 4.0)
+        self.assertEqual(table.limits, expected)
+
+
 class TargetTest(unittest.TestCase):
     def test_valid_row_is_decoded(self):
         entry = decoding.decode_target("t", json.dumps(_VALID).encode())
--- a/copperloom/routing.py
+++ b/copperloom/routing.py
@@ -170,12 +170,18 @@
     """Limits on what callers may send.
 
     Attributes:
+        max_header_bytes: Maximum size of a request's head, and of its chunk
+            lines and trailers beyond what its body needs.
         max_body_bytes: Maximum size of a request body.
-        idle_timeout_s: Time after which an idle keep-alive connection is
-            closed, in seconds.
+        header_timeout_s: Maximum time from the first to the last byte of a
+            head, in seconds.
+        idle_timeout_s: Time without a byte after which a connection is closed
+            that is idle or receives a body, in seconds.
     """
 
+    max_header_bytes: int = 65_536
     max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 15.0
     idle_timeout_s: float = 15.0
 
 
