Intake: calls of peers are received within bounds

What callers saw: an instance grew to 359 MB (152 allowed) by header blocks without end at the listener for peers, and silent connections there took all descriptors, so that no ordinary request was answered.

Cause: the library acknowledges data of a message before it is complete and bounds neither messages, unfinished frames nor what it has to send; connections to this listener were never counted.

Change: intake/calls.py parses in turns, counts what calls hold with all other connections, and bounds messages, unfinished frames and unsent replies. A connection is a peer's once it has begun as one; until then it may be displaced.

--- a/copperloom/peers/catalog.py
+++ b/copperloom/peers/catalog.py
@@ -17,6 +17,7 @@
 from copperloom.decisions import fetch_policy, rowlog
 from copperloom.ingress import announcements, store_eras, updates
 from copperloom.ingress.state import IngressState
+from copperloom.intake import calls
 from copperloom.peers import client, peers_grpc, peers_pb2
 from copperloom.platform import catalog
 
@@ -163,9 +164,12 @@
     host, _, port = address.rpartition(":")
     listener = socket.create_server((host, int(port)))
     listener.setblocking(False)
-    server = grpclib.server.Server([_Catalog(state), *services])
-    await server.start(sock=listener)
-    return server
+    return await calls.serve(
+        [_Catalog(state), *services],
+        listener,
+        state.connections,
+        lambda: state.settings.max_descriptors,
+    )
 
 
 async def fetch(state: IngressState, address: str) -> Fetched:
