--- a/bench/frontsoak/main.py
+++ b/bench/frontsoak/main.py
@@ -2,7 +2,7 @@
 
 Usage:
   frontsoak [--schedules=N] [--seed=N] [--seconds=S] [--fronts=N] [--targets=N]
-            [--returns=N]
+            [--returns=N] [--crowds=N]
 
 Options:
   --schedules N  How many schedules to play [default: 10].
@@ -12,6 +12,7 @@
   --fronts N     Instances [default: 3].
   --targets N    Targets of each service [default: 3].
   --returns N    Returns of the table service from an older copy [default: 0].
+  --crowds N     Crowds of clients that keep to no limit [default: 0].
 
 The table service and the targets run in this process, on loopback and behind
 proxies, and record every run of a request. Callers keep their connections while
@@ -31,6 +32,7 @@
 from bench.frontsoak import (
     callers,
     checks,
+    crowds,
     faults,
     findings,
     processes,
@@ -75,7 +77,9 @@
                 asyncio.ensure_future(processes.keep(f)) for f in run.fronts
             ]
             await asyncio.gather(
-                faults.inject_faults(run), returns.inject_returns(run, seed)
+                faults.inject_faults(run),
+                returns.inject_returns(run, seed),
+                crowds.inject_crowds(run, seed),
             )
             found = []
             if sizes.returns:
@@ -101,6 +105,7 @@
         callers=fronts * _CALLERS_PER_INSTANCE,
         seconds=float(args["--seconds"]),
         returns=int(args["--returns"]),
+        crowds=int(args["--crowds"]),
     )
     failed = 0
     for seed in range(first, first + int(args["--schedules"])):
--- a/bench/frontsoak/world.py
+++ b/bench/frontsoak/world.py
@@ -49,6 +49,7 @@
             that it reads, in milliseconds.
         seconds: Duration, in seconds.
         returns: How often the table service returns from an older copy.
+        crowds: How often a crowd of clients comes that keep to no limit.
     """
 
     fronts: int = 3
@@ -57,6 +58,7 @@
     seconds: float = 8.0
     read_cost_ms: float = 0.0
     returns: int = 0
+    crowds: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/copperloom/tests/test_frontsoak.py
+++ b/copperloom/tests/test_frontsoak.py
@@ -14,6 +14,8 @@
 # a request has crashed three targets.
 _CRASH_SEEDS = (100, 101)
 _CRASH_SIZES = world.Sizes(seconds=14.0)
+_CROWD_SEED = 5400
+_CROWD_SIZES = world.Sizes(seconds=6.0, crowds=3)
 _RETURN_SEED = 9700
 _RETURN_SIZES = world.Sizes(seconds=6.0, returns=2)
 
@@ -37,6 +39,12 @@
             )
             self.assertEqual(findings, [])
 
+    def test_crowds(self):
+        """Guards against clients without limits that break other requests."""
+        with tempfile.TemporaryDirectory() as folder:
+            findings = asyncio.run(main.play(_CROWD_SEED, _CROWD_SIZES, folder))
+            self.assertEqual(findings, [])
+
     def test_requests_that_crash_targets(self):
         """Guards against repeats of such a request beyond the allowed ones."""
         for seed in _CRASH_SEEDS:
