Intake: a connection that waits for its turn is held again

Cause: a connection that waited for its turn and was released, as answers were read, went on to receive; the flag for new connections outlived the gate at a stop (found by reading). Callers refused for want of memory were asked to wait for a second, though others give way at once. Change: it is held whenever it has to wait; the flag is cleared; Retry-After is 0.2 s. A test of an entry's stop under a crowd.

--- a/copperloom/ingress/connection_gate.py
+++ b/copperloom/ingress/connection_gate.py
@@ -75,6 +75,7 @@
     for waiting in gate.pending:
         waiting.transport.abort()
     gate.pending.clear()
+    gate.state.connections.has_arrivals = False
 
 
 def _arrive(gate: Gate, transport: asyncio.Transport, now: float) -> None:
--- a/copperloom/intake/pool.py
+++ b/copperloom/intake/pool.py
@@ -30,7 +30,8 @@
 
 _SWEEP_S = 0.5
 _LOG_INTERVAL_S = 1.0
-_RETRY_S = 1.0
+# Others have given way by then.
+_RETRY_S = 0.2
 _GARBAGE_SHARE = 0.25
 # Time between turns of bodies while new connections wait to be read.
 _BODY_INTERVAL_S = 0.01
@@ -163,9 +164,8 @@
 
 def resume_later(pool: Pool, client: Client) -> None:
     """Lets a connection wait for a turn, unless it does so already."""
-    if client not in pool.waiting:
-        client.hold()
-        pool.waiting[client] = None
+    client.hold()
+    pool.waiting.setdefault(client)
     _schedule_turn(pool)
 
 
--- a/copperloom/tests/test_crowds.py
+++ b/copperloom/tests/test_crowds.py
@@ -3,6 +3,7 @@
 The clients and the bounds are those of `copperloom.ingress.tests.crowds`.
 """
 
+import asyncio
 import pathlib
 import unittest
 
@@ -10,6 +11,10 @@
 from copperloom.standins import crowd
 from copperloom.tests import systems
 
+_CROWD_S = 2.0
+_STOP_S = 60.0
+_POLL_S = 0.05
+
 
 def _request_lines(number: str) -> tuple[str, ...]:
     return (
@@ -66,6 +71,19 @@
         """Guards against silent connections that take all descriptors."""
         await crowds.check(self, _start(self), ("silent", "half_head"))
 
+    async def test_stop_while_a_crowd_stays(self):
+        """Guards against a stop that waits for requests that never end."""
+        crowded = _start(self)
+        kinds = ("announced_body", "half_head", "silent", "slow_body")
+        await crowds.play(self, crowded, kinds)
+        await asyncio.sleep(_CROWD_S)
+        crowded.process.terminate()
+        # Far below the time in which an entry finishes its requests.
+        async with asyncio.timeout(_STOP_S):
+            while crowds.is_running(crowded):
+                await asyncio.sleep(_POLL_S)
+        self.assertEqual(crowded.process.returncode, 0)
+
     async def test_all_kinds(self):
         """Guards against kinds that are only borne one at a time."""
         kinds = tuple(sorted(crowd.KINDS))
