Stand-ins: an endless refusal has not run

Change: such a request is recorded as not run, like the other refusals; every check of repeats stays as strict, for requests that ran. The test of endless refusals checks it now.

--- a/copperloom/ingress/tests/test_long_answers.py
+++ b/copperloom/ingress/tests/test_long_answers.py
@@ -86,6 +86,7 @@
         answer = await fixtures.call(system, "/write/x")
         self.assertEqual(answer.status, 503)
         await _until_closed(system)
+        self.assertEqual(system.targets["plain-0"].runs, [])
 
     async def test_repeatable_request_is_served_by_another_target(self):
         """Guards against a failure that ends a request that may be repeated."""
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -252,7 +252,7 @@
         raw_path=request.raw_path,
         headers=dict(request.headers),
         body=body,
-        ran=not refused,
+        ran=not refused and fault is not Fault.ENDLESS_REFUSAL,
         at=asyncio.get_running_loop().time(),
         retry_after=target.retry_after,
         draining=target.draining,
