Crowds: seven more kinds; short requests have their turn first

Whole heads of the maximum size, a field name and a chunk without end, answers that nobody reads, callers that end or leave in the middle of a body, and connections that are only opened. The check also sees that a crowd did not end by itself: one whose kind was unknown passed.

Cause: heads were parsed before bodies however long they were. Requests of more than 4 kB that wait now have their turn after short ones, and one turn in 10 ms while new connections wait.

--- a/copperloom/ingress/tests/crowds.py
+++ b/copperloom/ingress/tests/crowds.py
@@ -372,6 +372,7 @@
         process = await play(case, crowded, kinds, listener, **plan)
         await asyncio.sleep(_CROWD_S)
         during = await ask(crowded)
+        case.assertIsNone(process.returncode, "the crowd ended by itself")
         await stop(process)
         after = await ask(crowded)
     case.assertTrue(is_running(crowded), "the instance ended")
--- a/copperloom/ingress/tests/test_crowds.py
+++ b/copperloom/ingress/tests/test_crowds.py
@@ -137,6 +137,34 @@
         """Guards against heads that come a byte at a time."""
         await crowds.check_crowd(self, "slow_head")
 
+    async def test_whole_heads(self):
+        """Guards against whole heads that take more memory than their bytes."""
+        await crowds.check_crowd(self, "whole_heads")
+
+    async def test_field_name(self):
+        """Guards against the name of a field without end."""
+        await crowds.check_crowd(self, "field_name")
+
+    async def test_huge_chunk(self):
+        """Guards against a chunk far over the limit of a body."""
+        await crowds.check_crowd(self, "huge_chunk")
+
+    async def test_unread_errors(self):
+        """Guards against answers that pile up as nobody reads them."""
+        await crowds.check_crowd(self, "unread_errors")
+
+    async def test_half_closed(self):
+        """Guards against callers that end in the middle of a body."""
+        await crowds.check_crowd(self, "half_closed")
+
+    async def test_aborted(self):
+        """Guards against callers that leave just short of the end."""
+        await crowds.check_crowd(self, "aborted")
+
+    async def test_opened_only(self):
+        """Guards against connections that are closed as soon as opened."""
+        await crowds.check_crowd(self, "opened_only")
+
     async def test_all_kinds(self):
         """Guards against kinds that are only borne one at a time."""
         await crowds.check_crowd(self, *sorted(crowd.KINDS), clients=300)
--- a/copperloom/intake/pool.py
+++ b/copperloom/intake/pool.py
@@ -33,14 +33,16 @@
 # Others have given way by then.
 _RETRY_S = 0.2
 _GARBAGE_SHARE = 0.25
-# Time between turns of bodies while new connections wait to be read.
-_BODY_INTERVAL_S = 0.01
+# Time between turns of long requests while new connections wait to be read.
+_LONG_INTERVAL_S = 0.01
+_SHORT_BYTES = 4096
 
 
 class Client(Protocol):
     """A connection whose bytes are parsed in turns."""
 
     intake: intake.Intake
+    raw: bytearray
 
     def advance(self, now: float) -> None:
         """Parses what was received, while it is the turn of the connection."""
@@ -68,7 +70,7 @@
         waiting: Connections that wait for their turn, in order.
         is_turn_due: Whether the next turn is scheduled.
         has_arrivals: Whether new connections wait to be read.
-        bodies_at: Monotonic time at which bodies last had a turn.
+        long_at: Monotonic time at which long requests last had a turn.
         sweep: Timer of the next look for connections that are overdue.
         ended: Number of connections ended since the last log line, by reason.
         next_line: Timer of the next log line; None if there is nothing to log.
@@ -92,7 +94,7 @@
         self.waiting: dict[Client, None] = {}
         self.is_turn_due = False
         self.has_arrivals = False
-        self.bodies_at = float("-inf")
+        self.long_at = float("-inf")
         self.sweep: asyncio.TimerHandle | None = None
         self.ended: collections.Counter[str] = collections.Counter()
         self.next_line: asyncio.TimerHandle | None = None
@@ -226,17 +228,19 @@
 def _order(pool: Pool, waiting: Iterable[Client], now: float) -> list[Client]:
     """Returns the connections that may have their turn, in order.
 
-    A short request must not wait until the bodies of others are parsed, nor a
-    new connection until it is read.
+    A short request must not wait until the long ones of others are parsed, nor
+    a new connection until it is read.
     """
-    if not pool.has_arrivals or now - pool.bodies_at >= _BODY_INTERVAL_S:
-        pool.bodies_at = now
-        return sorted(waiting, key=_is_body)
-    return [client for client in waiting if not _is_body(client)]
+    if not pool.has_arrivals or now - pool.long_at >= _LONG_INTERVAL_S:
+        pool.long_at = now
+        return sorted(waiting, key=_is_long)
+    return [client for client in waiting if not _is_long(client)]
 
 
-def _is_body(client: Client) -> bool:
-    return client.intake.phase is intake.Phase.BODY
+def _is_long(client: Client) -> bool:
+    """Returns whether a body, or a long head, is to be parsed."""
+    is_body = client.intake.phase is intake.Phase.BODY
+    return is_body or len(client.raw) > _SHORT_BYTES
 
 
 def _relieve(pool: Pool, now: float) -> None:
--- a/copperloom/standins/crowd.py
+++ b/copperloom/standins/crowd.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import enum
 import random
 import signal
 import socket
@@ -20,7 +21,7 @@
 import docopt
 import msgspec
 
-__all__ = ["KINDS", "Plan", "Template", "Unread", "run"]
+__all__ = ["KINDS", "Plan", "Step", "Template", "run"]
 
 _BLOCK_BYTES = 65_536
 _FIELD_BYTES = 8_000
@@ -75,14 +76,15 @@
     template: Template
 
 
-@dataclasses.dataclass(frozen=True)
-class Unread:
-    """Marks a piece after which the client stops to read answers."""
+class Step(enum.Enum):
+    """What a client does between two pieces, beside sending."""
+
+    STOP_READING = "stop_reading"
+    END_SENDING = "end_sending"
+    ABORT = "abort"
 
 
-_UNREAD = Unread()
-_Piece = bytes | Unread
-_Pieces = Iterator[_Piece]
+_Pieces = Iterator[bytes | Step]
 
 
 def _head(template: Template, *fields: str) -> bytes:
@@ -224,12 +226,12 @@
 
 
 def _pipelined(template: Template, rng: random.Random) -> _Pieces:
-    yield _UNREAD
+    yield Step.STOP_READING
     yield from _repeat(_head(template, "Content-Length: 1") + b"x")
 
 
 def _pipelined_bodies(template: Template, rng: random.Random) -> _Pieces:
-    yield _UNREAD
+    yield Step.STOP_READING
     size = template.max_body_bytes
     request = _head(template, f"Content-Length: {size}") + b"x" * size
     while True:
@@ -242,6 +244,47 @@
     yield from _announced_body(template, rng)
 
 
+def _whole_heads(template: Template, rng: random.Random) -> _Pieces:
+    """Yields whole requests whose heads have the maximum size."""
+    begin = _open_head(template) + b"Content-Length: 0\r\n"
+    left = template.max_header_bytes - len(begin) - 2
+    request = begin + b"a:b\r\n" * (left // 5) + b"\r\n"
+    while True:
+        yield request
+
+
+def _field_name(template: Template, rng: random.Random) -> _Pieces:
+    yield _open_head(template)
+    yield from _repeat(b"x")
+
+
+def _huge_chunk(template: Template, rng: random.Random) -> _Pieces:
+    yield _head(template, "Transfer-Encoding: chunked") + b"7fffffffffff\r\n"
+    yield from _repeat(b"x")
+
+
+def _unread_errors(template: Template, rng: random.Random) -> _Pieces:
+    """Yields requests that are refused at once, and reads no answer."""
+    yield Step.STOP_READING
+    yield from _repeat(b"GET /none HTTP/1.1\r\nHost: none\r\n\r\n")
+
+
+def _half_closed(template: Template, rng: random.Random) -> _Pieces:
+    size = template.max_body_bytes
+    yield _head(template, f"Content-Length: {size}") + b"x" * (size // 2)
+    yield Step.END_SENDING
+
+
+def _aborted(template: Template, rng: random.Random) -> _Pieces:
+    size = template.max_body_bytes
+    yield _head(template, f"Content-Length: {size}") + b"x" * (size - 1)
+    yield Step.ABORT
+
+
+def _opened_only(template: Template, rng: random.Random) -> _Pieces:
+    yield Step.ABORT
+
+
 def _upgrade(template: Template, rng: random.Random) -> _Pieces:
     fields = ("Connection: upgrade", "Upgrade: websocket", "Content-Length: 0")
     yield _head(template, *fields)
@@ -337,6 +380,7 @@
 
 # Kinds of clients by name: each yields the pieces that one connection sends.
 KINDS: dict[str, Callable[[Template, random.Random], _Pieces]] = {
+    "aborted": _aborted,
     "announced_body": _announced_body,
     "call_without_end": _call_without_end,
     "chunk_extension": _chunk_extension,
@@ -349,14 +393,18 @@
     "endless_request_line": _endless_request_line,
     "expects": _expects,
     "extended_chunks": _extended_chunks,
+    "field_name": _field_name,
     "frames": _frames,
     "garbage": _garbage,
     "garbage_lines": _garbage_lines,
+    "half_closed": _half_closed,
     "half_frame": _half_frame,
     "half_head": _half_head,
+    "huge_chunk": _huge_chunk,
     "large_chunks": _large_chunks,
     "large_fields": _large_fields,
     "one_chunk": _one_chunk,
+    "opened_only": _opened_only,
     "pipelined": _pipelined,
     "pipelined_bodies": _pipelined_bodies,
     "pipelined_half": _pipelined_half,
@@ -371,7 +419,9 @@
     "too_long_body": _too_long_body,
     "too_long_chunks": _too_long_chunks,
     "trailers": _trailers,
+    "unread_errors": _unread_errors,
     "upgrade": _upgrade,
+    "whole_heads": _whole_heads,
 }
 # Sends datagrams that are no messages.
 _DATAGRAMS = "datagrams"
@@ -429,9 +479,12 @@
 
 async def _send(writer, reader, pieces: _Pieces) -> None:
     for piece in pieces:
-        if isinstance(piece, Unread):
-            # A reader that is not started again lets no further bytes in.
+        if piece is Step.STOP_READING:
             writer.transport.pause_reading()
+        elif piece is Step.END_SENDING:
+            writer.write_eof()
+        elif piece is Step.ABORT:
+            raise ConnectionAbortedError
         elif piece:
             writer.write(piece)
             await writer.drain()
