--- a/copperloom/intake/calls.py
+++ b/copperloom/intake/calls.py
@@ -24,12 +24,13 @@
 # Replies to frames are sent whether they are read or not.
 _MAX_UNSENT_BYTES = 262_144
 _BACKLOG = 256
-# Memory of a connection whose calls are parsed.
+# Memory of the library's parser of a connection.
 _PARSER_BYTES = 131_072
 # A message holds a body and what belongs to its head, encoded.
 _MESSAGE_OVERHEAD_BYTES = 262_144
 # Bytes of a frame, or of a block of fields, that is not complete.
 _MAX_FRAME_BYTES = 65_536
+# A message is held encoded and decoded.
 _COPIES = 2
 _WINDOW_BYTES = 1_048_576
 _CHECK_S = 0.25
@@ -43,8 +44,7 @@
         highest: Returns the highest descriptor that it may have.
         intake: What it holds.
         transport: The connection; None once it is closed.
-        begin: Its first bytes, until they show that it is a peer's.
-        is_begun: Whether they did.
+        is_begun: Whether its first bytes have shown that it is a peer's.
         raw: Bytes that wait to be parsed.
         frame_bytes: Bytes of a frame that is not complete.
         next_check: Timer of the next look at what its calls hold.
@@ -57,7 +57,6 @@
         now = pool.loop_time()
         self.intake = intake.Intake(self.end, now, now)
         self.transport: asyncio.Transport | None = None
-        self.begin = b""
         self.is_begun = False
         self.raw = bytearray()
         self.frame_bytes = 0
