Crowds: the crowd of all kinds is again the one that showed the fault

Cause: seven kinds added after the fix also joined test_all_kinds, so that its crowd was no longer the one that was seen to fail on the code before.

--- a/copperloom/ingress/tests/test_crowds.py
+++ b/copperloom/ingress/tests/test_crowds.py
@@ -11,6 +11,17 @@
 from copperloom.ingress.tests import crowds, fixtures
 from copperloom.standins import crowd
 
+# The crowd of all kinds stays as it was when the fault was seen.
+_LATER_KINDS = {
+    "aborted",
+    "field_name",
+    "half_closed",
+    "huge_chunk",
+    "opened_only",
+    "unread_errors",
+    "whole_heads",
+}
+
 
 class CallersTest(unittest.IsolatedAsyncioTestCase):
     async def test_announced_body(self):
@@ -167,6 +178,11 @@
 
     async def test_all_kinds(self):
         """Guards against kinds that are only borne one at a time."""
+        kinds = sorted(crowd.KINDS.keys() - _LATER_KINDS)
+        await crowds.check_crowd(self, *kinds, clients=300)
+
+    async def test_all_kinds_with_later_ones(self):
+        """Guards against kinds that are only borne without some others."""
         await crowds.check_crowd(self, *sorted(crowd.KINDS), clients=300)
 
 
