Intake: what ended connections held is collected once all have left

Cause: an ended connection and its parser stay in reference cycles. They are collected when the ended ones together held a sixteenth of the memory; those that ended after the last such collection stayed until as many had ended again, so that memory did not go back while nobody came.

Less than a 256th of the memory is left to the collector, so that proper callers that idle out cause no collections.

--- a/copperloom/intake/pool.py
+++ b/copperloom/intake/pool.py
@@ -32,7 +32,10 @@
 _LOG_INTERVAL_S = 1.0
 # Others have given way by then.
 _RETRY_S = 0.2
+# Parts of the memory for what ended connections hold: more is collected at
+# once, less only after a time in which none has ended.
 _GARBAGE_SHARE = 0.25
+_QUIET_GARBAGE_SHARE = 1 / 64
 # Time between turns of long requests while new connections wait to be read.
 _LONG_INTERVAL_S = 0.01
 _SHORT_BYTES = 4096
@@ -64,6 +67,7 @@
         held_bytes: Memory that they take.
         ending_bytes: Part of it that is about to be released.
         garbage_bytes: Memory of ended connections since the last collection.
+        is_garbage_growing: Whether one was closed since the last sweep.
         turn_bytes: Memory that may still be taken in this iteration of the
             event loop.
         turn_s: Time that may still be taken in this iteration, in seconds.
@@ -89,6 +93,7 @@
         self.held_bytes = 0
         self.ending_bytes = 0
         self.garbage_bytes = 0
+        self.is_garbage_growing = False
         self.turn_bytes = intake.max_turn_bytes(memory_bytes())
         self.turn_s = intake.MAX_TURN_S
         self.waiting: dict[Client, None] = {}
@@ -267,8 +272,9 @@
                     "request was not received within the time limit"
                 )
             _end(pool, own, error, "timeout")
+    has_garbage = _collect_quiet(pool)
     pool.sweep = None
-    if pool.clients:
+    if pool.clients or has_garbage:
         loop = asyncio.get_running_loop()
         pool.sweep = loop.call_later(_SWEEP_S, _sweep, pool)
 
@@ -289,10 +295,32 @@
     The collector counts objects, not what they hold.
     """
     pool.garbage_bytes += held_bytes
+    pool.is_garbage_growing = True
+    if _is_garbage_above(pool, _GARBAGE_SHARE):
+        _collect(pool)
+
+
+def _collect_quiet(pool: Pool) -> bool:
+    """Collects what is left after many have ended; returns whether more is.
+
+    Otherwise the last ones would stay until as many have ended again.
+    """
+    is_growing, pool.is_garbage_growing = pool.is_garbage_growing, False
+    if not _is_garbage_above(pool, _QUIET_GARBAGE_SHARE):
+        return False
+    if not is_growing:
+        _collect(pool)
+    return is_growing
+
+
+def _is_garbage_above(pool: Pool, share: float) -> bool:
     max_bytes = intake.max_held_bytes(pool.memory_bytes())
-    if pool.garbage_bytes > max_bytes * _GARBAGE_SHARE:
-        pool.garbage_bytes = 0
-        asyncio.get_running_loop().call_soon(gc.collect)
+    return pool.garbage_bytes > max_bytes * share
+
+
+def _collect(pool: Pool) -> None:
+    pool.garbage_bytes = 0
+    asyncio.get_running_loop().call_soon(gc.collect)
 
 
 def record_ended(pool: Pool, own: intake.Intake, reason: str) -> None:
--- a/copperloom/intake/tests/test_connection.py
+++ b/copperloom/intake/tests/test_connection.py
@@ -1,7 +1,9 @@
 """Tests how a connection's bytes are counted and parsed, on one event loop."""
 
 import asyncio
+import gc
 import unittest
+import weakref
 
 import prometheus_client
 from aiohttp import web
@@ -81,6 +83,19 @@
             self.assertEqual(self.pool.held_bytes, 0)
             self.assertEqual(self.pool.ending_bytes, 0)
 
+    async def test_ended_connections_are_collected_once_all_have_left(self):
+        """Guards against memory that stays until another crowd comes."""
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for _ in range(4):
+            await self.send(
+                _HEAD + b"Content-Length: 90000\r\n\r\n" + b"x" * 80_000
+            )
+        await self.until(lambda: self.pool.held_bytes > 640_000)
+        seen = [weakref.ref(client) for client in self.pool.clients.values()]
+        await self.until(lambda: not self.pool.clients)
+        await self.until(lambda: not any(ref() for ref in seen))
+
     async def test_overdue_requests_are_refused(self):
         """Guards against clients that stop short of an end and stay."""
         for data in (
