Answers: malformed heads are no answers

Callers saw: an answer of a target with status 000 was passed on as it was. So were 099, 600, 999 and 101, answers of RTSP and HTTP/2.0, status lines with control bytes, and lines such as " A: b" (as a field without the blank) or "A: b\x01". With "Content-Length : 5" or "Transfer-Encoding : chunked" the body was delimited by a field that is none, and with "Transfer-Encoding: gzip" callers got coded bytes as the answer.

Cause: the HTTP library parses answers leniently, and nothing looked at what it had accepted: it takes any three digits as a status, three protocols, a blank behind some names of fields, folded lines, and any transfer coding. copperloom-entry and the clients of the platform's services read answers in the same way; the table service's era was taken from " Store-Era: 9".

Names with a blank or control byte inside were refused by the library already; the tests keep them.

Change: the head of each answer is checked against the grammar of RFC 9112, as it arrives and before it is parsed (decisions/answer_heads.py, without I/O; utils/response_protocol.py for the connections of all clients). What is no head ends the connection like any broken answer: a request that may run again goes to another target, any other one gets 502 and "may have run".

Why it works: the library sees no byte of a head that was not checked, in parts of any size, and informational heads are checked as well.

--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -10,18 +10,16 @@
 import asyncio
 import contextlib
 import dataclasses
-import functools
 import math
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 
 import aiohttp
 import yarl
-from aiohttp import client_proto, http_exceptions, streams
+from aiohttp import http_exceptions
 
 from copperloom import exception
-from copperloom.decisions import answer_limits, framing
-from copperloom.utils import sockets
+from copperloom.utils import response_protocol, sockets
 
 __all__ = ["Reply", "Sender", "close", "is_listening", "send"]
 
@@ -31,72 +29,12 @@
 CONNECT_TIMEOUT_S = 0.35
 _MAX_LINE_BYTES = 65_536
 _MAX_LINES = 128
-_PART_BYTES = 16_384
-_READ_BYTES = 65_536
 # The message with which aiohttp refuses a head or trailers.
 _TOO_MANY_LINES = "Too many headers"
 
 
-class _Protocol(client_proto.ResponseHandler):
-    """Records whether the connection was reset, and bounds heads and chunks.
-
-    An answer without a length ends with its connection. aiohttp accepts a
-    reset as such an end, so that a truncated answer would appear complete.
-
-    aiohttp bounds a line, but neither the informational answers before the
-    head, nor chunk extensions or the size of chunk lines.
-    """
-
-    def __init__(self, **kwargs):
-        super().__init__(**kwargs)
-        self.reset: BaseException | None = None
-        self.framing = framing.Framing()
-        self.framing_bytes = 0
-        self.body: streams.StreamReader | None = None
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        super().connection_made(transport)
-        # The event loop reads up to this much at once, 256 KiB by default.
-        transport.max_size = _READ_BYTES
-
-    def data_received(self, data: bytes) -> None:
-        # Until the body begins, a part at a time is parsed: each answer that is
-        # found takes far more memory than its bytes.
-        while self.body is None and len(data) > _PART_BYTES:
-            self._parse(data[:_PART_BYTES])
-            data = data[_PART_BYTES:]
-            if self.transport is None:
-                return
-        self._parse(data)
-
-    def _parse(self, data: bytes) -> None:
-        known_bytes = self._body_bytes()
-        super().data_received(data)
-        if self._payload not in (None, streams.EMPTY_PAYLOAD):
-            self.body = self._payload
-        body_bytes = self._body_bytes() - known_bytes
-        framing_bytes = len(data) - body_bytes
-        self.framing_bytes += framing_bytes
-        if framing.add(
-            self.framing, answer_limits.FRAMING, framing_bytes, body_bytes
-        ):
-            self._end_too_long()
-
-    def _body_bytes(self) -> int:
-        return self.body.total_bytes if self.body is not None else 0
-
-    def _end_too_long(self) -> None:
-        place = "head" if self.body is None else "chunks"
-        error = exception.AnswerTooLongError(
-            f"{place} of the answer have {self.framing_bytes} bytes",
-            place=place,
-            size=self.framing_bytes,
-            bound=answer_limits.FRAMING.max_bytes,
-        )
-        self.abort()
-        self.set_exception(error)
-        if self.body is not None:
-            self.body.set_exception(error)
+class _Protocol(response_protocol.BoundedProtocol):
+    """The protocol of a connection that is used once."""
 
     def close(self) -> None:
         """Closes the connection; what was not sent yet is discarded.
@@ -105,10 +43,6 @@
         """
         self.abort()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        self.reset = exc
-        super().connection_lost(exc)
-
 
 class Sender:
     """The HTTP client for targets.
@@ -163,15 +97,10 @@
     def check_complete(self) -> None:
         """Checks that the body that was read is complete.
 
-        aiohttp itself reports a body that is shorter than its length or lacks
-        its last chunk.
-
         Raises:
             copperloom.exception.StreamBrokenError: A reset ended the body.
         """
-        framed = "Content-Length" in self.headers
-        framed = framed or "Transfer-Encoding" in self.headers
-        if not framed and self.protocol.reset is not None:
+        if response_protocol.is_truncated(self.response):
             raise exception.StreamBrokenError(
                 "connection reset before the end of the answer",
                 connection_lost=True,
@@ -179,15 +108,13 @@
 
 
 def _connector(make_socket) -> aiohttp.TCPConnector:
-    connector = aiohttp.TCPConnector(
+    return response_protocol.make_connector(
+        _Protocol,
         limit=0,
         force_close=True,
         use_dns_cache=False,
         socket_factory=make_socket,
     )
-    # aiohttp has no public way to set the protocol class.
-    connector._factory = functools.partial(_Protocol, loop=connector._loop)
-    return connector
 
 
 @contextlib.asynccontextmanager
@@ -334,7 +261,8 @@
         return exception.AnswerTooLongError(
             _reason(cause), place=place, size=bound + 1, bound=bound
         )
-    return exception.StreamBrokenError(_reason(error), connection_lost=True)
+    is_lost = not isinstance(cause, response_protocol.MalformedHeadError)
+    return exception.StreamBrokenError(_reason(error), connection_lost=is_lost)
 
 
 def _first_cause(error: BaseException) -> BaseException:
--- a/copperloom/platform/http.py
+++ b/copperloom/platform/http.py
@@ -14,7 +14,7 @@
 
 from copperloom import exception
 from copperloom.platform import interface
-from copperloom.utils import bounded_read
+from copperloom.utils import bounded_read, response_protocol
 
 __all__ = ["CALLS", "FAILURES", "connect"]
 
@@ -72,7 +72,11 @@
         if self.closed:
             raise exception.PlatformDownError("the platform client is closed")
         if self.session is None:
-            self.session = aiohttp.ClientSession()
+            self.session = aiohttp.ClientSession(
+                connector=response_protocol.make_connector(
+                    response_protocol.ResponseProtocol
+                )
+            )
         return self.session
 
 
--- a/copperloom/platform/standins/raw_answers.py
+++ b/copperloom/platform/standins/raw_answers.py
@@ -13,8 +13,10 @@
     "PLAIN_FAULTS",
     "STREAM_FAULTS",
     "part_of",
+    "write_early",
     "write_endless",
     "write_plain",
+    "write_raw",
     "write_stream",
 ]
 
@@ -76,6 +78,25 @@
         transport.close()
 
 
+async def write_raw(target, request, headers, request_id: str) -> None:
+    """Writes an answer whose head its target makes, and closes."""
+    body = f"{target.name} did {request_id}".encode()
+    head = target.write_head([f"{k}: {v}" for k, v in headers.items()])
+    request.transport.write(head + body)
+    await asyncio.sleep(_FLUSH_S)
+    request.transport.close()
+
+
+async def write_early(target, request) -> None:
+    """Answers a request that is still being received, then resets."""
+    request.transport.pause_reading()
+    request.transport.write(target.early_answer)
+    await asyncio.sleep(_FLUSH_S)
+    crashes.reset(request.transport)
+    # The handler is cancelled as the connection is lost.
+    await asyncio.sleep(_FLUSH_S)
+
+
 async def write_stream(target, request, response, first, fault):
     """Sends a stream that ends with its connection, or breaks off."""
     lines = [f"{k}: {v}" for k, v in response.headers.items()]
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -106,6 +106,10 @@
             those to checks.
         on_crash: Called after a crash.
         on_restart: Called after a restart, to register it again.
+        write_head: Returns the bytes of a head for given fields, in place of
+            a proper one; None for proper answers.
+        early_answer: Bytes that it sends as soon as it has received the head
+            of a request, before it resets the connection; None to read all.
         restarting: The restart that is due, if any.
         runner: Runner of the HTTP server; None while it is down.
     """
@@ -141,6 +145,8 @@
         self.tells_cold = False
         self.on_crash: Callable[[TargetStandin], None] = _ignore
         self.on_restart: Callable[[TargetStandin], None] = _ignore
+        self.write_head: Callable[[list[str]], bytes] | None = None
+        self.early_answer: bytes | None = None
         self.restarting: asyncio.Task | None = None
         self.runner: web.ServerRunner | None = None
 
@@ -177,6 +183,9 @@
         """Starts to accept connections."""
 
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            is_early = self.early_answer is not None
+            if is_early and wire.REQUEST in request.headers:
+                await raw_answers.write_early(self, request)
             return await _handle(self, request)
 
         loop = asyncio.get_running_loop()
@@ -317,16 +326,23 @@
         return web.Response(status=429)
     if fault is Fault.UNSEALED:
         del headers[wire.SEAL]
-    if fault in raw_answers.ENDLESS_FAULTS:
-        await raw_answers.write_endless(target, request, headers, fault)
     if fault is Fault.ENCODED:
         headers["Content-Encoding"] = "gzip"
+    await _write_raw(target, request, headers, request_id, fault)
     if wire.TOKENS in request.headers:
         return await _send_stream(target, request, headers, fault)
     await asyncio.sleep(target.pause_s)
     return await _send_plain(target, request, headers, request_id, fault)
 
 
+async def _write_raw(target, request, headers, request_id, fault) -> None:
+    """Writes an answer without the HTTP library, if it is to be malformed."""
+    if fault in raw_answers.ENDLESS_FAULTS:
+        await raw_answers.write_endless(target, request, headers, fault)
+    if target.write_head is not None:
+        await raw_answers.write_raw(target, request, headers, request_id)
+
+
 async def _send_plain(
     target, request, headers, request_id, fault
 ) -> web.StreamResponse:
--- a/copperloom/platform/store.py
+++ b/copperloom/platform/store.py
@@ -23,7 +23,11 @@
 import yarl
 
 from copperloom import exception, logs, versions
-from copperloom.utils import bounded_read, sockets
+from copperloom.utils import (
+    bounded_read,
+    response_protocol,
+    sockets,
+)
 
 __all__ = [
     "Feed",
@@ -130,7 +134,8 @@
         """Returns the session, creating it on first use in the event loop."""
         if self.session is None:
             self.session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
+                connector=response_protocol.make_connector(
+                    response_protocol.ResponseProtocol,
                     limit=0,
                     force_close=True,
                     socket_factory=sockets.monitored_socket,
--- a/copperloom/targets/http.py
+++ b/copperloom/targets/http.py
@@ -16,6 +16,7 @@
 
 from copperloom import exception
 from copperloom.targets import interface, pieces, stalls
+from copperloom.utils import response_protocol
 
 __all__ = ["connect"]
 
@@ -246,8 +247,10 @@
         client.session = aiohttp.ClientSession(
             # The scheduler bounds the requests, so none needs to wait for a
             # free connection.
-            connector=aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=_KEEP_ALIVE_S
+            connector=response_protocol.make_connector(
+                response_protocol.ResponseProtocol,
+                limit=0,
+                keepalive_timeout=_KEEP_ALIVE_S,
             ),
             middlewares=(_convert_errors,),
             skip_auto_headers=("User-Agent", "Accept-Encoding"),
--- /dev/null
+++ b/copperloom/targets/tests/test_malformed_answers.py
@@ -0,0 +1,77 @@
+"""Tests answers of targets that are malformed, cut off or without end."""
+
+import asyncio
+import contextlib
+import unittest
+
+from copperloom import exception
+from copperloom.standins.tests import fixtures
+from copperloom.targets import interface
+
+_LIMIT_S = 10.0
+_OK = b"HTTP/1.1 200 OK\r\n"
+_FRAMED = b"Content-Length: 4\r\n\r\npart"
+_MALFORMED = (
+    b"HTTP/1.1 000 OK\r\n" + _FRAMED,
+    b"HTTP/1.1 101 Switching Protocols\r\n\r\npart",
+    b"RTSP/1.0 200 OK\r\n" + _FRAMED,
+    _OK + b" A: b\r\n" + _FRAMED,
+    _OK + b"A\x01: b\r\n" + _FRAMED,
+    _OK + b"Content-Length : 4\r\n\r\npart",
+)
+
+
+async def _serve(case, answer) -> str:
+    """Starts a server; returns its address.
+
+    Args:
+        case: The test case.
+        answer: Writes the answer to each request; a coroutine function that
+            takes the writer.
+    """
+
+    async def handle(reader, writer) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            await answer(writer)
+        writer.transport.abort()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    case.addCleanup(server.close)
+    return "{}:{}".format(*server.sockets[0].getsockname())
+
+
+class CallTest(unittest.IsolatedAsyncioTestCase):
+    """Calls to plain services."""
+
+    async def call(self, answer) -> interface.ServiceReply:
+        address = await _serve(self, answer)
+        targets = await fixtures.connect_targets(self)
+        call = interface.ServiceCall(
+            "POST", "/admit", b"{}", "application/json", "r1", "k"
+        )
+        return await targets.call(address, call, timeout_s=_LIMIT_S)
+
+    async def test_malformed_heads(self):
+        """Guards against malformed heads that callers get as answers."""
+        for data in _MALFORMED:
+
+            async def answer(writer, data=data):
+                writer.write(data)
+                await asyncio.sleep(0.05)
+
+            with (
+                self.subTest(data),
+                self.assertRaises(exception.StreamBrokenError),
+            ):
+                await self.call(answer)
+
+    async def test_body_that_ends_with_its_connection(self):
+        """Guards against refusing a complete answer without a length."""
+
+        async def answer(writer):
+            writer.write(_OK + b"\r\nwhole")
+            writer.write_eof()
+            await asyncio.sleep(0.05)
+
+        self.assertEqual((await self.call(answer)).body, b"whole")
