Errors: what a target has sent is not shown to callers

Callers saw: for an answer that could not be parsed, the 502 held a part of what the target had sent, and the target's address ("Invalid character in chunk size: b'plain-0 did q1' ... url='http://127.0.0.1:41715/write/x'").

Cause: the text of the HTTP library's error was used whole; it shows the received bytes behind its first line, and then the URL.

Change: only the first line of the library's message is kept; it names what is malformed. The log has the same text, with the target's name.

--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -282,4 +282,10 @@
 
 
 def _reason(error: BaseException) -> str:
-    return f"{type(error).__name__}: {error}"
+    """Returns the text of an error, without what the target has sent.
+
+    aiohttp shows received bytes and the URL behind the first line.
+    """
+    text = getattr(error, "message", "") or str(error)
+    text = text.replace("\\n", "\n").partition("\n")[0]
+    return f"{type(error).__name__}: {text}"
--- a/copperloom/ingress/tests/test_malformed_answers.py
+++ b/copperloom/ingress/tests/test_malformed_answers.py
@@ -104,3 +104,23 @@
                 answer = await fixtures.call(system, "/write/x")
                 self.assertEqual(answer.status, 200)
                 self.assertIn(b"did", answer.body)
+
+
+class ErrorTextTest(unittest.IsolatedAsyncioTestCase):
+    async def test_received_bytes_are_not_shown(self):
+        """Guards against broken answers, and addresses, in error texts."""
+        system = await fixtures.start_system(self, engines=0, plain=1)
+        target = system.targets["plain-0"]
+        for head in (
+            (_OK, "Transfer-Encoding: chunked"),
+            (_OK, "Content-Length: x"),
+            (_OK, "Content-Length: 900"),
+            (_OK, "X" * 20 + "\x00: y"),
+        ):
+            with self.subTest(head):
+                target.write_head = _head_writer(head, _ORDERS[1])
+                answer = await fixtures.call(system, "/write/x")
+                self.assertEqual(answer.status, 502)
+                shown = answer.body.decode()
+                for hidden in ("did", target.address, "XXXX"):
+                    self.assertNotIn(hidden, shown)
