copperloom-entry: a reset does not end an answer without a length

Callers saw: the part of a service's answer that had arrived before a reset, as the whole answer, if it had neither a length nor chunks. Objects of the platform were cut in the same way.

Evidence: test_body_that_a_reset_ends and test_object_that_a_reset_ends failed on (no error was raised); test_body_that_ends_with_its_connection passed before and after.

Change: both clients use the same check as the instance (is_truncated).

--- a/copperloom/platform/http.py
+++ b/copperloom/platform/http.py
@@ -213,6 +213,7 @@
             method, url, data=body, timeout=timeout
         ) as reply:
             raw = await bounded_read.read(reply, _MAX_ANSWER_BYTES)
+            is_truncated = response_protocol.is_truncated(reply)
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
@@ -221,6 +222,8 @@
         raise exception.PlatformDownError(str(error)) from error
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         raise error_class(f"{method} {path}: {type(error).__name__}") from error
+    if is_truncated:
+        raise error_class(f"{method} {path}: answer is truncated")
     return _check(reply.status, raw, f"{method} {path}", error_class)
 
 
--- a/copperloom/platform/tests/test_malformed_answers.py
+++ b/copperloom/platform/tests/test_malformed_answers.py
@@ -61,3 +61,12 @@
                 self.addAsyncCleanup(platform.close)
                 with self.assertRaises(exception.PlatformDownError):
                     await platform.get_object("o", timeout_s=_TIMEOUT_S)
+
+    async def test_object_that_a_reset_ends(self):
+        """Guards against a part of an object that passes for all of it."""
+        data = b"HTTP/1.1 200 OK\r\n\r\npart"
+        address = await _serve(self, data, resets=True)
+        platform = http.connect(address)
+        self.addAsyncCleanup(platform.close)
+        with self.assertRaises(exception.PlatformDownError):
+            await platform.get_object("o", timeout_s=_TIMEOUT_S)
--- a/copperloom/targets/http.py
+++ b/copperloom/targets/http.py
@@ -212,7 +212,7 @@
     async with request as resp:
         if resp.status == _UNAVAILABLE and resp.headers.get("X-Not-Run"):
             raise exception.TargetRefusedError()
-        body = await resp.read()
+        body = await _read_body(resp)
         return interface.ServiceReply(resp.status, body, resp.content_type)
 
 
@@ -307,7 +307,17 @@
 ) -> bytes:
     async with _send(client, method, url, timeout_s) as resp:
         await _raise_for_status(resp)
-        return await resp.read()
+        return await _read_body(resp)
+
+
+async def _read_body(resp: aiohttp.ClientResponse) -> bytes:
+    """Reads a complete body."""
+    body = await resp.read()
+    if response_protocol.is_truncated(resp):
+        raise exception.StreamBrokenError(
+            "connection reset before the end of the answer"
+        )
+    return body
 
 
 async def _raise_for_status(resp: aiohttp.ClientResponse) -> None:
@@ -332,7 +342,7 @@
 
 
 async def _read_error(resp: aiohttp.ClientResponse) -> _ErrorBody:
-    body = await resp.read()
+    body = await _read_body(resp)
     try:
         return _ERROR_DECODER.decode(body)
     except msgspec.DecodeError:
--- a/copperloom/targets/tests/test_malformed_answers.py
+++ b/copperloom/targets/tests/test_malformed_answers.py
@@ -5,6 +5,7 @@
 import unittest
 
 from copperloom import exception
+from copperloom.platform.standins import crashes
 from copperloom.standins.tests import fixtures
 from copperloom.targets import interface
 
@@ -66,6 +67,17 @@
             ):
                 await self.call(answer)
 
+    async def test_body_that_a_reset_ends(self):
+        """Guards against a part of an answer that passes for all of it."""
+
+        async def answer(writer):
+            writer.write(_OK + b"\r\npart")
+            await asyncio.sleep(0.05)
+            crashes.reset(writer.transport)
+
+        with self.assertRaises(exception.StreamBrokenError):
+            await self.call(answer)
+
     async def test_body_that_ends_with_its_connection(self):
         """Guards against refusing a complete answer without a length."""
 
