copperloom-entry: answers of targets without end are bounded

Callers saw: nothing yet; an instance that called a faulty service or engine would have run out of memory, and ended with the requests of all others.

Cause: copperloom-front bounds what a target sends; the client of copperloom-entry read bodies, lines of pieces, informational heads and chunk lines for as long as they came.

Change: bodies and pieces have a bound (16 MB and 1 MB), and the connections are those of copperloom-front (response_protocol.BoundedProtocol), which bound what belongs to no body.

--- a/copperloom/targets/http.py
+++ b/copperloom/targets/http.py
@@ -16,7 +16,7 @@
 
 from copperloom import exception
 from copperloom.targets import interface, pieces, stalls
-from copperloom.utils import response_protocol
+from copperloom.utils import bounded_read, response_protocol
 
 __all__ = ["connect"]
 
@@ -36,6 +36,7 @@
 _CONFLICT = 409
 _UNAVAILABLE = 503
 _MAX_ERROR_BYTES = 2000
+_MAX_BODY_BYTES = 16_000_000
 # A larger body is sent in chunks, so that a long prompt is not copied entirely
 # and does not block the event loop.
 _MAX_UNCHUNKED_BYTES = 1 << 20
@@ -248,7 +249,7 @@
             # The scheduler bounds the requests, so none needs to wait for a
             # free connection.
             connector=response_protocol.make_connector(
-                response_protocol.ResponseProtocol,
+                response_protocol.BoundedProtocol,
                 limit=0,
                 keepalive_timeout=_KEEP_ALIVE_S,
             ),
@@ -311,8 +312,8 @@
 
 
 async def _read_body(resp: aiohttp.ClientResponse) -> bytes:
-    """Reads a complete body."""
-    body = await resp.read()
+    """Reads a complete body of bounded length."""
+    body = await bounded_read.read(resp, _MAX_BODY_BYTES)
     if response_protocol.is_truncated(resp):
         raise exception.StreamBrokenError(
             "connection reset before the end of the answer"
--- a/copperloom/targets/pieces.py
+++ b/copperloom/targets/pieces.py
@@ -9,6 +9,8 @@
 
 __all__ = ["read_pieces"]
 
+# A piece has the text of a few tokens.
+_MAX_PIECE_BYTES = 1_000_000
 _DECODER = msgspec.json.Decoder(interface.Piece)
 
 
@@ -30,7 +32,8 @@
 
     Raises:
         copperloom.exception.StreamBrokenError: A piece is missing, repeated or
-            from another stream, or the answer ends without a final piece.
+            from another stream, or too long, or the answer ends without a
+            final piece.
     """
     partial_line = b""
     final = ""
@@ -43,6 +46,10 @@
         data = partial_line + data
         end = data.rfind(b"\n") + 1
         partial_line = data[end:]
+        if len(partial_line) > _MAX_PIECE_BYTES:
+            raise exception.StreamBrokenError(
+                f"a piece has more than {_MAX_PIECE_BYTES} bytes"
+            )
         if not end:
             continue
         pieces = _decode_lines(data[:end])
