Decoding: values that are nested too deeply count as malformed

Callers saw: a body with deeply nested JSON got 500, code 1000 (an internal error of the instance) from copperloom-entry, instead of 400. An answer of the table service with such a value raised an error that no reader of it expects.

Cause: the decoder raises RecursionError, not one of its own errors, for values that are nested too deeply, also in fields that it skips. Rows were decoded with that in mind; bodies, answers of services and targets, messages of peers and operators' changes were not.

Evidence: test_deeply_nested_json (500 for 400) and test_deeply_nested_rows (RecursionError) failed on.

Change: one tuple of errors (utils/malformed.py) for everything that another process has written.

--- a/copperloom/controllers/snapshot.py
+++ b/copperloom/controllers/snapshot.py
@@ -4,6 +4,7 @@
 
 from copperloom import configuration, exception
 from copperloom.platform import interface
+from copperloom.utils import malformed
 
 __all__ = ["EVERY", "ROW", "decode", "encode", "load", "save"]
 
@@ -47,7 +48,7 @@
     """
     try:
         parsed = msgspec.json.decode(data, type=_Snapshot)
-    except msgspec.MsgspecError as error:
+    except malformed.ERRORS as error:
         raise exception.MalformedRequestError(
             f"invalid snapshot: {error}"
         ) from error
--- a/copperloom/daemons/admin.py
+++ b/copperloom/daemons/admin.py
@@ -20,6 +20,7 @@
 )
 from copperloom.decisions import config_staleness
 from copperloom.logs import event
+from copperloom.utils import malformed
 
 __all__ = ["InForce", "require_majority", "routes", "wait_in_force"]
 
@@ -134,7 +135,7 @@
 async def _change(state, request: web.Request) -> web.Response:
     try:
         change = msgspec.json.decode(await request.read(), type=ChangeRequest)
-    except msgspec.MsgspecError as error:
+    except malformed.ERRORS as error:
         raise exception.MalformedRequestError(str(error)) from error
     base_version = change.seen_version
     if base_version is not None and base_version > state.cfg.version:
--- a/copperloom/filters/read.py
+++ b/copperloom/filters/read.py
@@ -8,6 +8,7 @@
 
 from copperloom import configuration, exception
 from copperloom.filters import exchange
+from copperloom.utils import malformed
 
 __all__ = [
     "IDEMPOTENCY_KEY_HEADER",
@@ -105,7 +106,7 @@
     try:
         chat = _BODY_DECODER.decode(body)
         chat_messages = _MESSAGES_DECODER.decode(chat.messages)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except malformed.ERRORS as error:
         raise exception.MalformedRequestError(str(error)) from error
     if not chat_messages:
         raise exception.MalformedRequestError(
--- a/copperloom/ingress/datagrams.py
+++ b/copperloom/ingress/datagrams.py
@@ -264,7 +264,8 @@
     """Decodes a datagram.
 
     Raises:
-        msgspec.MsgspecError: The datagram holds no valid message.
+        Exception: One of `malformed.ERRORS`: the datagram holds no valid
+            message.
     """
     return _DECODER.decode(_decompress(data))
 
--- a/copperloom/ingress/gossip.py
+++ b/copperloom/ingress/gossip.py
@@ -13,8 +13,6 @@
 import socket
 from collections.abc import Iterable
 
-import msgspec
-
 from copperloom import logs, versions
 from copperloom.decisions import handover, health, inflight_table, members
 from copperloom.decisions.sharing import Occasion
@@ -38,6 +36,7 @@
     is_large_fleet,
 )
 from copperloom.platform import store
+from copperloom.utils import malformed
 
 __all__ = [
     "Gossip",
@@ -106,7 +105,7 @@
         """Decodes a peer's message and processes it."""
         try:
             message = datagrams.decode(data)
-        except msgspec.MsgspecError as error:
+        except malformed.ERRORS as error:
             logs.event("peer_unreadable", peer=addr[0], error=str(error))
             return
         if isinstance(message, datagrams.PlacementRequest):
--- a/copperloom/peers/catalog.py
+++ b/copperloom/peers/catalog.py
@@ -20,6 +20,7 @@
 from copperloom.intake import calls
 from copperloom.peers import client, peers_grpc, peers_pb2
 from copperloom.platform import catalog
+from copperloom.utils import malformed
 
 __all__ = ["Fetched", "fetch", "serve"]
 
@@ -222,7 +223,7 @@
 ) -> None:
     try:
         targets = msgspec.msgpack.decode(zlib.decompress(packed), type=_Targets)
-    except (zlib.error, msgspec.MsgspecError) as error:
+    except (zlib.error, *malformed.ERRORS) as error:
         logs.event("peer_unreadable", peer=address, error=str(error))
         return
     if not targets.whole and version.era != state.targets.version.era:
@@ -247,7 +248,7 @@
 def _add_members(state: IngressState, raw: bytes) -> None:
     try:
         rows = msgspec.json.decode(raw, type=list[catalog.MemberRow])
-    except msgspec.MsgspecError as error:
+    except malformed.ERRORS as error:
         logs.event("peer_unreadable", error=str(error))
         return
     now = asyncio.get_running_loop().time()
--- a/copperloom/platform/catalog.py
+++ b/copperloom/platform/catalog.py
@@ -13,6 +13,7 @@
 
 from copperloom import versions
 from copperloom.platform import store
+from copperloom.utils import malformed
 
 __all__ = [
     "EvacuationRow",
@@ -140,5 +141,5 @@
         return None
     try:
         return msgspec.json.decode(raw, type=row_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+    except malformed.ERRORS:
         return None
--- a/copperloom/platform/decoding.py
+++ b/copperloom/platform/decoding.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from copperloom import routing
+from copperloom.utils import malformed
 
 __all__ = ["decode_target", "decode_table"]
 
@@ -118,8 +119,6 @@
     born: int = 0
 
 
-# RecursionError: msgspec raises it for arrays that are nested too deeply.
-_UNDECODABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 _TABLE = msgspec.json.Decoder(_Table)
 _TARGET = msgspec.json.Decoder(_Target)
 
@@ -128,7 +127,7 @@
     """Returns the decoded routing document, or None if it is malformed."""
     try:
         doc = _TABLE.decode(raw)
-    except _UNDECODABLE:
+    except malformed.ERRORS:
         return None
     if doc.version <= 0:
         return None
@@ -233,7 +232,7 @@
         return None
     try:
         doc = _TARGET.decode(raw)
-    except _UNDECODABLE:
+    except malformed.ERRORS:
         return None
     if doc.state not in (_READY, _DRAINING) or not _is_address(doc.address):
         return None
--- a/copperloom/platform/http.py
+++ b/copperloom/platform/http.py
@@ -14,7 +14,7 @@
 
 from copperloom import exception
 from copperloom.platform import interface
-from copperloom.utils import bounded_read, response_protocol
+from copperloom.utils import bounded_read, malformed, response_protocol
 
 __all__ = ["CALLS", "FAILURES", "connect"]
 
@@ -243,12 +243,12 @@
 def _retry_after(raw: bytes) -> float:
     try:
         return msgspec.json.decode(raw, type=_RateLimited).retry_after_s
-    except msgspec.MsgspecError:
+    except malformed.ERRORS:
         return _DEFAULT_RETRY_S
 
 
 def _decode(raw, kind, error_class):
     try:
         return msgspec.json.decode(raw or b"", type=kind)
-    except msgspec.MsgspecError as error:
+    except malformed.ERRORS as error:
         raise error_class(f"malformed response: {error}") from error
--- a/copperloom/platform/store.py
+++ b/copperloom/platform/store.py
@@ -25,6 +25,7 @@
 from copperloom import exception, logs, versions
 from copperloom.utils import (
     bounded_read,
+    malformed,
     response_protocol,
     sockets,
 )
@@ -304,7 +305,7 @@
         raise exception.HistoryGoneError(f"{call}: era {answer.era}")
     try:
         return _ROWS.decode(answer.body), answer.era
-    except msgspec.MsgspecError as error:
+    except malformed.ERRORS as error:
         raise exception.PlatformDownError(f"{call}: {error}") from error
 
 
--- a/copperloom/platform/tests/test_malformed_answers.py
+++ b/copperloom/platform/tests/test_malformed_answers.py
@@ -17,6 +17,7 @@
     b"HTTP/1.1 200 OK\r\nStore-Era\x01: 9\r\n" + _LENGTH,
     b"HTTP/1.1 200 OK\r\nContent-Length : 22\r\n",
 )
+_NESTED = b'{"unknown": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
 _TIMEOUT_S = 5.0
 
 
@@ -50,6 +51,14 @@
                     await store.put_row(client, "t", "k", b"v")
                 self.assertIsNone(client.era)
 
+    async def test_deeply_nested_rows(self):
+        """Guards against an answer that ends the loop that reads it."""
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(_NESTED)}\r\n\r\n"
+        client = store.Store(await _serve(self, head.encode() + _NESTED))
+        self.addAsyncCleanup(store.close, client)
+        with self.assertRaises(exception.PlatformDownError):
+            await store.read_all(client, "t")
+
 
 class PlatformTest(unittest.IsolatedAsyncioTestCase):
     async def test_malformed_heads(self):
--- a/copperloom/targets/http.py
+++ b/copperloom/targets/http.py
@@ -16,7 +16,7 @@
 
 from copperloom import exception
 from copperloom.targets import interface, pieces, stalls
-from copperloom.utils import bounded_read, response_protocol
+from copperloom.utils import bounded_read, malformed, response_protocol
 
 __all__ = ["connect"]
 
@@ -346,14 +346,14 @@
     body = await _read_body(resp)
     try:
         return _ERROR_DECODER.decode(body)
-    except msgspec.DecodeError:
+    except malformed.ERRORS:
         return _ErrorBody(error=repr(body[:_MAX_ERROR_BYTES]))
 
 
 def _decode(decoder: msgspec.json.Decoder, body: bytes):
     try:
         return decoder.decode(body)
-    except msgspec.DecodeError as error:
+    except malformed.ERRORS as error:
         raise exception.StreamBrokenError(str(error)) from error
 
 
--- a/copperloom/targets/pieces.py
+++ b/copperloom/targets/pieces.py
@@ -6,6 +6,7 @@
 
 from copperloom import exception
 from copperloom.targets import interface
+from copperloom.utils import malformed
 
 __all__ = ["read_pieces"]
 
@@ -62,7 +63,7 @@
 def _decode_lines(data: bytes) -> list[interface.Piece]:
     try:
         return _DECODER.decode_lines(data)
-    except msgspec.DecodeError as error:
+    except malformed.ERRORS as error:
         raise exception.StreamBrokenError(str(error)) from error
 
 
--- a/copperloom/tests/test_bad_input.py
+++ b/copperloom/tests/test_bad_input.py
@@ -62,6 +62,19 @@
         await self.assert_rejected(2001, 400, _VALID_BODY | {"messages": []})
         await self.assert_rejected(2001, 400, _VALID_BODY | {"max_tokens": 0})
 
+    async def test_deeply_nested_json(self):
+        """Guards against a body that the decoder gives up with another error.
+
+        The caller would be told that it is the instance's fault.
+        """
+        nested = b"[" * 50_000 + b"]" * 50_000
+        for body in (
+            nested,
+            b'{"unknown": ' + nested + b"}",
+            b'{"messages": ' + nested + b"}",
+        ):
+            await self.assert_rejected(2001, 400, body)
+
     async def test_unknown_names(self):
         await self.assert_rejected(2003, 404, _VALID_BODY | {"model": "none"})
         await self.assert_rejected(2003, 404, {}, path="/v1/services/none/x")
