Tests: early answers, odd rows and odd datagrams, which are handled already

- A 200 without a length that a reset ends during a long upload: callers of copperloom-front get 502, with 12 MB uploads that are still being sent.
- Rows of another writer that are nested 100,000 deep, hold numbers of up to 5,000 digits or ports out of range: the instance follows the table and uses none of them.
- The same in datagrams of peers.

--- a/copperloom/ingress/tests/test_catalog.py
+++ b/copperloom/ingress/tests/test_catalog.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from copperloom.ingress import server, watchers
 from copperloom.ingress.tests import fixtures
 
@@ -103,6 +105,37 @@
         ]
         self.assertEqual(sorted(usable), ["engine-0", "plain-0", "plain-9"])
 
+    async def test_odd_rows_do_not_stop_an_instance(self):
+        """Guards against a row of another writer that ends a loop."""
+        system = await fixtures.start_system(self, engines=1, plain=1)
+        row = system.targets["plain-0"].registration("plain")
+        proper = msgspec.json.encode(row)[:-1]
+        values = [
+            b"[" * 100_000 + b"]" * 100_000,
+            proper + b', "unknown": ' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+            proper + b', "unknown": ' + b'{"a":' * 100_000 + b"}" * 100_000,
+        ]
+        for name in ("slots", "seq", "born", "cold_remaining_ms"):
+            for number in (b"9" * 400, b"1e999", b"-1e999", b"9" * 5000):
+                field = b', "' + name.encode() + b'": ' + number
+                values.append(proper + field + b"}")
+        for port in ("0", "-1", "65536", "9" * 5000, "8_0", "", "\u0661"):
+            address = msgspec.json.encode(f"127.0.0.1:{port}")
+            values.append(proper + b', "address": ' + address + b"}")
+        for number, value in enumerate(values):
+            system.store.put("servers", f"odd-{number}", value)
+        await system.add_target("plain-9", "plain")
+        entry = system.fronts[0].entry
+        await fixtures.until(lambda: "plain-9" in entry.targets.entries)
+        answers = [await fixtures.call(system, "/write/x") for _ in range(8)]
+        self.assertEqual({a.status for a in answers}, {200})
+        ports = {
+            int(e.address.rpartition(":")[2])
+            for e in entry.targets.entries.values()
+        }
+        self.assertTrue(all(0 < port < 65_536 for port in ports), ports)
+        self.assertEqual((await fixtures.call(system, "/chat/x")).status, 200)
+
     async def test_restarted_target_replaces_the_earlier_one(self):
         """Guards against a late row that reverts a target's restart.
 
--- a/copperloom/ingress/tests/test_gossip.py
+++ b/copperloom/ingress/tests/test_gossip.py
@@ -23,6 +23,20 @@
         self.sent.append((data, address))
 
 
+class UnreadableTest(unittest.IsolatedAsyncioTestCase):
+    async def test_deeply_nested_datagrams(self):
+        """Guards against an error that no handler of the loop catches."""
+        own = fixtures.own_settings("127.0.0.1", "127.0.0.1:1")
+        protocol = gossip.Gossip(state.IngressState(own), "127.0.0.1:17340")
+        for data in (
+            b"\x91" * 50_000,
+            b"\x81\xa1a" + b"\x91" * 50_000,
+            b"\x81\xa1a" * 10_000,
+        ):
+            with self.subTest(data[:4]):
+                protocol.datagram_received(data, ("127.0.0.1", 1))
+
+
 class DigestScheduleTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         own = fixtures.own_settings("127.0.0.1", "127.0.0.1:1")
--- a/copperloom/ingress/tests/test_malformed_answers.py
+++ b/copperloom/ingress/tests/test_malformed_answers.py
@@ -3,6 +3,7 @@
 import unittest
 
 from copperloom.ingress.tests import fixtures
+from copperloom.platform.standins import wire
 
 _OK = "HTTP/1.1 200 OK"
 _FRAMED = "Content-Length: 5"
@@ -35,6 +36,13 @@
 _RETRIED_HEADS = _HEADS[:1] + _HEADS[10:12] + _HEADS[17:18]
 # The malformed line in front of all others, and behind them.
 _ORDERS = (lambda own, given: own + given, lambda own, given: given + own)
+# More than the buffers of a connection hold.
+_BODY = b"x" * 12_000_000
+_EARLY_HEADS = (
+    "HTTP/1.1 200 OK",
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain",
+    "HTTP/1.0 200 OK",
+)
 
 
 def _head_writer(head: tuple[str, ...], order):
@@ -48,6 +56,15 @@
     return write
 
 
+async def _allow_bodies(system: fixtures.System, size: int) -> None:
+    """Raises the limit of bodies to a size."""
+    document = fixtures.routes(2)
+    document["limits"]["max_body_bytes"] = size
+    system.store.put("op", "config", document)
+    entry = system.fronts[0].entry
+    await fixtures.until(lambda: entry.table.limits.max_body_bytes == size)
+
+
 class MalformedHeadTest(unittest.IsolatedAsyncioTestCase):
     async def test_plain_answers(self):
         """Guards against malformed heads that callers get as answers."""
@@ -124,3 +141,19 @@
                 shown = answer.body.decode()
                 for hidden in ("did", target.address, "XXXX"):
                     self.assertNotIn(hidden, shown)
+
+
+class EarlyAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_answer_that_a_reset_ends_during_an_upload(self):
+        """Guards against a part of an answer that passes for all of it."""
+        system = await fixtures.start_system(self, engines=0, plain=1)
+        target = system.targets["plain-0"]
+        await _allow_bodies(system, len(_BODY))
+        for line in _EARLY_HEADS:
+            for path in ("/write/x", "/read/x"):
+                with self.subTest(line, path=path):
+                    head = f"{line}\r\n{wire.SEAL}: s\r\n\r\n"
+                    target.early_answer = head.encode() + b"part"
+                    answer = await fixtures.call(system, path, body=_BODY)
+                    self.assertEqual(answer.status, 502)
+                    self.assertNotIn(b"part", answer.body)
