Stop: an instance waits for callers that still take their answers

Cause: the drain waited for requests without an outcome. A plain answer has its outcome before it is sent.

Change: the drain also lasts while a connection of a caller or a peer has bytes to send, up to the same end as before (0.9 s before the grace ends), so that a caller that reads nothing can't hold the process until it is killed (test_answer_that_is_not_read_does_not_outlast_the_grace).

--- a/copperloom/daemons/front.py
+++ b/copperloom/daemons/front.py
@@ -41,6 +41,7 @@
     table_watch,
 )
 from copperloom.ingress.state import IngressState, budget_policy, cold_bound
+from copperloom.intake import pool
 from copperloom.peers import catalog, client
 from copperloom.platform import settings as platform_settings
 from copperloom.platform import store
@@ -228,8 +229,8 @@
 
     The load balancer sends requests for some time after readiness fails, so the
     instance accepts connections for this time. Then it closes its listener, and
-    returns when no request is in progress, or CLOSE_RESERVE_S before the end of
-    the grace period.
+    returns when no request is in progress and callers have taken their answers,
+    or CLOSE_RESERVE_S before the end of the grace period.
 
     Args:
         state: The instance's state.
@@ -247,10 +248,12 @@
     quiet_since = loop.time()
     while loop.time() < min(end, quiet_since + IDLE_S):
         await asyncio.sleep(_POLL_S)
-        if state.active:
+        if state.active or pool.has_unsent(state.connections):
             quiet_since = loop.time()
     if state.active:
         logs.event("drain_limit", level="ERROR", cut=state.active)
+    if pool.has_unsent(state.connections):
+        logs.event("drain_limit", level="WARNING", reason="unread_answers")
 
 
 def reload(state: IngressState, path: str) -> None:
--- a/copperloom/ingress/tests/crowds.py
+++ b/copperloom/ingress/tests/crowds.py
@@ -129,11 +129,17 @@
     )
 
 
-async def start(case: unittest.IsolatedAsyncioTestCase, **limits) -> Crowded:
+async def start(
+    case: unittest.IsolatedAsyncioTestCase,
+    *,
+    grace_s: float = _GRACE_S,
+    **limits,
+) -> Crowded:
     """Starts a system; returns it once its instance serves.
 
     Args:
         case: The test.
+        grace_s: The instance's grace period, in seconds.
         **limits: Limits of the operators' document that replace the defaults.
     """
     system = await fixtures.start_system(case, engines=0, plain=2, fronts=0)
@@ -150,7 +156,7 @@
         ports[:3],
         system.store.address,
         internal_ports=[_FIRST_PORT, _FIRST_PORT + 10],
-        bounds={"grace_s": _GRACE_S},
+        bounds={"grace_s": grace_s},
         limits={"memory_mb": MEMORY_MB, "max_fds": MAX_DESCRIPTORS},
     )
     (path / "settings.json").write_text(json.dumps(own))
--- a/copperloom/intake/pool.py
+++ b/copperloom/intake/pool.py
@@ -17,8 +17,9 @@
     "advance",
     "bytes_left",
     "charge",
-    "end_receiving",
     "displace",
+    "end_receiving",
+    "has_unsent",
     "is_turn_over",
     "join",
     "leave",
@@ -46,6 +47,7 @@
 
     intake: intake.Intake
     raw: bytearray
+    transport: asyncio.Transport | None
 
     def advance(self, now: float) -> None:
         """Parses what was received, while it is the turn of the connection."""
@@ -202,6 +204,18 @@
             _end(pool, own, error, "stopping")
 
 
+def has_unsent(pool: Pool) -> bool:
+    """Returns whether callers or peers have not taken all of their answers.
+
+    What the operating system holds is sent although the process has ended.
+    """
+    transports = [client.transport for client in pool.clients.values()]
+    return any(
+        transport is not None and transport.get_write_buffer_size()
+        for transport in transports
+    )
+
+
 def loop_time() -> float:
     """Returns the event loop's time."""
     return asyncio.get_running_loop().time()
