Answers: only the lines of a head are split

The check split all bytes that came with the head, the begin of the body with them. It now looks for the end of one line at a time, up to the end of the head. The tests of heads in parts of any size pass unchanged.

--- a/copperloom/decisions/answer_heads.py
+++ b/copperloom/decisions/answer_heads.py
@@ -53,13 +53,15 @@
     """
     if head.is_complete:
         return ""
-    lines = (head.rest + data).split(b"\n")
-    head.rest = lines.pop()
-    for line in lines:
-        malformed = _check_line(head, line.removesuffix(b"\r"))
+    data = head.rest + data
+    begin = 0
+    while (end := data.find(b"\n", begin)) >= 0:
+        malformed = _check_line(head, data[begin:end].removesuffix(b"\r"))
         if malformed or head.is_complete:
             head.rest = b""
             return malformed
+        begin = end + 1
+    head.rest = data[begin:]
     return ""
 
 
