Crowds: kinds, measuring and limits have modules of their own

standins/crowd.py (522 lines) held the kinds of clients, those of HTTP/2 and their running; crowds.py the start of an instance and the measuring of its memory; test_crowds.py also the requests at the edge of the limits. Each is a module now: crowd_pieces, crowd_requests, crowd_frames, process_watch, test_request_limits (which runs alone, as before).

--- a/bench/frontsoak/crowds.py
+++ b/bench/frontsoak/crowds.py
@@ -7,7 +7,7 @@
 from bench.frontsoak.world import World
 from copperloom.ingress.tests import fixtures
 from copperloom.platform.standins import wire
-from copperloom.standins import crowd
+from copperloom.standins import crowd, crowd_pieces
 
 __all__ = ["inject_crowds"]
 
@@ -45,7 +45,7 @@
         clients=_CLIENTS,
         seconds=stay_s,
         seed=rng.randrange(1 << 30),
-        template=crowd.Template(
+        template=crowd_pieces.Template(
             ("POST /read/crowd HTTP/1.1", *lines),
             _MAX_HEADER_BYTES,
             _MAX_BODY_BYTES,
--- a/copperloom/ingress/tests/crowds.py
+++ b/copperloom/ingress/tests/crowds.py
@@ -6,7 +6,6 @@
 import json
 import os
 import pathlib
-import resource
 import subprocess
 import sys
 import tempfile
@@ -15,9 +14,9 @@
 
 import msgspec
 
-from copperloom.ingress.tests import fixtures
+from copperloom.ingress.tests import fixtures, process_watch
 from copperloom.platform.standins import wire
-from copperloom.standins import crowd
+from copperloom.standins import crowd, crowd_pieces
 
 __all__ = [
     "MAX_BODY_BYTES",
@@ -25,7 +24,6 @@
     "MAX_HEADER_BYTES",
     "MEMORY_MB",
     "Crowded",
-    "Watch",
     "ask",
     "check",
     "check_crowd",
@@ -37,7 +35,6 @@
     "request_lines",
     "start",
     "stop",
-    "watch",
 ]
 
 MAX_HEADER_BYTES = 16_384
@@ -61,19 +58,15 @@
 _PAUSE_S = 0.1
 _READY_S = 20.0
 _SETTLE_S = 20.0
-_SAMPLE_S = 0.05
 # Memory that may stay in use after a crowd, as a share of all.
 _LEFT_SHARE = 0.25
 # The writer's burst and its rate over the time of a crowd, in long lines.
 _MAX_LOG_BYTES = 2_000_000
 _MEGABYTE_BYTES = 1_000_000
-_PAGE_BYTES = resource.getpagesize()
 _GRACE_S = 4.0
 _EXIT_S = 10.0
 # Ports for traffic among instances.
 _FIRST_PORT = 17_440
-# State of a listening socket in /proc/net/tcp.
-_LISTENING = "0A"
 _ROOT = pathlib.Path(__file__).resolve().parents[3]
 
 
@@ -99,25 +92,6 @@
     document: dict | None = None
 
 
-@dataclasses.dataclass
-class Watch:
-    """What was seen of a process.
-
-    Attributes:
-        pid: Its id.
-        descriptors: Most descriptors that were open.
-        memory_bytes: Most memory, with the bytes that it had not read.
-        unread_bytes: Most bytes that it had not read.
-        before_bytes: Memory before.
-    """
-
-    pid: int
-    descriptors: int = 0
-    memory_bytes: int = 0
-    unread_bytes: int = 0
-    before_bytes: int = 0
-
-
 def request_lines(
     number: str, wait_s: float = 3600.0, path: str = "/read/x"
 ) -> tuple[str, ...]:
@@ -277,7 +251,7 @@
 ) -> asyncio.subprocess.Process:
     """Starts a crowd as a process, which stays until it is stopped."""
     values = {"clients": _CLIENTS, "seconds": _STAY_S, "seed": _SEED} | plan
-    template = crowd.Template(
+    template = crowd_pieces.Template(
         crowded.lines("crowd"), MAX_HEADER_BYTES, MAX_BODY_BYTES
     )
     planned = crowd.Plan(
@@ -297,61 +271,6 @@
     return process
 
 
-@contextlib.asynccontextmanager
-async def watch(crowded: Crowded):
-    """Samples memory and descriptors of the instance."""
-    seen = Watch(crowded.process.pid)
-    seen.before_bytes = _resident_bytes(seen.pid)
-    task = asyncio.ensure_future(_sample(seen, crowded.addresses.values()))
-    try:
-        yield seen
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        if is_running(crowded):
-            seen.memory_bytes = max(seen.memory_bytes, _peak_bytes(seen.pid))
-
-
-async def _sample(seen: Watch, addresses) -> None:
-    own = tuple(map(_encoded, addresses))
-    folder = pathlib.Path(f"/proc/{seen.pid}")
-    while True:
-        seen.descriptors = max(seen.descriptors, len(os.listdir(folder / "fd")))
-        unread_bytes = _unread_bytes(folder, own)
-        seen.unread_bytes = max(seen.unread_bytes, unread_bytes)
-        taken = _resident_bytes(seen.pid) + unread_bytes
-        seen.memory_bytes = max(seen.memory_bytes, taken)
-        await asyncio.sleep(_SAMPLE_S)
-
-
-def _resident_bytes(pid: int) -> int:
-    pages = pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]
-    return int(pages) * _PAGE_BYTES
-
-
-def _peak_bytes(pid: int) -> int:
-    status = pathlib.Path(f"/proc/{pid}/status").read_text()
-    line = next(s for s in status.splitlines() if s.startswith("VmHWM"))
-    return int(line.split()[1]) * 1024
-
-
-def _unread_bytes(folder: pathlib.Path, addresses: tuple[str, ...]) -> int:
-    """Returns the bytes that connections to some addresses have not read."""
-    total = 0
-    for line in (folder / "net/tcp").read_text().splitlines()[1:]:
-        _, local, _, connection_state, queues, *_ = line.split()
-        if local in addresses and connection_state != _LISTENING:
-            total += int(queues.partition(":")[2], 16)
-    return total
-
-
-def _encoded(address: str) -> str:
-    """Returns an IP:port as it stands in /proc/net/tcp."""
-    host, _, port = address.rpartition(":")
-    number = bytes(reversed([int(part) for part in host.split(".")]))
-    return f"{number.hex().upper()}:{int(port):04X}"
-
-
 async def check_crowd(
     case: unittest.IsolatedAsyncioTestCase,
     *kinds: str,
@@ -374,7 +293,11 @@
     **plan,
 ) -> None:
     """Checks the same of an instance that was started."""
-    async with watch(crowded) as seen:
+    async with process_watch.watch(
+        crowded.process.pid,
+        crowded.addresses.values(),
+        lambda: is_running(crowded),
+    ) as seen:
         process = await play(case, crowded, kinds, listener, **plan)
         await asyncio.sleep(_CROWD_S)
         during = await ask(crowded)
@@ -388,9 +311,9 @@
     left = seen.before_bytes + _LEFT_SHARE * MEMORY_MB * _MEGABYTE_BYTES
     with contextlib.suppress(TimeoutError):
         await fixtures.until(
-            lambda: _resident_bytes(seen.pid) <= left, _SETTLE_S
+            lambda: process_watch.resident_bytes(seen.pid) <= left, _SETTLE_S
         )
-    case.assertLessEqual(_resident_bytes(seen.pid), left)
+    case.assertLessEqual(process_watch.resident_bytes(seen.pid), left)
     case.assertLessEqual(crowded.log.stat().st_size, _MAX_LOG_BYTES)
 
 
--- a/copperloom/tests/run.py
+++ b/copperloom/tests/run.py
@@ -32,6 +32,7 @@
     "copperloom.ingress.tests.test_fair_queueing",
     "copperloom.ingress.tests.test_placement_rpc",
     "copperloom.ingress.tests.test_prompt_parts",
+    "copperloom.ingress.tests.test_request_limits",
     "copperloom.tests.test_crowds",
     "copperloom.tests.test_frontsoak",
 )
