Intake: calls of peers that are reset, or have no message, are counted

Callers saw: nothing yet; 200 clients at the listener for peers ended the process by its memory.

Cause: only the bytes of messages were counted. A call takes an object of the stream, a task and its decoded fields, also if nothing follows; it counted as complete, so that its connection was never ended. A call that is reset before its handler begins was never released by the gRPC library, which does so in the handler; and the HTTP/2 library remembers 65,536 ended calls.

Found by trials with kinds of clients that the crowd didn't have.

Change: a call in progress counts 32 KiB and is received until it has a whole message; its fields have a bound (4 KiB); a reset releases it; a peer may give up 100 calls, and 100 more a second; 100 ended calls are remembered.

The crowds of before, and the kinds that the soak draws from, are unchanged.

--- a/copperloom/decisions/intake.py
+++ b/copperloom/decisions/intake.py
@@ -19,6 +19,8 @@
     "MAX_TURN_S",
     "Intake",
     "Phase",
+    "Resets",
+    "add_resets",
     "body_bound",
     "body_bytes_held",
     "choose_displaced",
@@ -69,6 +71,9 @@
 # share: complete requests may fill it for as long as targets take.
 _SMALL_BYTES = 98_304
 _SMALL_EXCESS_SHARE = 0.25
+# Calls that a peer may give up at once, and further ones per second.
+_MAX_RESETS = 100
+_RESETS_PER_S = 100.0
 # What is ended when the memory is full makes room for more than one request.
 _RELIEF_SHARE = 0.1
 
@@ -111,6 +116,35 @@
     is_ended: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class Resets:
+    """The calls that a peer has given up.
+
+    Attributes:
+        count: Their number, less those that have been forgiven.
+        at: Monotonic time of the latest one.
+    """
+
+    count: float = 0.0
+    at: float = 0.0
+
+
+def add_resets(resets: Resets, number: int, now: float) -> bool:
+    """Counts calls that were given up; returns whether there are too many.
+
+    Starting a call and giving it up costs the peer less than this instance.
+
+    Args:
+        resets: Those of the connection.
+        number: Number of further ones.
+        now: Monotonic time.
+    """
+    forgiven = (now - resets.at) * _RESETS_PER_S
+    resets.count = max(0.0, resets.count - forgiven) + number
+    resets.at = now
+    return resets.count > _MAX_RESETS
+
+
 def max_held_bytes(memory_bytes: float) -> int:
     """Returns the memory for what is held of requests, in bytes."""
     return int(memory_bytes * _HELD_SHARE)
--- a/copperloom/decisions/tests/test_intake.py
+++ b/copperloom/decisions/tests/test_intake.py
@@ -144,3 +144,18 @@
             intake.framing_bytes_held(counted),
             intake.framing_bytes_held(framing.Framing(-5.0)),
         )
+
+
+class ResetsTest(unittest.TestCase):
+    def test_calls_that_are_given_up_at_once(self):
+        """Guards against a peer that starts calls and gives each up."""
+        resets = intake.Resets()
+        self.assertFalse(intake.add_resets(resets, 100, 10.0))
+        self.assertTrue(intake.add_resets(resets, 1, 10.0))
+
+    def test_calls_that_are_given_up_over_time(self):
+        """Guards against closing the connection of a proper peer."""
+        resets = intake.Resets()
+        for second in range(1000):
+            now = 10.0 + second
+            self.assertFalse(intake.add_resets(resets, 90, now))
--- a/copperloom/ingress/tests/test_crowds.py
+++ b/copperloom/ingress/tests/test_crowds.py
@@ -239,6 +239,20 @@
         """Guards against messages of peers without end."""
         await crowds.check_crowd(self, "call_without_end", listener="peers")
 
+    async def test_calls_without_message_at_peers(self):
+        """Guards against calls that begin and send nothing."""
+        await crowds.check_crowd(
+            self, "calls_without_message", listener="peers"
+        )
+
+    async def test_long_fields_at_peers(self):
+        """Guards against calls whose fields take more than a message."""
+        await crowds.check_crowd(self, "long_fields", listener="peers")
+
+    async def test_resets_at_peers(self):
+        """Guards against calls that are reset before they are handled."""
+        await crowds.check_crowd(self, "resets", listener="peers")
+
     async def test_silent_at_peers(self):
         """Guards against silent connections at the listener for peers."""
         await crowds.check_crowd(self, "silent", listener="peers")
--- a/copperloom/intake/calls.py
+++ b/copperloom/intake/calls.py
@@ -10,6 +10,8 @@
 
 import grpclib.server
 from grpclib import config, protocol
+from h2 import events as h2_events
+from h2 import utilities
 
 from copperloom import exception, logs
 from copperloom.decisions import intake
@@ -30,12 +32,51 @@
 _MESSAGE_OVERHEAD_BYTES = 262_144
 # Bytes of a frame, or of a block of fields, that is not complete.
 _MAX_FRAME_BYTES = 65_536
+# Memory of a call in progress, beside its message.
+_CALL_BYTES = 32_768
+# Fields of a call, decoded.
+_MAX_FIELDS_BYTES = 4096
+# Ended calls that a connection remembers, for frames that were on their way.
+_MAX_REMEMBERED_CALLS = 100
 # A message is held encoded and decoded.
 _COPIES = 2
 _WINDOW_BYTES = 1_048_576
 _CHECK_S = 0.25
 
 
+class _Processor(protocol.EventsProcessor):
+    """Releases a call as soon as its peer has reset it.
+
+    The library does so at the end of the call's handler, which never begins if
+    the reset comes with the call.
+
+    Attributes:
+        releases: Releases each call, by the number of its stream.
+    """
+
+    def __init__(self, handler, connection):
+        super().__init__(handler, connection)
+        self.releases: dict[int, Callable[[], None]] = {}
+
+    def register(self, stream: protocol.Stream) -> Callable[[], None]:
+        """Adds a call; returns a function that releases it once."""
+        release = super().register(stream)
+
+        def release_once() -> None:
+            if self.releases.pop(stream.id, None) is not None:
+                release()
+
+        self.releases[stream.id] = release_once
+        return release_once
+
+    def process_stream_reset(self, event: h2_events.StreamReset) -> None:
+        """Cancels a call, and releases it."""
+        super().process_stream_reset(event)
+        release = self.releases.get(event.stream_id)
+        if release is not None:
+            release()
+
+
 class _Connection(protocol.H2Protocol):
     """A connection of a peer.
 
@@ -47,6 +88,7 @@
         is_begun: Whether its first bytes have shown that it is a peer's.
         raw: Bytes that wait to be parsed.
         frame_bytes: Bytes of a frame that is not complete.
+        resets: Calls that the peer has given up.
         next_check: Timer of the next look at what its calls hold.
     """
 
@@ -60,6 +102,7 @@
         self.is_begun = False
         self.raw = bytearray()
         self.frame_bytes = 0
+        self.resets = intake.Resets()
         self.next_check: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -80,6 +123,9 @@
             self.next_check.cancel()
         if self.is_begun:
             super().connection_lost(exc)
+            # The library keeps cancelled calls until other peers connect.
+            loop = asyncio.get_running_loop()
+            loop.call_later(_CHECK_S, self.handler.check_closed)
 
     def data_received(self, data: bytes) -> None:
         """Keeps what was received until it is its turn to be parsed."""
@@ -99,9 +145,10 @@
             part = bytes(self.raw[:_PART_BYTES])
             del self.raw[:_PART_BYTES]
             began_at = pool.loop_time()
-            self._parse(part)
+            calls = self._parse(part)
             elapsed_s = pool.loop_time() - began_at
-            pool.take_turn(self.pool, len(part) * _COPIES, elapsed_s)
+            held_bytes = len(part) * _COPIES + calls * _CALL_BYTES
+            pool.take_turn(self.pool, held_bytes, elapsed_s)
             if self.raw and pool.is_turn_over(self.pool):
                 pool.resume_later(self.pool, self)
                 return
@@ -132,13 +179,22 @@
             return False
         self.is_begun = True
         super().connection_made(self.transport)
+        self.processor = _Processor(self.handler, self.connection)
+        # The library remembers 65,536 of them, and has no setting for it.
+        self.connection._connection._closed_streams = utilities.SizeLimitDict(
+            size_limit=_MAX_REMEMBERED_CALLS
+        )
         pool.charge(self.pool, self.intake, _PARSER_BYTES)
         return True
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: bytes) -> int:
+        """Parses received bytes; returns the number of calls that begin."""
         try:
             events = self.connection.feed(data)
             self.connection.flush()
+            begun = [e for e in events if _begins_call(e)]
+            if self._is_excessive(events, begun):
+                return len(begun)
             for event in events:
                 self.processor.process(event)
         except Exception as error:
@@ -146,11 +202,25 @@
             # of a peer's.
             logs.event("peer_unreadable", level="DEBUG", error=repr(error))
             self._refuse("malformed")
-            return
-        if self.transport is None or self.transport.is_closing():
-            return
-        self.connection.flush()
-        self.frame_bytes = 0 if events else self.frame_bytes + len(data)
+            return 0
+        if self.transport is not None and not self.transport.is_closing():
+            self.connection.flush()
+            self.frame_bytes = 0 if events else self.frame_bytes + len(data)
+            self._check_sizes()
+        return len(begun)
+
+    def _is_excessive(self, events, begun) -> bool:
+        """Refuses a connection whose calls are none of a peer's."""
+        resets = sum(isinstance(e, h2_events.StreamReset) for e in events)
+        if any(map(_has_long_fields, begun)):
+            self._refuse("framing")
+        elif resets and intake.add_resets(
+            self.resets, resets, pool.loop_time()
+        ):
+            self._refuse("resets")
+        return self.intake.is_ended
+
+    def _check_sizes(self) -> None:
         if self.frame_bytes > _MAX_FRAME_BYTES:
             self._refuse("framing")
         elif self.transport.get_write_buffer_size() > _MAX_UNSENT_BYTES:
@@ -178,6 +248,7 @@
             intake.CONNECTION_BYTES
             + _PARSER_BYTES
             + sum(sizes) * _COPIES
+            + len(sizes) * _CALL_BYTES
             + len(self.raw)
             + self.transport.get_write_buffer_size()
         )
@@ -202,10 +273,21 @@
 
 
 def _is_partial(stream: protocol.Stream) -> bool:
-    """Returns whether a call holds a part of a message."""
+    """Returns whether a call has no message yet, or a part of one."""
     # The library has no public way to tell.
     buffer = stream.buffer
-    return buffer._acked_size > 0 or not buffer._unacked.empty()
+    has_part = buffer._acked_size > 0 or not buffer._unacked.empty()
+    return has_part or not stream.data_received
+
+
+def _begins_call(event: h2_events.Event) -> bool:
+    return isinstance(event, h2_events.RequestReceived)
+
+
+def _has_long_fields(event: h2_events.RequestReceived) -> bool:
+    """Returns whether a call has more fields than a peer sends."""
+    size = sum(len(name) + len(value) for name, value in event.headers)
+    return size > _MAX_FIELDS_BYTES
 
 
 class _Server(grpclib.server.Server):
--- a/copperloom/standins/crowd.py
+++ b/copperloom/standins/crowd.py
@@ -31,6 +31,7 @@
 _DATAGRAM_BYTES = 40_000
 _DATAGRAM_PAUSE_S = 0.01
 KINDS = crowd_requests.KINDS | crowd_frames.KINDS
+_ALL_KINDS = KINDS | crowd_frames.CALL_KINDS
 # Sends datagrams that are no messages.
 _DATAGRAMS = "datagrams"
 
@@ -77,7 +78,7 @@
         await _send_datagrams(plan.address, rng)
     while True:
         with contextlib.suppress(OSError, TimeoutError):
-            await _connect_once(plan, KINDS[kind], rng)
+            await _connect_once(plan, _ALL_KINDS[kind], rng)
         await asyncio.sleep(_RECONNECT_S)
 
 
--- a/copperloom/standins/crowd_frames.py
+++ b/copperloom/standins/crowd_frames.py
@@ -1,11 +1,12 @@
 """Kinds of clients that send HTTP/2 frames, as peers do, without end."""
 
+import itertools
 import random
 from collections.abc import Callable
 
 from copperloom.standins import crowd_pieces
 
-__all__ = ["KINDS"]
+__all__ = ["CALL_KINDS", "KINDS"]
 
 _Pieces = crowd_pieces.Pieces
 _Template = crowd_pieces.Template
@@ -13,6 +14,7 @@
 # Calls on a connection, and frames of each: within the windows of flow control.
 _CALLS = 9
 _CALL_FRAMES = 25
+_CALLS_AT_ONCE = 100
 
 
 def _frames(template: _Template, rng: random.Random) -> _Pieces:
@@ -68,6 +70,43 @@
     )
 )
 
+
+def _begin_call(stream: int, block: bytes) -> bytes:
+    """Returns the frame that begins a call, without the end of its fields."""
+    number = stream.to_bytes(4, "big")
+    return len(block).to_bytes(3, "big") + b"\1\4" + number + block
+
+
+def _resets(template: _Template, rng: random.Random) -> _Pieces:
+    """Yields calls that are reset as soon as they have begun."""
+    yield _PREFACE + b"\0\0\0\4\0\0\0\0\0"
+    for first in itertools.count(1, 2 * _CALLS_AT_ONCE):
+        yield b"".join(
+            _begin_call(stream, _CALL_FIELDS)
+            + b"\0\0\4\3\0"
+            + stream.to_bytes(4, "big")
+            + b"\0\0\0\x08"
+            for stream in range(first, first + 2 * _CALLS_AT_ONCE, 2)
+        )
+
+
+def _calls_without_message(template: _Template, rng: random.Random) -> _Pieces:
+    """Yields as many calls as a connection may have, without a message."""
+    yield _PREFACE + b"\0\0\0\4\0\0\0\0\0"
+    for stream in range(1, 2 * _CALLS_AT_ONCE, 2):
+        yield _begin_call(stream, _CALL_FIELDS)
+
+
+def _long_fields(template: _Template, rng: random.Random) -> _Pieces:
+    """Yields calls with many fields."""
+    yield _PREFACE + b"\0\0\0\4\0\0\0\0\0"
+    fields = b"".join(
+        _literal(f"x{number:05}".encode(), b"v" * 120) for number in range(110)
+    )
+    for stream in itertools.count(1, 2):
+        yield _begin_call(stream, _CALL_FIELDS + fields)
+
+
 # Kinds of clients by name, as in `crowd_requests`.
 KINDS: dict[str, Callable[[_Template, random.Random], _Pieces]] = {
     "call_without_end": _call_without_end,
@@ -75,3 +114,9 @@
     "frames": _frames,
     "half_frame": _half_frame,
 }
+# Kinds that only a listener for peers reads.
+CALL_KINDS: dict[str, Callable[[_Template, random.Random], _Pieces]] = {
+    "calls_without_message": _calls_without_message,
+    "long_fields": _long_fields,
+    "resets": _resets,
+}
