Answers: a body that is ended for others fails its request at once

Callers saw: no answer until their deadline, if the answer to their request had an announced length and was ended because the answers in progress had taken their share of the memory. The request stayed in progress with what it had received: after 300 callers that read no answers of 1 MB had left, 113 to 118 requests and 139 to 155 MB stayed (56 MB before the crowd).

Cause: the connection to the target was aborted, and nothing else. The HTTP library forgets the body's reader as it aborts, so that a reader of a body with a length is never told; one without a length is, by the end of the connection.

Evidence: the tasks of all requests that stayed waited in the library's reader, with is_ended set and no target at work.

Change: the end of a body fails its connection with the error that the caller gets (4005), as for answers that are too long.

--- a/copperloom/ingress/long_answers.py
+++ b/copperloom/ingress/long_answers.py
@@ -66,10 +66,13 @@
         Raises:
             copperloom.exception.AnswerTooLongError: It was.
         """
-        body = self.ex.answer_body
-        if body.is_ended:
-            taken = self.ex.state.body_memory.unannounced_bytes
-            raise too_long("bodies", body.size, taken)
+        if self.ex.answer_body.is_ended:
+            raise self.ended_error()
+
+    def ended_error(self) -> exception.AnswerTooLongError:
+        """Returns the error for a body that was ended."""
+        taken = self.ex.state.body_memory.unannounced_bytes
+        return too_long("bodies", self.ex.answer_body.size, taken)
 
     def finish(self) -> bytes:
         """Returns the complete body."""
@@ -88,8 +91,8 @@
     buffer = BodyBuffer(ex, is_announced=announced is not None)
     if announced is not None and announced > buffer.bound:
         raise too_long("announced_length", announced, buffer.bound)
-    # An answer whose connection is closed here may look complete or broken.
-    ex.answer_body.on_end = reply.protocol.abort
+    # The reader of a connection that is only closed here would wait for ever.
+    ex.answer_body.on_end = lambda: reply.protocol.fail(buffer.ended_error())
     try:
         await _fill(buffer, reply)
     except BaseException:
--- a/copperloom/ingress/tests/test_long_answers.py
+++ b/copperloom/ingress/tests/test_long_answers.py
@@ -32,6 +32,9 @@
 # Buffers of the kernel on both connections.
 _MAX_SOCKET_BYTES = 32_000_000
 _MEMORY_BYTES = 80_000_000.0
+# Answers that stop short of their end, and together exceed their memory.
+_STALLED = 20
+_STALLED_BYTES = 700_000
 
 
 def _count(system, place: str) -> float:
@@ -217,6 +220,58 @@
             await closed.wait()
 
 
+class BodyMemoryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_body_that_is_ended_for_others_fails_at_once(self):
+        """Guards against a request that waits for an answer that was ended."""
+        system = await _start(self, engines=0, plain=1)
+
+        async def answer(reader, writer) -> None:
+            head = await reader.readuntil(b"\r\n\r\n")
+            (given,) = [
+                line
+                for line in head.decode().splitlines()
+                if line.startswith(wire.REQUEST)
+            ]
+            lines = [
+                "HTTP/1.1 200 OK",
+                given,
+                f"{wire.SEAL}: s",
+                f"Content-Length: {_STALLED_BYTES + 1}",
+            ]
+            writer.write("\r\n".join([*lines, "", ""]).encode())
+            writer.write(b"x" * _STALLED_BYTES)
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        row = system.targets["plain-0"].registration(
+            "plain", born=2, slots=_STALLED
+        )
+        row["address"] = f"{host}:{port}"
+        system.store.put("servers", "plain-0", row)
+        entry = system.fronts[0].entry
+        await fixtures.until(
+            lambda: entry.targets.entries["plain-0"].born_ms == 2
+        )
+        calls = [
+            asyncio.ensure_future(
+                fixtures.call(system, "/write/x", wait_ms=20_000)
+            )
+            for _ in range(_STALLED)
+        ]
+        async with asyncio.timeout(_CLOSE_S * 10):
+            done, left = await asyncio.wait(
+                calls, return_when=asyncio.FIRST_COMPLETED
+            )
+        codes = {(await call).headers["Copperloom-Error"] for call in done}
+        self.assertEqual(codes, {_CODE})
+        for call in left:
+            call.cancel()
+
+
 class SlowCallerTest(unittest.IsolatedAsyncioTestCase):
     async def test_target_waits_for_a_caller_that_does_not_read(self):
         """Guards against buffers that grow as a caller reads slowly."""
