--- a/copperloom/standins/crowd.py
+++ b/copperloom/standins/crowd.py
@@ -31,7 +31,7 @@
 _DATAGRAM_BYTES = 40_000
 _DATAGRAM_PAUSE_S = 0.01
 KINDS = crowd_requests.KINDS | crowd_frames.KINDS
-_ALL_KINDS = KINDS | crowd_frames.CALL_KINDS
+_ALL_KINDS = KINDS | crowd_frames.CALL_KINDS | crowd_requests.OTHER_KINDS
 # Sends datagrams that are no messages.
 _DATAGRAMS = "datagrams"
 
--- a/copperloom/standins/crowd_requests.py
+++ b/copperloom/standins/crowd_requests.py
@@ -5,7 +5,7 @@
 
 from copperloom.standins import crowd_pieces
 
-__all__ = ["KINDS"]
+__all__ = ["KINDS", "OTHER_KINDS"]
 
 _Pieces = crowd_pieces.Pieces
 _Template = crowd_pieces.Template
@@ -246,6 +246,14 @@
     yield from crowd_pieces.slowly(b"x" * 1000)
 
 
+def _unknown_paths(template: _Template, rng: random.Random) -> _Pieces:
+    """Yields requests without end for long paths that nothing serves."""
+    path = b"/" + b"a" * (template.max_header_bytes - 1000)
+    yield from crowd_pieces.repeat(
+        b"GET " + path + b" HTTP/1.1\r\nHost: none\r\n\r\n"
+    )
+
+
 # Kinds of clients by name: each yields the pieces that one connection sends.
 KINDS: dict[str, Callable[[_Template, random.Random], _Pieces]] = {
     "aborted": _aborted,
@@ -287,3 +295,7 @@
     "upgrade": _upgrade,
     "whole_heads": _whole_heads,
 }
+# Kinds that only tests of their own play.
+OTHER_KINDS: dict[str, Callable[[_Template, random.Random], _Pieces]] = {
+    "unknown_paths": _unknown_paths,
+}
--- a/copperloom/tests/test_crowds.py
+++ b/copperloom/tests/test_crowds.py
@@ -71,6 +71,10 @@
         """Guards against silent connections that take all descriptors."""
         await crowds.check(self, _start(self), ("silent", "half_head"))
 
+    async def test_unknown_paths(self):
+        """Guards against refusals that keep what was sent in memory."""
+        await crowds.check(self, _start(self), ("unknown_paths",))
+
     async def test_stop_while_a_crowd_stays(self):
         """Guards against a stop that waits for requests that never end."""
         crowded = _start(self)
