copperloom-entry: refusals of unknown paths don't keep requests in memory

Callers saw: nothing yet; 200 clients that sent requests for long unknown paths took 170.4 and 174.4 MB of 152.

Cause: the HTTP library raises an exception for a path that nothing serves. Its traceback holds the request in a reference cycle until the next cyclic collection, and nothing counts what waits for one.

Change: such requests are answered before the exception is raised, with the same status, text and Allow.

--- a/copperloom/daemons/http.py
+++ b/copperloom/daemons/http.py
@@ -16,7 +16,7 @@
 
 def make_app(state: EntryState) -> web.Application:
     """Builds the web application for callers and operators."""
-    app = web.Application()
+    app = web.Application(middlewares=[_refuse])
     app.add_routes(
         [
             web.post("/v1/chat/completions", _run_chain(state, chain.CHAT)),
@@ -38,6 +38,24 @@
     return app
 
 
+@web.middleware
+async def _refuse(http: web.Request, handler) -> web.StreamResponse:
+    """Answers requests for unknown paths without an exception.
+
+    Its traceback would keep the request in memory until the next cyclic
+    collection.
+    """
+    match = http.match_info.http_exception
+    if match is None:
+        return await handler(http)
+    match.__traceback__ = None
+    return web.Response(
+        status=match.status,
+        text=match.text,
+        headers={k: v for k, v in match.headers.items() if k == "Allow"},
+    )
+
+
 def _run_chain(state: EntryState, filters: tuple[exchange.Filter, ...]):
     """Returns a handler that runs requests through a chain of filters."""
 
