--- a/review/harness2/system.py
+++ b/review/harness2/system.py
@@ -23,6 +23,7 @@
 STABILITY_S = 3.0
 HISTORY_S = store.HISTORY_S
 _READY_S = 45.0
+_CASE_S = 110.0
 # The deploy file's.
 _METRICS_PORT = 9464
 _BOUNDS = {
@@ -441,12 +442,15 @@
 
 async def _run(case, folder: pathlib.Path) -> int:
     system = System(folder)
+    task = asyncio.ensure_future(case(system, os.environ.get("TROUBLE") != "0"))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
-        async with asyncio.timeout(110):
-            broken = await case(system, os.environ.get("TROUBLE") != "0")
-    except (NotRunnableError, TimeoutError, OSError) as error:
-        system.record(f"could not run: {error!r}")
-        print(f"could not run: {error!r}")
+        async with asyncio.timeout(_CASE_S):
+            broken = await task
+    except (Exception, asyncio.CancelledError) as error:
+        system.record(f"could not run: {type(error).__name__} {error}")
+        print(f"could not run: {type(error).__name__} {error}")
         return 2
     finally:
         await system.close()
