--- a/review/6/case.py
+++ b/review/6/case.py
@@ -102,4 +102,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.run(case, pathlib.Path(__file__).resolve().parent))
+    sys.exit(standins.run(case, pathlib.Path(__file__).with_name("record.txt")))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -108,4 +108,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.run(case, pathlib.Path(__file__).resolve().parent))
+    sys.exit(standins.run(case, pathlib.Path(__file__).with_name("record.txt")))
--- a/review/harness2/system.py
+++ b/review/harness2/system.py
@@ -76,7 +76,7 @@
 
 
 class Record:
-    """The lines of record.txt."""
+    """The lines of a case's record."""
 
     def __init__(self, path: pathlib.Path):
         self.file = path.open("w")
@@ -166,8 +166,8 @@
 class System:
     """A small deployment on loopback addresses."""
 
-    def __init__(self, folder: pathlib.Path):
-        self.record = Record(folder / "record.txt")
+    def __init__(self, record: pathlib.Path):
+        self.record = Record(record)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.octet = _free_octet()
         self.store = store.Store(self.record)
@@ -429,19 +429,19 @@
         return sock.getsockname()[1]
 
 
-def run(case, folder: pathlib.Path) -> int:
+def run(case, record: pathlib.Path) -> int:
     """Runs a case; returns 1 if the rule was broken, 0 if not, 2 if neither.
 
     Args:
         case: Gets the system and whether the disruption is to come; returns
             what broke the rule.
-        folder: Folder of the case.
+        record: File that gets what was sent, answered and run.
     """
-    return asyncio.run(_run(case, folder))
+    return asyncio.run(_run(case, record))
 
 
-async def _run(case, folder: pathlib.Path) -> int:
-    system = System(folder)
+async def _run(case, record: pathlib.Path) -> int:
+    system = System(record)
     task = asyncio.ensure_future(case(system, os.environ.get("TROUBLE") != "0"))
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, task.cancel)
