--- /dev/null
+++ b/review/support/__init__.py
@@ -0,0 +1,1 @@
+"""Starts a small deployment of the project's own programs for review cases."""
