Streams: check events before they go out, and resume only behind an id

Ruled out: the second target, and the half event at the break. Also a stream that an idempotent route answers with was begun anew behind what the caller had.

Change: streams of resumable routes are checked against the grammar of event streams, UTF-8 and increasing ids before they go out; comments wait for the next event; after an event without an id there is no resumption. Other streams are unchanged.

The checks that compare whole answers make the fix sufficient: what is passed on is always the begin of one target's proper stream.

--- a/copperloom/ingress/events.py
+++ b/copperloom/ingress/events.py
@@ -1,13 +1,39 @@
-"""Splits a byte stream at the ends of server-sent events."""
+"""Splits a byte stream at the ends of server-sent events, and checks them.
+
+A stream that another target may resume consists of events with increasing ids.
+The checks keep other bytes out of it: what was sent to the caller can't be
+taken back, and a resumed stream would go on behind it. The grammar is that of
+the HTML standard, section "Server-sent events".
+"""
 
 import dataclasses
 import re
 
-__all__ = ["Events", "Splitter", "feed"]
+from copperloom import exception
+from copperloom.platform import headers
+
+__all__ = ["Checker", "Events", "Splitter", "check", "feed", "split"]
 
-_ENDS = (b"\r\n\r\n", b"\n\n", b"\r\r")
-_MAX_END_BYTES = 4
+# Two line ends in a row. A CR that ends the bytes received may belong to a CRLF
+# whose LF is still missing; the LF then is an empty line of the next event.
+_ENDS = (b"\n\r\n", b"\n\n", b"\r\r")
+_MAX_END_BYTES = 3
 _ID = re.compile(rb"id: ?([^\r\n]*)")
+_NAMES = b"|".join((b"data", b"event", b"retry", *headers.EVENT_FIELDS))
+_VALUE = rb"[^\r\n\0]*"
+_LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
+_COMMENT = rb"(?::%b)" % _VALUE
+# The group is the id of the event.
+_FIELD = rb"(?:id(?::(%b))?|(?:%b)(?::%b)?)" % (_VALUE, _NAMES, _VALUE)
+_COMMENTS = rb"(?:%b?%b)*" % (_COMMENT, _LINE_END)
+_EVENT = re.compile(
+    # Comments precede it. It begins with a field: if it could begin with a
+    # comment, many comments would take quadratic time.
+    rb"%b(?![:\r\n])(?:(?:%b|%b)%b)+%b"
+    % (_COMMENTS, _FIELD, _COMMENT, _LINE_END, _LINE_END)
+)
+_ONLY_COMMENTS = re.compile(_COMMENTS)
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 class Splitter:
@@ -21,6 +47,25 @@
         self.rest = bytearray()
 
 
+class Checker:
+    """The events of a stream that may be resumed.
+
+    Attributes:
+        last_id: Id of the latest event that has one; "" without any.
+        is_last_numbered: Whether the latest event has an id.
+        is_resumed: Whether the caller has the begin of the stream already.
+        is_begun: Whether anything was checked.
+        held: Comments and empty lines after the latest event.
+    """
+
+    def __init__(self, last_id: str, *, is_resumed: bool):
+        self.last_id = last_id
+        self.is_last_numbered = False
+        self.is_resumed = is_resumed
+        self.is_begun = False
+        self.held = bytearray()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Events:
     """One or more complete events.
@@ -28,14 +73,23 @@
     Attributes:
         data: The bytes of the events, unchanged.
         last_id: The last id among the events, "" if none has one.
+        is_resumable: Whether the last event has an id, after which a stream
+            can be resumed.
     """
 
     data: bytes
     last_id: str
+    is_resumable: bool = True
 
 
 def feed(splitter: Splitter, chunk: bytes) -> Events | None:
     """Adds bytes; returns the events that they complete, or None."""
+    complete = split(splitter, chunk)
+    return None if complete is None else Events(complete, _last_id(complete))
+
+
+def split(splitter: Splitter, chunk: bytes) -> bytes | None:
+    """Adds bytes; returns those up to the last empty line, or None."""
     data = splitter.rest
     # The bytes before were searched as they came. A long event that comes in
     # small parts would otherwise take quadratic time.
@@ -46,7 +100,7 @@
         return None
     complete = bytes(data[:end])
     splitter.rest = data[end:]
-    return Events(complete, _last_id(complete))
+    return complete
 
 
 def _end_of_last(data: bytearray, separator: bytes, begin: int) -> int:
@@ -60,3 +114,92 @@
     found = max(complete.rfind(b"\nid:"), complete.rfind(b"\rid:"))
     match = _ID.match(complete, found + 1)
     return match[1].decode("latin-1") if match else ""
+
+
+def check(checker: Checker, data: bytes) -> Events | None:
+    """Checks complete events of a stream that may be resumed.
+
+    Comments and empty lines are held until the next event, so that no bytes
+    follow the event after which a stream is resumed.
+
+    Args:
+        checker: What was checked before.
+        data: Bytes that end with an empty line.
+
+    Returns:
+        The events with all that precedes them; None if there are none.
+
+    Raises:
+        copperloom.exception.StreamBrokenError: The bytes are no events, or
+            their ids don't increase.
+    """
+    if not _is_utf8(data):
+        raise exception.StreamBrokenError(
+            "target sent an event that is not encoded in UTF-8"
+        )
+    if not checker.is_begun:
+        checker.is_begun = True
+        data = _take_mark(checker, data)
+    end = _read_events(checker, data)
+    if not end:
+        checker.held += data
+        return None
+    complete = bytes(checker.held) + data[:end]
+    checker.held[:] = data[end:]
+    return Events(complete, checker.last_id, checker.is_last_numbered)
+
+
+def _is_utf8(data: bytes) -> bool:
+    try:
+        data.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
+def _take_mark(checker: Checker, data: bytes) -> bytes:
+    """Returns the begin of a stream without a byte-order mark."""
+    if not data.startswith(_BYTE_ORDER_MARK):
+        return data
+    if not checker.is_resumed:
+        checker.held += _BYTE_ORDER_MARK
+    return data.removeprefix(_BYTE_ORDER_MARK)
+
+
+def _read_events(checker: Checker, data: bytes) -> int:
+    """Reads the ids of events; returns where the last event ends, or 0."""
+    end = 0
+    while found := _EVENT.match(data, end):
+        end = found.end()
+        event_id = found[1]
+        checker.is_last_numbered = bool(event_id)
+        if event_id:
+            _record_id(checker, event_id.removeprefix(b" ").decode())
+    if end < len(data) and not _ONLY_COMMENTS.fullmatch(data, end):
+        raise exception.StreamBrokenError("target sent bytes that are no event")
+    return end
+
+
+def _record_id(checker: Checker, event_id: str) -> None:
+    if not _is_increasing(checker.last_id, event_id):
+        raise exception.StreamBrokenError(
+            "target sent an event whose id is not above that of the last one"
+        )
+    checker.last_id = event_id
+
+
+def _is_increasing(last_id: str, event_id: str) -> bool:
+    """Returns whether an id may follow; only numbers are compared."""
+    if not _is_number(last_id):
+        return event_id != last_id
+    return _is_number(event_id) and _magnitude(last_id) < _magnitude(event_id)
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit()
+
+
+def _magnitude(number: str) -> tuple[int, str]:
+    """Returns a key by which numbers of any length are compared."""
+    digits = number.lstrip("0")
+    return len(digits), digits
--- a/copperloom/ingress/long_answers.py
+++ b/copperloom/ingress/long_answers.py
@@ -17,6 +17,7 @@
     "BodyBuffer",
     "StreamBounds",
     "add_events",
+    "finish",
     "is_final",
     "pause",
     "read_body",
@@ -134,6 +135,8 @@
         size: Bytes received.
         pace: Its rate.
         splitter: Splits it at the ends of events.
+        checker: Checks its events; None for a stream that can't be resumed,
+            which consists of whatever its only target sends.
     """
 
     def __init__(self, ex: exchange.Exchange):
@@ -143,6 +146,11 @@
         self.size = 0
         self.pace = answer_limits.Pace()
         self.splitter = events.Splitter()
+        self.checker: events.Checker | None = None
+        if ex.route.resumable:
+            is_resumed = ex.response is not None
+            last_id = ex.last_event if is_resumed else ""
+            self.checker = events.Checker(last_id, is_resumed=is_resumed)
 
 
 def add_events(bounds: StreamBounds, chunk: bytes) -> events.Events | None:
@@ -151,10 +159,17 @@
     Raises:
         copperloom.exception.AnswerTooLongError: The stream or an event is too
             long.
+        copperloom.exception.StreamBrokenError: The bytes are no events, and
+            the stream may be resumed.
     """
     bounds.size += len(chunk)
-    complete = events.feed(bounds.splitter, chunk)
-    rest_bytes = len(bounds.splitter.rest)
+    if bounds.checker is None:
+        complete = events.feed(bounds.splitter, chunk)
+        rest_bytes = len(bounds.splitter.rest)
+    else:
+        data = events.split(bounds.splitter, chunk)
+        complete = data and events.check(bounds.checker, data)
+        rest_bytes = len(bounds.splitter.rest) + len(bounds.checker.held)
     if rest_bytes > answer_limits.MAX_EVENT_BYTES:
         raise too_long("event", rest_bytes, answer_limits.MAX_EVENT_BYTES)
     if bounds.size > bounds.bound:
@@ -162,6 +177,24 @@
     return complete
 
 
+def finish(bounds: StreamBounds) -> bytes:
+    """Returns what was not sent yet at the end of a stream.
+
+    Raises:
+        copperloom.exception.StreamBrokenError: The stream ended inside an
+            event.
+    """
+    rest = bytes(bounds.splitter.rest)
+    if rest.strip(b"\r\n"):
+        raise exception.StreamBrokenError(
+            "target ended its stream in the middle of an event",
+            connection_lost=True,
+        )
+    if bounds.checker is not None:
+        rest = bytes(bounds.checker.held) + rest
+    return rest
+
+
 async def pause(bounds: StreamBounds, size: int) -> None:
     """Waits until a stream may be read again.
 
@@ -177,11 +210,15 @@
     """Returns whether a stream must not be resumed after an error.
 
     The id of the last event of an endless stream is worth nothing: a target
-    that resumed after it would end the stream as if it were complete.
+    that resumed after it would end the stream as if it were complete. Bytes
+    behind the last event that has an id would come twice.
     """
+    if ex.response is None:
+        return False
+    if not ex.route.resumable or ex.is_past_last_event:
+        return True
     is_too_long = isinstance(error, exception.AnswerTooLongError)
-    has_begun = ex.response is not None
-    return is_too_long and has_begun and error.place != "event"
+    return is_too_long and error.place != "event"
 
 
 def too_long(place: str, size: int, bound: int) -> exception.AnswerTooLongError:
--- a/copperloom/ingress/peer_relay.py
+++ b/copperloom/ingress/peer_relay.py
@@ -284,7 +284,8 @@
     if reply.end.code:
         raise _read_error(ex, reply.end, run_before)
     if responses.is_stream(head):
-        await responses.end_stream(ex, head, _now())
+        rest = long_answers.finish(bounds)
+        await responses.end_stream(ex, head, _now(), rest=rest)
     else:
         responses.set_plain(ex, head, buffer.finish(), _now())
 
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -98,12 +98,8 @@
         await responses.send_events(ex, head, complete, now)
         await long_answers.pause(bounds, len(chunk))
     reply.check_complete()
-    if bounds.splitter.rest:
-        raise exception.StreamBrokenError(
-            "target ended its stream in the middle of an event",
-            connection_lost=True,
-        )
-    await responses.end_stream(ex, head, loop.time())
+    rest = long_answers.finish(bounds)
+    await responses.end_stream(ex, head, loop.time(), rest=rest)
 
 
 def _record_decode_rate(
@@ -134,7 +130,7 @@
     Only a stream that can be resumed is abandoned. Any other one continues
     until its deadline.
     """
-    if not ex.route.resumable:
+    if not ex.route.resumable or ex.is_past_last_event:
         return None
     if not has_begun:
         return first_event_timeout_s(ex)
--- a/copperloom/ingress/responses.py
+++ b/copperloom/ingress/responses.py
@@ -64,14 +64,19 @@
     """Sends complete events, after the head if they are the first."""
     _record_event(ex, now)
     await _begin_stream(ex, head, now)
+    ex.is_past_last_event = not complete.is_resumable
     await ex.response.write(complete.data)
     if complete.last_id:
         ex.last_event = complete.last_id
 
 
-async def end_stream(ex: exchange.Exchange, head: Head, now: float) -> None:
-    """Ends a stream that was received to its end."""
+async def end_stream(
+    ex: exchange.Exchange, head: Head, now: float, *, rest: bytes = b""
+) -> None:
+    """Ends a stream that was received to its end, after its last bytes."""
     await _begin_stream(ex, head, now)
+    if rest:
+        await ex.response.write(rest)
     await ex.response.write_eof()
 
 
--- a/copperloom/platform/headers.py
+++ b/copperloom/platform/headers.py
@@ -12,6 +12,7 @@
 import multidict
 
 __all__ = [
+    "EVENT_FIELDS",
     "ReplyFacts",
     "RequestHead",
     "TargetHeaders",
@@ -45,6 +46,9 @@
 _DRAINS = "server-leaving"
 _DRAINS_VALUE = "1"
 
+# Lines of events beside the fields that every event stream may have.
+EVENT_FIELDS = frozenset([b"copperloom-weight-versions"])
+
 _HOP_BY_HOP = frozenset(
     [
         "connection",
