Registrations: removals that no row tells of reach all instances

Cause: a removal is an absence in a read of the whole table. The version that instances compare is that of the newest row, which an absence doesn't change. If the readers restart, they don't even know that a row is missing. Ruled out: the take-over by others, and lost digests.

Change: an instance also names the version of the table as of which its rows are complete, and a hash of the rows. Peers fetch if the rows differ, and adopt the version if they don't. Rows that a whole read lacks are removed in its version; the floor of the row log stays.

What makes it sufficient: two instances with the same hash have the same rows, and of two with other rows the one that is complete as of a later version is right.

--- a/copperloom/decisions/members.py
+++ b/copperloom/decisions/members.py
@@ -64,6 +64,8 @@
         cores: Its share of processor time, in cores.
         routes_version: Version of the routes that it has.
         targets_version: Version of the targets that it has.
+        targets_confirmed: Version as of which these are complete.
+        targets_fingerprint: The hash of their rows; None if it names none.
         draining: Whether it is shutting down.
         table_unreachable: Whether it cannot reach the platform's table
             service.
@@ -91,6 +93,8 @@
     cores: float = 1.0
     routes_version: int = 0
     targets_version: versions.Version = versions.NONE
+    targets_confirmed: versions.Version = versions.NONE
+    targets_fingerprint: int | None = None
     draining: bool = False
     table_unreachable: bool = False
     last_sent_at: float = -math.inf
--- a/copperloom/decisions/registry.py
+++ b/copperloom/decisions/registry.py
@@ -20,6 +20,8 @@
     "Registry",
     "usable_by_shard",
     "checkable",
+    "complete_to",
+    "confirm",
     "find",
     "forget",
     "has_draining",
@@ -56,7 +58,8 @@
         entries: Entries in the table, by name.
         missing: Entries that vanished around an outage, with the monotonic
             time until which they are kept.
-        version: Version of the table that the entries are taken from.
+        version: Version of the latest change to the entries.
+        confirmed: Version of the table as of which the entries are complete.
         outage_at: Monotonic time of the last failed call to the table
             service.
         divisions: Entries that accept new work, by service and shard; a cache
@@ -74,6 +77,7 @@
         self.entries: dict[str, routing.TargetEntry] = {}
         self.missing: dict[str, tuple[routing.TargetEntry, float]] = {}
         self.version = versions.NONE
+        self.confirmed = versions.NONE
         self.outage_at = float("-inf")
         self.divisions: dict[str, shards.Division] = {}
         self.restricted: dict[tuple[str, frozenset[str]], shards.Division] = {}
@@ -84,6 +88,16 @@
         self.evacuated: frozenset[str] = frozenset()
 
 
+def complete_to(reg: Registry) -> versions.Version:
+    """Returns the version up to which all changes are known."""
+    return max(reg.version, reg.confirmed)
+
+
+def confirm(reg: Registry, version: versions.Version) -> None:
+    """Records that the entries are complete as of a version of the table."""
+    reg.confirmed = max(reg.confirmed, version)
+
+
 def record_outage(reg: Registry, now: float) -> None:
     """Records a failed call to the platform's table service."""
     reg.outage_at = now
--- a/copperloom/decisions/rowlog.py
+++ b/copperloom/decisions/rowlog.py
@@ -6,15 +6,26 @@
 """
 
 import dataclasses
+import hashlib
 from collections.abc import Iterable
 
 from copperloom import versions
 
-__all__ = ["Difference", "Row", "RowLog", "replace", "since", "update"]
+__all__ = [
+    "Difference",
+    "Row",
+    "RowLog",
+    "fingerprint",
+    "newest",
+    "replace",
+    "since",
+    "update",
+]
 
 # Number of latest removed rows that are kept, so that differences include
 # them: more than are removed while an instance may lag behind.
 MAX_REMOVED = 1000
+_FINGERPRINT_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,23 +63,42 @@
     Attributes:
         rows: All rows, including removed ones.
         floor: Version since which all changes are known.
+        fingerprint: A hash of the rows that were not removed; None after a
+            change.
     """
 
     def __init__(self):
         self.rows: dict[str, Row] = {}
         self.floor = versions.NONE
+        self.fingerprint: int | None = None
 
 
 def replace(
     log: RowLog, rows: Iterable[Row], version: versions.Version
 ) -> None:
-    """Adopts the whole table as of a version."""
-    log.rows = {row.key: row for row in rows}
-    log.floor = version
+    """Adopts the whole table as of a version.
+
+    Rows that are missing from it count as removed in that version, since
+    their removals were not seen.
+    """
+    log.fingerprint = None
+    present = {row.key: row for row in rows}
+    if not log.rows or log.floor.era != version.era:
+        log.rows = present
+        log.floor = version
+        return
+    removed = {
+        key: row if row.value is None else Row(key, version, None)
+        for key, row in log.rows.items()
+        if key not in present
+    }
+    log.rows = removed | present
+    _prune_removed(log)
 
 
 def update(log: RowLog, rows: Iterable[Row]) -> None:
     """Applies changed rows; a row older than the known one is ignored."""
+    log.fingerprint = None
     for row in rows:
         known = log.rows.get(row.key)
         if known is None or known.version <= row.version:
@@ -85,6 +115,30 @@
     return Difference(False, tuple(newer))
 
 
+def newest(log: RowLog) -> versions.Version:
+    """Returns the version of the latest change that is known."""
+    latest = (row.version for row in log.rows.values())
+    return max(latest, default=versions.NONE)
+
+
+def fingerprint(log: RowLog) -> int:
+    """Returns a hash of the rows that were not removed.
+
+    Two logs with the same rows have the same fingerprint, whichever removals
+    they know. It is computed once after each change.
+    """
+    if log.fingerprint is None:
+        live = sorted(
+            f"{row.key} {row.version.number}"
+            for row in log.rows.values()
+            if row.value is not None
+        )
+        digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+        digest.update("\n".join(live).encode(errors="surrogatepass"))
+        log.fingerprint = int.from_bytes(digest.digest())
+    return log.fingerprint
+
+
 def _prune_removed(log: RowLog) -> None:
     removed = [row for row in log.rows.values() if row.value is None]
     if len(removed) <= MAX_REMOVED:
--- a/copperloom/ingress/datagrams.py
+++ b/copperloom/ingress/datagrams.py
@@ -124,6 +124,10 @@
         targets_era: Era of the version of its targets; None from an instance
             that knows no eras.
         store_era: Highest era of the platform's table service that it knows.
+        targets_confirmed: Number of the version as of which its targets are
+            complete; of the same era as theirs.
+        targets_fingerprint: The hash of its targets' rows; None from an
+            instance that knows no such hash.
     """
 
     sender: Announcement
@@ -152,6 +156,8 @@
     short_services: list[str] = []
     targets_era: int | None = None
     store_era: int | None = None
+    targets_confirmed: int = 0
+    targets_fingerprint: int | None = None
 
 
 class PlacementRequest(msgspec.Struct, array_like=True, tag="q"):
--- a/copperloom/ingress/digests.py
+++ b/copperloom/ingress/digests.py
@@ -1,7 +1,13 @@
 """Builds the digests that an instance sends."""
 
 from copperloom import logs
-from copperloom.decisions import health, inflight_table, reachability
+from copperloom.decisions import (
+    health,
+    inflight_table,
+    reachability,
+    registry,
+    rowlog,
+)
 from copperloom.decisions.sharing import Occasion
 from copperloom.ingress import announcements, datagrams, knowledge
 from copperloom.ingress.state import (
@@ -78,6 +84,8 @@
         fleet_size=fleet_size(state),
         targets_era=state.targets.version.era,
         store_era=state.store.era,
+        targets_confirmed=registry.complete_to(state.targets).number,
+        targets_fingerprint=rowlog.fingerprint(state.target_rows),
     )
 
 
--- a/copperloom/ingress/gossip.py
+++ b/copperloom/ingress/gossip.py
@@ -358,3 +358,7 @@
     member.targets_version = store_eras.peer_version(
         state, digest.targets_era, digest.targets_version
     )
+    member.targets_confirmed = store_eras.peer_version(
+        state, digest.targets_era, digest.targets_confirmed
+    )
+    member.targets_fingerprint = digest.targets_fingerprint
--- a/copperloom/ingress/peer_fetch.py
+++ b/copperloom/ingress/peer_fetch.py
@@ -7,8 +7,8 @@
 
 import asyncio
 
-from copperloom import exception, logs
-from copperloom.decisions import fetch_policy
+from copperloom import exception, logs, versions
+from copperloom.decisions import fetch_policy, registry, rowlog
 from copperloom.ingress import recipients
 from copperloom.ingress.state import IngressState, Member, live_members
 from copperloom.peers import catalog
@@ -41,18 +41,43 @@
     fetch: PeerFetch, state: IngressState, member: Member
 ) -> None:
     """Starts a fetch if a member has newer versions and no fetch is running."""
+    _confirm_targets(state, member)
     is_running = fetch.task is not None and not fetch.task.done()
     if not is_running and _is_ahead(state, member):
         fetch.task = asyncio.ensure_future(_fetch_newer(state))
 
 
 def _is_ahead(state: IngressState, member: Member) -> bool:
-    return (
-        member.routes_version > state.table.version
-        or member.targets_version > state.targets.version
+    if member.routes_version > state.table.version:
+        return True
+    known = registry.complete_to(state.targets)
+    if member.targets_fingerprint is None:
+        return member.targets_version > known
+    return member.targets_confirmed > known and not _has_same_targets(
+        state, member
     )
 
 
+def _has_same_targets(state: IngressState, member: Member) -> bool:
+    """Returns whether a member has the same registrations.
+
+    The version of the latest change doesn't tell: a member that has read the
+    whole table knows of removals that no row tells of.
+    """
+    own_era = registry.complete_to(state.targets).era
+    is_same_era = member.targets_confirmed.era == own_era
+    own = rowlog.fingerprint(state.target_rows)
+    return is_same_era and member.targets_fingerprint == own
+
+
+def _confirm_targets(state: IngressState, member: Member) -> None:
+    """Adopts the version as of which a member's same targets are complete."""
+    if member.targets_fingerprint is not None and _has_same_targets(
+        state, member
+    ):
+        registry.confirm(state.targets, member.targets_confirmed)
+
+
 async def _fetch_newer(state: IngressState) -> None:
     """Fetches newer versions from peers; reads the tables if that fails."""
     loop = asyncio.get_running_loop()
@@ -73,11 +98,11 @@
         )
         if source is None:
             break
-        before = (state.table.version, state.targets.version)
+        before = _versions(state)
         fetched = await _fetch(state, source.calls)
         if not fetched.had_room and fetched.alternatives:
             await _fetch(state, state.rng.choice(fetched.alternatives))
-        if (state.table.version, state.targets.version) != before:
+        if _versions(state) != before:
             continue
         if fetched.had_room:
             no_progress.add(source.instance)
@@ -91,6 +116,10 @@
         state.read_tables_now.set()
 
 
+def _versions(state: IngressState) -> tuple[int, versions.Version]:
+    return state.table.version, registry.complete_to(state.targets)
+
+
 async def _fetch(state: IngressState, address: str) -> catalog.Fetched:
     """Fetches from a member; a failed call counts as no progress."""
     try:
--- a/copperloom/ingress/table_watch.py
+++ b/copperloom/ingress/table_watch.py
@@ -224,17 +224,13 @@
 def _apply_targets(
     state: IngressState, feed: store.Feed, *, whole: bool
 ) -> None:
-    if whole and feed.version < state.targets.version:
+    if whole and feed.version < registry.complete_to(state.targets):
         # A peer has sent newer rows in the meantime.
         return
-    # The version is that of the newest row, not of the table service, so that
-    # instances with the same rows have the same version, and none fetches from
-    # another in vain.
-    start = versions.Version(feed.version.era)
-    newest = max((row.version for row in feed.rows), default=start)
-    newest = max(newest, state.targets.version)
     rows = [rowlog.Row(r.key, r.version, _content(r)) for r in feed.rows]
-    updates.apply_targets(state, rows, newest, whole=whole, source="store")
+    updates.apply_targets(
+        state, rows, feed.version, whole=whole, source="store"
+    )
 
 
 def _content(row: store.StoredRow) -> bytes | None:
--- a/copperloom/ingress/tests/test_watchers.py
+++ b/copperloom/ingress/tests/test_watchers.py
@@ -17,7 +17,7 @@
 # A start decides for 3 s who watches, and feeds that were opened meanwhile end
 # within this time thereafter.
 _FEED_WAIT_S = 0.5
-_SETTLED_S = 4.0
+SETTLED_S = 4.0
 
 
 class LastInstanceTest(unittest.TestCase):
@@ -82,7 +82,7 @@
         for lost_before_s in _LOST_BEFORE_S:
             with self.subTest(lost_before_s=lost_before_s):
                 system = await fixtures.start_system(self, plain=1, fronts=9)
-                await asyncio.sleep(_SETTLED_S)
+                await asyncio.sleep(SETTLED_S)
                 others = lose(system, watching(system))
                 self.assertEqual(len(others), 4)
                 await asyncio.sleep(lost_before_s)
@@ -94,7 +94,7 @@
         for size in (7, 12, 16):
             with self.subTest(size=size):
                 system = await fixtures.start_system(self, plain=1, fronts=size)
-                await asyncio.sleep(_SETTLED_S)
+                await asyncio.sleep(SETTLED_S)
                 others = lose(system, watching(system))
                 await asyncio.sleep(_LOST_BEFORE_S[0])
                 taken_s = await change(system, others, 6)
@@ -104,7 +104,7 @@
     async def test_substitutes_are_lost_as_well(self):
         """Guards against a second loss that only a poll would make good."""
         system = await fixtures.start_system(self, plain=1, fronts=12)
-        await asyncio.sleep(_SETTLED_S)
+        await asyncio.sleep(SETTLED_S)
         first = watching(system)
         lose(system, first)
         await asyncio.sleep(1.7)
@@ -117,7 +117,7 @@
     async def test_instance_that_was_frozen_reads_nothing(self):
         """Guards against calls of an instance that finds all silent."""
         system = await fixtures.start_system(self, plain=1, fronts=9)
-        await asyncio.sleep(_SETTLED_S)
+        await asyncio.sleep(SETTLED_S)
         names = watching(system)
         follower = next(
             f for f in system.fronts if f.entry.settings.instance not in names
@@ -140,13 +140,13 @@
         system = await fleets.start_fleet(
             self, fleets.DATA_CENTRES, engines=1, plain=1
         )
-        await asyncio.sleep(_SETTLED_S)
+        await asyncio.sleep(SETTLED_S)
         await self.check_change(system, watching(system))
 
     async def test_change_after_all_owners_of_a_data_centre_were_lost(self):
         """Guards against a herd that knows nothing of most members."""
         system = await fleets.start_fleet(self, engines=1, plain=1)
-        await asyncio.sleep(_SETTLED_S)
+        await asyncio.sleep(SETTLED_S)
         owners = fleets.ranked_owners(system)[: shards.OWNERS]
         await self.check_change(system, owners)
 
--- a/copperloom/ingress/updates.py
+++ b/copperloom/ingress/updates.py
@@ -79,7 +79,7 @@
     Args:
         state: The instance's state.
         rows: All rows, or those that have changed.
-        version: Version of the rows, not lower than the known one.
+        version: Version of the table as of which the rows are complete.
         whole: Whether these are all rows of the table.
         source: Where they come from, for the log.
     """
@@ -95,10 +95,13 @@
     if whole:
         entries = [entry for _, entry in changes if entry is not None]
         rowlog.replace(state.target_rows, rows, version)
-        started = registry.replace(state.targets, entries, version, now)
+        latest = _latest_change(state, version)
+        started = registry.replace(state.targets, entries, latest, now)
     else:
         rowlog.update(state.target_rows, rows)
-        started = registry.update(state.targets, changes, version, now)
+        latest = _latest_change(state, version)
+        started = registry.update(state.targets, changes, latest, now)
+    registry.confirm(state.targets, version)
     registry.forget(state.targets, [row.key for row in unreadable])
     target_checks.confirm_restarts(state, started, now)
     cold_targets.record_registrations(state, before, now, is_first=is_first)
@@ -119,6 +122,19 @@
     _signal_change(state)
 
 
+def _latest_change(
+    state: IngressState, version: versions.Version
+) -> versions.Version:
+    """Returns the version of the latest change to the registrations.
+
+    It is that of a row, not of the table service, so that instances with the
+    same rows name the same version, and none fetches from another in vain.
+    """
+    start = versions.Version(version.era)
+    newest = rowlog.newest(state.target_rows)
+    return max(start, newest, state.targets.version)
+
+
 def _drop_gone(state: IngressState, now: float) -> None:
     """Drops what targets said of themselves long after they have gone."""
     notices = state.targets.drain_notices
--- a/copperloom/peers/catalog.py
+++ b/copperloom/peers/catalog.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from copperloom import logs, versions
-from copperloom.decisions import fetch_policy, rowlog
+from copperloom.decisions import fetch_policy, registry, rowlog
 from copperloom.ingress import announcements, store_eras, updates
 from copperloom.ingress.state import IngressState
 from copperloom.intake import calls
@@ -53,6 +53,8 @@
     # All rows have the era of the version that they are sent with.
     whole: bool
     rows: list[_WireRow]
+    # Version as of which the rows are complete; an earlier release sends none.
+    confirmed: int = 0
 
 
 class _Catalog(peers_grpc.CatalogBase):
@@ -77,7 +79,7 @@
         reply.members = msgspec.json.encode(_member_rows(state))
     # Targets first: draining targets must soon get no more requests.
     known = _targets_version(state, request)
-    if known < state.targets.version:
+    if known < registry.complete_to(state.targets):
         packed = _packed_targets(state, known)
         reply.targets = _if_capacity(state, packed)
     if request.routes_version < state.table.version:
@@ -138,14 +140,14 @@
     The compressed whole table is cached for instances that start at the same
     moment.
     """
-    version = state.targets.version
+    version = registry.complete_to(state.targets)
     if after < state.target_rows.floor:
         cached_version, packed = state.targets_packed
         if cached_version == version:
             return packed
     changed = rowlog.since(state.target_rows, after)
     rows = [_WireRow(r.key, r.version.number, r.value) for r in changed.rows]
-    targets = _Targets(changed.whole, rows)
+    targets = _Targets(changed.whole, rows, version.number)
     packed = zlib.compress(msgspec.msgpack.encode(targets), _COMPRESSION_LEVEL)
     if changed.whole:
         state.targets_packed = (version, packed)
@@ -182,10 +184,11 @@
     Raises:
         copperloom.exception.PeerUnavailableError: The peer did not reply.
     """
+    known = registry.complete_to(state.targets)
     request = peers_pb2.CatalogRequest(
         routes_version=state.table.version,
-        targets_version=state.targets.version.number,
-        targets_era=state.targets.version.era,
+        targets_version=known.number,
+        targets_era=known.era,
         wants_members=not state.members,
         address=state.settings.peers_listen,
     )
@@ -197,8 +200,8 @@
         timeout_s=_CALL_TIMEOUT_S,
         stub=peers_grpc.CatalogStub,
     )
-    version = _targets_version(state, reply)
-    if reply.targets and version > state.targets.version:
+    if reply.targets:
+        version = _targets_version(state, reply)
         _apply_targets(state, reply.targets, version, address)
     if reply.routes:
         _apply_routes(state, reply.routes, address)
@@ -226,7 +229,11 @@
     except (zlib.error, *malformed.ERRORS) as error:
         logs.event("peer_unreadable", peer=address, error=str(error))
         return
-    if not targets.whole and version.era != state.targets.version.era:
+    version = max(version, versions.Version(version.era, targets.confirmed))
+    known = registry.complete_to(state.targets)
+    if version <= known:
+        return
+    if not targets.whole and version.era != known.era:
         logs.event("peer_era_differs", peer=address, version=version)
         return
     updates.apply_targets(
