Store returns: removed targets stay out of use until they show that they live

Cause: of a removed target nothing was kept, so its row in the older copy counted as a new registration. Ruled out: late rows of the earlier era, and entries kept as a last resort.

Change: removals are kept with the start and the sequence number of the target. A row of another era that is no newer is held. Instances tell each other of removals whose rows are held. Held targets are checked, and used again once they register anew, restart or answer the check.

Evidence: RemovedTargetTest.test_removed_target_stays_out_of_use_after_returns fails on the commit before (requests after the return) and passes now. A target is held only by a row that it can't have written after its removal, so a sound one is never out of use for longer than it takes to register or to be checked: test_target_that_lives_is_used_again.

--- a/copperloom/daemons/front.py
+++ b/copperloom/daemons/front.py
@@ -34,6 +34,7 @@
     reachability_checks,
     registration,
     relayed_requests,
+    removed_targets,
     sender,
     server,
     stopping,
@@ -171,6 +172,7 @@
             ("members", lambda: registration.join(self.gossip)),
             ("reachability", lambda: reachability_checks.run(state)),
             ("cold", lambda: cold_checks.run(state)),
+            ("removed", lambda: removed_targets.run(state)),
             ("quarantines", lambda: quarantine_rows.run(state)),
         ):
             self.add_future(_keep_running(name, loop))
--- a/copperloom/ingress/datagrams.py
+++ b/copperloom/ingress/datagrams.py
@@ -128,6 +128,8 @@
             complete; of the same era as theirs.
         targets_fingerprint: The hash of its targets' rows; None from an
             instance that knows no such hash.
+        removals: Removed targets that an older copy of the table may bring
+            back.
     """
 
     sender: Announcement
@@ -158,6 +160,7 @@
     store_era: int | None = None
     targets_confirmed: int = 0
     targets_fingerprint: int | None = None
+    removals: list[wire_knowledge.WireRemoval] = []
 
 
 class PlacementRequest(msgspec.Struct, array_like=True, tag="q"):
--- a/copperloom/ingress/knowledge.py
+++ b/copperloom/ingress/knowledge.py
@@ -26,6 +26,7 @@
     limit_grants,
     quarantines,
     recipients,
+    removed_targets,
     target_backoff,
     target_speeds,
     wire_knowledge,
@@ -82,6 +83,8 @@
         wire_knowledge.encode_cold(target, report)
         for target, report in colds.items()
     ]
+    if state.removed_targets.removals:
+        digest.removals = removed_targets.to_share(state, now)
     if occasion is Occasion.BROADCAST:
         digest.speeds = [
             wire_knowledge.WireSpeed(o.target, o.kind, round(o.value, 2))
@@ -109,6 +112,9 @@
     turns.record_short(state.turns, known & set(digest.short_services), now)
     target_speeds.apply(state, digest.speeds, now)
     target_backoff.apply(state, digest.holds, now, digest.sender.instance)
+    removed_targets.apply(
+        state, digest.removals, now, source=digest.sender.instance
+    )
     if not (
         digest.evidence
         or digest.limits
--- a/copperloom/ingress/state.py
+++ b/copperloom/ingress/state.py
@@ -24,6 +24,7 @@
     members,
     reachability,
     registry,
+    removed_targets,
     rowlog,
     shards,
     target_limits,
@@ -67,6 +68,7 @@
             registrations, for peers.
         targets_at: Monotonic time of the last change of `targets`.
         target_rows: The registrations as rows of the platform's table.
+        removed_targets: The targets that were removed from it.
         unreachable_tables: Names of the tables whose last read failed.
         read_tables_now: Set when the tables should be read without delay.
         attention: Since when the loop of this instance runs without a break.
@@ -149,6 +151,7 @@
         self.targets_packed = (versions.NONE, b"")
         self.targets_at = float("-inf")
         self.target_rows = rowlog.RowLog()
+        self.removed_targets = removed_targets.RemovedTargets()
         self.unreachable_tables: set[str] = set()
         self.read_tables_now = asyncio.Event()
         self.attention = handover.Attention()
--- a/copperloom/ingress/tests/test_store_returns.py
+++ b/copperloom/ingress/tests/test_store_returns.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from copperloom.decisions import registry
-from copperloom.ingress import registration, table_watch, watchers
+from copperloom.ingress import registration, server, table_watch, watchers
 from copperloom.ingress.tests import fixtures, fleets
 from copperloom.platform import catalog
 
@@ -42,6 +42,19 @@
     return all(f.entry.table.version == version for f in system.fronts)
 
 
+async def remove_target(system: fixtures.System, name: str) -> None:
+    """Removes the row of a target; returns once all instances know."""
+    system.store.remove(catalog.TARGETS_TABLE, name)
+    await fixtures.until(
+        lambda: not any(name in f.entry.targets.entries for f in system.fronts)
+    )
+
+
+def all_hold(system: fixtures.System, name: str) -> bool:
+    """Returns whether all instances hold the row of a removed target."""
+    return all(name in f.entry.removed_targets.held for f in system.fronts)
+
+
 def followers(system: fixtures.System) -> list:
     """Returns the instances that don't watch the tables."""
     now = asyncio.get_running_loop().time()
@@ -184,6 +197,60 @@
         self.assertEqual(runs, [])
 
 
+class RemovedTargetTest(unittest.IsolatedAsyncioTestCase):
+    async def test_removed_target_stays_out_of_use_after_returns(self):
+        """Guards against requests to targets that an older copy brings back."""
+        system = await fixtures.start_system(self, plain=2, fronts=3)
+        backup = system.store.copy()
+        gone = system.targets["plain-0"]
+        gone.leaves = True
+        await remove_target(system, "plain-0")
+        since = asyncio.get_running_loop().time()
+        for _ in range(2):
+            await lose_writes(system, backup)
+            answers = await fixtures.call_often(system, "/write/x", 1.0, 0.05)
+            self.assertEqual({a.status for a in answers}, {200})
+        # The removal is on its way while the table returns once more.
+        await remove_target(system, "plain-0")
+        await lose_writes(system, backup)
+        await system.add_front()
+        await fixtures.until(lambda: server.is_ready(system.fronts[3].entry))
+        await asyncio.sleep(1.0)
+        await fixtures.call_often(system, "/write/x", 1.0, 0.05)
+        late = [t for t, kind in gone.arrivals if t > since and kind != "check"]
+        self.assertEqual(late, [])
+
+    async def test_target_that_lives_is_used_again(self):
+        """Guards against a sound target that is held back after a return."""
+        for how in ("registers", "restarts", "answers"):
+            with self.subTest(how):
+                system = await fixtures.start_system(self, plain=2, fronts=3)
+                backup = system.store.copy()
+                target = system.targets["plain-0"]
+                target.leaves = how != "answers"
+                # Its row lapses, as after a silence.
+                await remove_target(system, "plain-0")
+                await lose_writes(system, backup)
+                if how != "answers":
+                    await fixtures.until(
+                        lambda s=system: all_hold(s, "plain-0")
+                    )
+                    changes = {"born": 2} if how == "restarts" else {}
+                    put_target(system, "plain-0", **changes)
+                await fixtures.until(
+                    lambda s=system: all(
+                        "plain-0" in f.entry.targets.entries for f in s.fronts
+                    ),
+                    limit_s=_BOUND_S,
+                )
+                # It stays in use after another return.
+                if how == "answers":
+                    await lose_writes(system, backup)
+                    await asyncio.sleep(0.5)
+                    self.assertFalse(all_hold(system, "plain-0"))
+                await system.stop_fronts()
+
+
 class PeersTest(unittest.IsolatedAsyncioTestCase):
     async def test_all_tables_are_read_once_a_peer_names_the_era(self):
         """Guards against watchers that wait for their own feed's answer."""
--- a/copperloom/ingress/updates.py
+++ b/copperloom/ingress/updates.py
@@ -14,7 +14,12 @@
     shards,
     target_limits,
 )
-from copperloom.ingress import cold_targets, target_checks, unreadable_targets
+from copperloom.ingress import (
+    cold_targets,
+    removed_targets,
+    target_checks,
+    unreadable_targets,
+)
 from copperloom.ingress.state import IngressState
 from copperloom.platform import decoding
 
@@ -92,6 +97,10 @@
     changes = [(r.key, decoding.decode_target(r.key, r.value)) for r in rows]
     unreadable = unreadable_targets.find(rows, changes)
     unreadable_targets.log(unreadable, state.target_rows, source)
+    if whole:
+        missing = set(touched).difference(row.key for row in rows)
+        removed_targets.record_missing(state, missing, version)
+    changes = removed_targets.hold_outdated(state, rows, changes)
     if whole:
         entries = [entry for _, entry in changes if entry is not None]
         rowlog.replace(state.target_rows, rows, version)
--- a/copperloom/ingress/wire_knowledge.py
+++ b/copperloom/ingress/wire_knowledge.py
@@ -9,6 +9,7 @@
     cold_start,
     crash_log,
     evacuation,
+    removed_targets,
     target_limits,
 )
 
@@ -96,6 +97,26 @@
     revision: int
 
 
+class WireRemoval(msgspec.Struct, array_like=True):
+    """A removed target, as it is sent.
+
+    Attributes:
+        target: Name of the target.
+        born_ms: Its start, in ms since the epoch.
+        sequence: Sequence number of its last registration before.
+        era: Era of the version in which it was removed.
+        version: Number of that version.
+        is_back: Whether the target has answered a check since then.
+    """
+
+    target: str
+    born_ms: int
+    sequence: int
+    era: int
+    version: int
+    is_back: bool
+
+
 class WireSpeed(msgspec.Struct, array_like=True):
     """An observation of a target's speed, as it is sent.
 
@@ -169,6 +190,29 @@
     return evacuation.Report(wire.data_centre, version, wire.active)
 
 
+def encode_removal(removal: removed_targets.Removal) -> WireRemoval:
+    """Encodes what is known of a removed target."""
+    return WireRemoval(
+        removal.name,
+        removal.born_ms,
+        removal.sequence,
+        removal.version.era,
+        removal.version.number,
+        removal.is_back,
+    )
+
+
+def decode_removal(wire: WireRemoval) -> removed_targets.Removal:
+    """Decodes what a peer knows of a removed target."""
+    return removed_targets.Removal(
+        wire.target,
+        wire.born_ms,
+        wire.sequence,
+        versions.Version(wire.era, wire.version),
+        wire.is_back,
+    )
+
+
 def encode_cold(target: str, report: cold_start.Report) -> WireCold:
     """Encodes what is known of a cold target."""
     left_ms = -1 if math.isinf(report.left_s) else int(report.left_s * _MS)
--- a/copperloom/platform/decoding.py
+++ b/copperloom/platform/decoding.py
@@ -249,6 +249,7 @@
         draining=doc.state == _DRAINING,
         born_ms=doc.born,
         cold_remaining_s=max(0.0, doc.cold_remaining_ms) / _MS,
+        sequence=doc.seq,
     )
 
 
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -112,6 +112,8 @@
             those to checks.
         on_crash: Called after a crash.
         on_restart: Called after a restart, to register it again.
+        leaves: Whether its checks say that it takes no more work.
+        registrations: Number of rows that it has made.
         write_head: Returns the bytes of a head for given fields, in place of
             a proper one; None for proper answers.
         early_answer: Bytes that it sends as soon as it has received the head
@@ -153,6 +155,8 @@
         self.tells_cold = False
         self.on_crash: Callable[[TargetStandin], None] = _ignore
         self.on_restart: Callable[[TargetStandin], None] = _ignore
+        self.leaves = False
+        self.registrations = 0
         self.write_head: Callable[[list[str]], bytes] | None = None
         self.early_answer: bytes | None = None
         self.restarting: asyncio.Task | None = None
@@ -174,6 +178,7 @@
 
     def registration(self, service: str, **changes) -> dict:
         """Returns the row with which the target registers."""
+        self.registrations += 1
         row = {
             "service": service,
             "address": self.address,
@@ -182,7 +187,7 @@
             "slots": 8,
             "state": "ready",
             "cold_remaining_ms": self.cold_left_ms,
-            "seq": 0,
+            "seq": self.registrations,
             "born": self.born,
         }
         return row | changes
@@ -246,7 +251,9 @@
         headers = _own_headers(target)
         if request.path == wire.HEALTH_PATH:
             headers[wire.COLD] = str(target.cold_left_ms)
-        return web.Response(headers=headers)
+        return web.Response(
+            status=503 if target.leaves else 200, headers=headers
+        )
     if request.path == "/copperloom/order":
         order = msgspec.json.decode(body)
         _record_arrival(target, order["op"])
--- a/copperloom/routing.py
+++ b/copperloom/routing.py
@@ -200,6 +200,7 @@
             later start under the same name is a target that has lost its state.
         cold_remaining_s: How much longer it was cold when it registered, in
             seconds.
+        sequence: Number that rises with each registration of one start.
     """
 
     name: str
@@ -210,6 +211,7 @@
     draining: bool = False
     born_ms: int = 0
     cold_remaining_s: float = 0.0
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
