Quarantine: a server error is no evidence that a request can be run

Cause: any answer but a 503 voided the evidence against the request. Ruled out: evidence that expires, and instances that don't hear of it.

Change: only a sealed answer below 500 that doesn't deny the run voids it.

Evidence: test_server_error_between_crashes times out without the fix, as the third crash counts as the first; it passes now with the other 15 tests of the module. The count of crashes can no longer fall by what a target may send without having begun.

--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -285,7 +285,7 @@
             reply_checks.check(ex, answer)
             await relay.relay(ex, reply, answer.facts)
         if answer.status != answers.UNAVAILABLE:
-            _record_success(ex, entry, answer.status)
+            _record_success(ex, entry, answer)
     except exception.TargetUnreachableError:
         ex.sends -= 1
         if is_first:
@@ -339,14 +339,18 @@
 
 
 def _record_success(
-    ex: exchange.Exchange, entry: routing.TargetEntry, status: int
+    ex: exchange.Exchange, entry: routing.TargetEntry, answer: answers.Answer
 ) -> None:
     now = asyncio.get_running_loop().time()
     target_health = ex.state.health.get(entry.name)
     if target_health is not None and not ex.slow:
         health.record_success(target_health, now)
     quarantines.record_completion(
-        ex, entry, now, is_success=status < _FIRST_ERROR_STATUS
+        ex,
+        entry,
+        now,
+        has_run=reply_checks.shows_run(answer),
+        is_success=answer.status < _FIRST_ERROR_STATUS,
     )
     ex.state.metrics.attempts.labels("answered").inc()
 
--- a/copperloom/ingress/quarantines.py
+++ b/copperloom/ingress/quarantines.py
@@ -196,15 +196,17 @@
     target: routing.TargetEntry,
     now: float,
     *,
+    has_run: bool,
     is_success: bool,
 ) -> None:
-    """Records that a target has completed a request.
+    """Records that a target has answered a request to the end.
 
     Args:
         ex: The request.
         target: The target.
         now: Monotonic time.
-        is_success: Whether it wrote an answer instead of an error.
+        has_run: Whether the answer shows that the request can be run.
+        is_success: Whether the target wrote an answer instead of an error.
     """
     log = ex.state.crashes
     if not (log.requests or log.parts):
@@ -216,7 +218,7 @@
         log, incarnation, ex.attempt_at, now
     )
     digest = exchange.content_digest(ex)
-    if crash_evidence.record_completion(log, digest, now):
+    if has_run and crash_evidence.record_completion(log, digest, now):
         concerned.append(digest)
     for digest in concerned:
         _log_evidence(
--- a/copperloom/ingress/reply_checks.py
+++ b/copperloom/ingress/reply_checks.py
@@ -3,7 +3,7 @@
 from copperloom import exception
 from copperloom.ingress import answers, exchange, retry, target_room
 
-__all__ = ["check"]
+__all__ = ["check", "shows_run"]
 
 _SERVER_ERROR = 500
 # Statuses of clients' errors that say that a request has not run.
@@ -52,6 +52,16 @@
         )
 
 
+def shows_run(answer: answers.Answer) -> bool:
+    """Returns whether an answer shows that its request can be run.
+
+    A server error does not: the target may send it before it begins.
+    """
+    if answer.status >= _SERVER_ERROR or answer.status in _DENIES_RUN:
+        return False
+    return answer.facts.sealed
+
+
 def _denies_run_unproved(ex: exchange.Exchange, answer: answers.Answer) -> bool:
     """Returns whether a caller would be told without proof that nothing ran.
 
--- a/copperloom/ingress/tests/test_quarantine.py
+++ b/copperloom/ingress/tests/test_quarantine.py
@@ -12,6 +12,7 @@
 from copperloom.ingress.tests.kinds import Kind
 from copperloom.platform import catalog
 from copperloom.platform.standins import crashes
+from copperloom.platform.standins.target import Fault
 
 _CRASHING = b"crashes its targets"
 # A request counts as known at all instances this long after its third crash.
@@ -109,6 +110,25 @@
         self._check_retries(system)
         self._check_answers(answers)
 
+    async def test_server_error_between_crashes(self):
+        """Guards against a target's failure that voids the evidence."""
+        system = await _start(self, engines=1, plain=4, fronts=2)
+        while len(_crashed_at(system)) < _CRASHES - 1:
+            await fixtures.call(system, _PLAIN.path, body=_CRASHING)
+        for target in system.targets.values():
+            target.crashes_on = lambda request: False
+            target.always = Fault.FAIL
+        answer = await fixtures.call(system, _PLAIN.path, body=_CRASHING)
+        self.assertEqual(answer.status, 500)
+        for target in system.targets.values():
+            target.crashes_on = _crashes
+            target.always = None
+        await _crash_three(system)
+        sent = len(_received(system))
+        answer = await fixtures.call(system, _PLAIN.path, body=_CRASHING)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(len(_received(system)), sent)
+
     async def test_targets_restart_under_their_old_name(self):
         system = await _start(self, engines=1, plain=3, fronts=3)
         for target in system.targets.values():
