Target health: a server error that callers get is a failure of its target

Callers saw: of a service with one target that fails a part of its requests while its check is good, requests that may run only once got its 500s as long as it lasted. Such a target answers quickly, so that it looks idle and gets more.

Cause: an answer that is passed on counted as a success of its target, whatever its status; it even took penalties away that repeatable requests had added.

Change: a status from 500 on is a failure, except 504, which only says that the caller's deadline has passed.

Evidence: test_target_whose_answers_are_server_errors fails before (see the bound: half of an even share) and passes now.

--- a/copperloom/ingress/forward.py
+++ b/copperloom/ingress/forward.py
@@ -285,7 +285,7 @@
             reply_checks.check(ex, answer)
             await relay.relay(ex, reply, answer.facts)
         if answer.status != answers.UNAVAILABLE:
-            _record_success(ex, entry, answer)
+            _record_answer(ex, entry, answer)
     except exception.TargetUnreachableError:
         ex.sends -= 1
         if is_first:
@@ -338,12 +338,16 @@
     return (ex.deadline - now) * _PLAIN_TIMEOUT_SHARE
 
 
-def _record_success(
+def _record_answer(
     ex: exchange.Exchange, entry: routing.TargetEntry, answer: answers.Answer
 ) -> None:
     now = asyncio.get_running_loop().time()
     target_health = ex.state.health.get(entry.name)
-    if target_health is not None and not ex.slow:
+    if reply_checks.is_failure(answer):
+        target_health = ex.state.health.setdefault(entry.name, health.Health())
+        health.record_failure(target_health, now, health.BROKEN_PENALTY)
+        ex.state.digest_due.set()
+    elif target_health is not None and not ex.slow:
         health.record_success(target_health, now)
     quarantines.record_completion(
         ex,
--- a/copperloom/ingress/reply_checks.py
+++ b/copperloom/ingress/reply_checks.py
@@ -3,9 +3,11 @@
 from copperloom import exception
 from copperloom.ingress import answers, exchange, retry, target_room
 
-__all__ = ["check", "shows_run"]
+__all__ = ["check", "is_failure", "shows_run"]
 
 _SERVER_ERROR = 500
+# The deadline that the caller gave has passed.
+_TIMED_OUT = 504
 # Statuses of clients' errors that say that a request has not run.
 _DENIES_RUN = frozenset({408, 429})
 
@@ -52,6 +54,11 @@
         )
 
 
+def is_failure(answer: answers.Answer) -> bool:
+    """Returns whether an answer counts against the health of its target."""
+    return answer.status >= _SERVER_ERROR and answer.status != _TIMED_OUT
+
+
 def shows_run(answer: answers.Answer) -> bool:
     """Returns whether an answer shows that its request can be run.
 
--- a/copperloom/ingress/tests/test_failures.py
+++ b/copperloom/ingress/tests/test_failures.py
@@ -70,6 +70,23 @@
         self.assertEqual({a.status for a in answers}, {200})
 
 
+class FailingTargetTest(unittest.IsolatedAsyncioTestCase):
+    async def test_target_whose_answers_are_server_errors(self):
+        """Guards against a failing target that looks idle, and gets the work.
+
+        Its check is good, and requests that run once get what it answers.
+        """
+        system = await fixtures.start_system(self, engines=0, plain=4)
+        for target in system.targets.values():
+            target.pause_s = 0.05
+        bad = system.targets["plain-0"]
+        bad.always = Fault.FAIL
+        answers = await fixtures.call_often(system, "/write/x", 3.0, 0.05)
+        even_share = len(answers) / len(system.targets)
+        self.assertLess(len(bad.seen), even_share / 2)
+        self.assertEqual({a.status for a in answers} - {500}, {200})
+
+
 class RetryTest(unittest.IsolatedAsyncioTestCase):
     async def test_idempotent_request_is_sent_at_most_twice(self):
         system = await fixtures.start_system(self, engines=1)
