Targets: a cut head is a broken answer, not an internal error

Callers saw: 502 with code 1000 for each answer whose head a target cut off after its first bytes, also for requests that may be repeated, while the target went on getting its share.

Cause: the library's error carries the received head as its message; taking it for a text raised an AttributeError in the handler, so that the attempt was no failure of the target, and no other target was asked. In a check it would have ended the check's loop.

Change: texts of the library's errors name types and error numbers only. Other errors that nobody expects while an answer is received are logged as faults and count as broken answers.

That no cut head or trailer becomes an answer (test_no_caller_gets_an_answer, test_trailers, copies, peers, resumed streams) held before as well.

--- a/copperloom/ingress/sender.py
+++ b/copperloom/ingress/sender.py
@@ -19,7 +19,7 @@
 from aiohttp import http_exceptions
 
 from copperloom import exception
-from copperloom.utils import response_protocol, sockets
+from copperloom.utils import http_errors, response_protocol, sockets
 
 __all__ = ["Reply", "Sender", "close", "is_listening", "send"]
 
@@ -172,6 +172,10 @@
             yield Reply(resp.status, resp.headers, resp, resp._protocol)
     except (aiohttp.ClientError, OSError) as error:
         raise _broken(error) from error
+    except exception.CopperloomError:
+        raise
+    except Exception as error:
+        raise http_errors.unforeseen(error) from error
 
 
 async def _head(pending, timeout_s, wait_on, abandon) -> aiohttp.ClientResponse:
@@ -220,7 +224,7 @@
     ) as error:
         is_silent = isinstance(error, TimeoutError)
         raise exception.TargetUnreachableError(
-            _reason(error), is_silent=is_silent
+            http_errors.describe(error), is_silent=is_silent
         ) from error
     except (aiohttp.ClientError, OSError) as error:
         raise _broken(error) from error
@@ -259,10 +263,15 @@
     if place:
         # aiohttp does not tell how much came.
         return exception.AnswerTooLongError(
-            _reason(cause), place=place, size=bound + 1, bound=bound
+            http_errors.describe(cause),
+            place=place,
+            size=bound + 1,
+            bound=bound,
         )
     is_lost = not isinstance(cause, response_protocol.MalformedHeadError)
-    return exception.StreamBrokenError(_reason(error), connection_lost=is_lost)
+    return exception.StreamBrokenError(
+        http_errors.describe(error), connection_lost=is_lost
+    )
 
 
 def _first_cause(error: BaseException) -> BaseException:
@@ -276,16 +285,6 @@
     if isinstance(cause, http_exceptions.LineTooLong):
         return "line", _MAX_LINE_BYTES
     is_refused = isinstance(cause, http_exceptions.BadHttpMessage)
-    if is_refused and _TOO_MANY_LINES in cause.message:
+    if is_refused and _TOO_MANY_LINES in str(cause):
         return "lines", _MAX_LINES
     return "", 0
-
-
-def _reason(error: BaseException) -> str:
-    """Returns the text of an error, without what the target has sent.
-
-    aiohttp shows received bytes and the URL behind the first line.
-    """
-    text = getattr(error, "message", "") or str(error)
-    text = text.replace("\\n", "\n").partition("\n")[0]
-    return f"{type(error).__name__}: {text}"
--- a/copperloom/ingress/tests/test_hedged_sends.py
+++ b/copperloom/ingress/tests/test_hedged_sends.py
@@ -52,6 +52,19 @@
         self.assertEqual(len(_attempts(system, answer)), 2)
         self.assertLess(asyncio.get_running_loop().time() - started_at, 1.0)
 
+    async def test_copy_whose_head_is_cut(self):
+        """Guards against a broken copy that ends or replaces the other one."""
+        system = await _start(self, engines=1, plain=2)
+        slow, bad = system.targets["plain-0"], system.targets["plain-1"]
+        slow.pause_s = 0.3
+        bad.cut_answer = lambda given: (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+        )
+        while not bad.seen:
+            answer = await fixtures.call(system, "/read/x")
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.body, f"plain-0 did {answer.id}".encode())
+
     async def test_cancelled_copy_stops_at_its_target(self):
         """Guards against targets that work on for nobody."""
         system = await _start(self, engines=1, plain=2)
--- a/copperloom/ingress/tests/test_malformed_answers.py
+++ b/copperloom/ingress/tests/test_malformed_answers.py
@@ -1,9 +1,16 @@
 """Tests that no caller gets an answer that is malformed or cut off."""
 
+import asyncio
+import itertools
 import unittest
+from unittest import mock
 
-from copperloom.ingress.tests import fixtures
+from copperloom import logs
+from copperloom.ingress import sender
+from copperloom.ingress.tests import fixtures, partitions
 from copperloom.platform.standins import wire
+from copperloom.platform.standins.links import Partition
+from copperloom.platform.standins.target import Fault
 
 _OK = "HTTP/1.1 200 OK"
 _FRAMED = "Content-Length: 5"
@@ -65,6 +72,151 @@
     await fixtures.until(lambda: entry.table.limits.max_body_bytes == size)
 
 
+# The heads that are cut, of answers that are framed in each way.
+_FRAMINGS = (
+    ("HTTP/1.1 200 OK", "Content-Length: 5"),
+    ("HTTP/1.1 200 OK", "Transfer-Encoding: chunked"),
+    ("HTTP/1.1 200 OK",),
+    ("HTTP/1.1 102 Processing", "", "HTTP/1.1 200 OK", "Content-Length: 5"),
+)
+_CUT_STEP = 7
+_MAX_LOGGED = 800
+
+
+def _cut_heads(framing: tuple[str, ...]):
+    """Returns a function that cuts a head at another place in each call."""
+    places = itertools.count(0, _CUT_STEP)
+
+    def cut(given: list[str]) -> bytes:
+        head = "\r\n".join([*framing, *given, "", ""]).encode()
+        return head[: next(places) % (len(head) - 1) + 1][: len(head) - 1]
+
+    return cut
+
+
+class CutHeadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_no_caller_gets_an_answer(self):
+        """Guards against a cut head that is taken for a whole answer."""
+        system = await fixtures.start_system(self, plain=1, engines=1)
+        for framing in _FRAMINGS:
+            for resets in (False, True):
+                for target in system.targets.values():
+                    target.cut_answer = _cut_heads(framing)
+                    target.resets = resets
+                calls = [
+                    fixtures.call(system, path, prompt=prompt)
+                    for path, prompt in (("/write/x", 0), ("/once/x", 4000))
+                    for _ in range(25)
+                ]
+                for answer in await asyncio.gather(*calls):
+                    with self.subTest(framing, resets=resets):
+                        self.assertIn(answer.status, (502, 503))
+        entry = system.fronts[0].entry
+        self.assertEqual(entry.inflight.own, {})
+        self.assertFalse(entry.body_memory.bodies)
+
+    async def test_one_target_of_eight(self):
+        """Guards against a target whose cut heads are no failures of it."""
+        for resets in (False, True):
+            with self.subTest(resets=resets):
+                system = await fixtures.start_system(self, plain=8, engines=0)
+                for target in system.targets.values():
+                    target.pause_s = 0.05
+                bad = system.targets["plain-0"]
+                bad.cut_answer = _cut_heads(_FRAMINGS[0])
+                bad.resets = resets
+                answers = await fixtures.call_often(
+                    system, "/read/x", 3.0, 0.03, method="GET"
+                )
+                self.assertEqual({a.status for a in answers}, {200})
+                self.assertLess(len(bad.seen), len(answers) / 8 / 2)
+                await system.stop_fronts()
+
+    async def test_streams(self):
+        """Guards against cut heads in place of a begun or resumed stream."""
+        system = await fixtures.start_system(self, plain=0, engines=2)
+        bad = system.targets["engine-0"]
+        bad.cut_answer = _cut_heads(_FRAMINGS[1])
+        while not bad.seen:
+            answer = await fixtures.call(system, "/chat/x", prompt=4000)
+            self.assertEqual(answer.status, 200)
+            self.assertTrue(answer.complete)
+        good = system.targets["engine-1"]
+        good.always = Fault.BREAK
+        seen = len(bad.seen)
+        while len(bad.seen) == seen:
+            answer = await fixtures.call(system, "/chat/x", prompt=4000)
+            self.assertFalse(answer.status == 200 and answer.complete)
+
+    async def test_answers_that_a_peer_relays(self):
+        """Guards against a cut head that a peer passes on as an answer."""
+        system = await partitions.start_partitioned(
+            self, Partition.REFUSE, fronts=2, engines=1, plain=2
+        )
+        await fixtures.call(system, "/read/x", method="GET")
+        lost = system.fronts[0].entry.reachability
+        await fixtures.until(lambda: lost.is_lost)
+        for target in system.targets.values():
+            target.cut_answer = _cut_heads(_FRAMINGS[0])
+        for path, prompt in (("/write/x", 0), ("/once/x", 4000)):
+            answer = await fixtures.call(system, path, prompt=prompt)
+            self.assertEqual(answer.status, 502)
+
+    async def test_trailers(self):
+        """Guards against a body that counts as whole before its trailers end.
+
+        A last chunk is complete only with the empty line behind it.
+        """
+        system = await fixtures.start_system(self, plain=1, engines=0)
+        target = system.targets["plain-0"]
+        for end in (b"0", b"0\r\n", b"0\r\nX-Sum: 1", b"0\r\nX-Sum: 1\r\n"):
+            for resets in (False, True):
+                with self.subTest(end, resets=resets):
+                    target.resets = resets
+                    target.cut_answer = lambda given, end=end: (
+                        "\r\n".join([*_FRAMINGS[1], *given, "", ""]).encode()
+                        + b"5\r\nwhole\r\n"
+                        + end
+                    )
+                    answer = await fixtures.call(system, "/write/x")
+                    self.assertEqual(answer.status, 502)
+
+    async def test_logged_text_is_bounded(self):
+        """Guards against log lines that hold what a target has sent."""
+        system = await fixtures.start_system(self, plain=1, engines=0)
+        secret = "x" * 3000
+        system.targets["plain-0"].cut_answer = lambda given: (
+            f"HTTP/1.1 200 OK\r\nX-Long: {secret}\r\n".encode()
+        )
+        with mock.patch.object(logs, "event") as logged:
+            answer = await fixtures.call(system, "/write/x")
+        self.assertEqual(answer.headers["Copperloom-Error"], "4004")
+        for call in logged.call_args_list:
+            self.assertLess(len(repr(call)), _MAX_LOGGED)
+            self.assertNotEqual(call.args[0], "fault")
+        self.assertNotIn(b"xxx", answer.body)
+
+    async def test_unforeseen_error_of_the_library(self):
+        """Guards against an error that ends a request that may be repeated."""
+        system = await fixtures.start_system(self, plain=2, engines=0)
+        entry = system.fronts[0].entry
+        failing = itertools.cycle((True, False))
+
+        async def head(*args):
+            if next(failing):
+                raise KeyError("unforeseen")
+            return await sender_head(*args)
+
+        sender_head = sender._head
+        with mock.patch.object(sender, "_head", head):
+            answer = await fixtures.call(system, "/read/x", method="GET")
+            self.assertEqual(answer.status, 200)
+            answer = await fixtures.call(system, "/write/x")
+            self.assertEqual(answer.headers["Copperloom-Error"], "4004")
+        self.assertEqual(len(entry.health), 2)
+        self.assertEqual(entry.inflight.own, {})
+
+
 class MalformedHeadTest(unittest.IsolatedAsyncioTestCase):
     async def test_plain_answers(self):
         """Guards against malformed heads that callers get as answers."""
--- a/copperloom/platform/standins/raw_answers.py
+++ b/copperloom/platform/standins/raw_answers.py
@@ -14,6 +14,7 @@
     "PLAIN_FAULTS",
     "STREAM_FAULTS",
     "part_of",
+    "write_cut",
     "write_early",
     "write_endless",
     "write_plain",
@@ -88,6 +89,19 @@
     request.transport.close()
 
 
+async def write_cut(target, request, headers) -> None:
+    """Writes the begin of a head, and closes or resets."""
+    head = target.cut_answer([f"{k}: {v}" for k, v in headers.items()])
+    request.transport.write(head)
+    await asyncio.sleep(FLUSH_S)
+    if target.resets:
+        crashes.reset(request.transport)
+    else:
+        request.transport.close()
+    # The handler is cancelled as the connection is lost.
+    await asyncio.sleep(FLUSH_S)
+
+
 async def write_early(target, request) -> None:
     """Answers a request that is still being received, then resets."""
     request.transport.pause_reading()
--- a/copperloom/platform/standins/target.py
+++ b/copperloom/platform/standins/target.py
@@ -116,6 +116,9 @@
         registrations: Number of rows that it has made.
         write_head: Returns the bytes of a head for given fields, in place of
             a proper one; None for proper answers.
+        cut_answer: Returns the bytes of an answer that is cut off in its head,
+            for the fields of a proper one; None for proper answers.
+        resets: Whether the connection of such an answer is reset.
         early_answer: Bytes that it sends as soon as it has received the head
             of a request, before it resets the connection; None to read all.
         restarting: The restart that is due, if any.
@@ -158,6 +161,8 @@
         self.leaves = False
         self.registrations = 0
         self.write_head: Callable[[list[str]], bytes] | None = None
+        self.cut_answer: Callable[[list[str]], bytes] | None = None
+        self.resets = False
         self.early_answer: bytes | None = None
         self.restarting: asyncio.Task | None = None
         self.runner: web.ServerRunner | None = None
@@ -354,6 +359,8 @@
     """Writes an answer without the HTTP library, if it is to be malformed."""
     if fault in raw_answers.ENDLESS_FAULTS:
         await raw_answers.write_endless(target, request, headers, fault)
+    if target.cut_answer is not None:
+        await raw_answers.write_cut(target, request, headers)
     if target.write_head is not None:
         await raw_answers.write_raw(target, request, headers, request_id)
 
--- a/copperloom/targets/http.py
+++ b/copperloom/targets/http.py
@@ -16,7 +16,12 @@
 
 from copperloom import exception
 from copperloom.targets import interface, pieces, stalls
-from copperloom.utils import bounded_read, malformed, response_protocol
+from copperloom.utils import (
+    bounded_read,
+    http_errors,
+    malformed,
+    response_protocol,
+)
 
 __all__ = ["connect"]
 
@@ -275,9 +280,13 @@
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
     ) as error:
-        raise exception.TargetUnreachableError(str(error)) from error
+        raise exception.TargetUnreachableError(
+            http_errors.describe(error)
+        ) from error
     except (aiohttp.ClientError, OSError) as error:
-        raise exception.StreamBrokenError(_describe(error)) from error
+        raise exception.StreamBrokenError(
+            http_errors.describe(error)
+        ) from error
 
 
 @contextlib.asynccontextmanager
@@ -300,7 +309,13 @@
         ) as resp:
             yield resp
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
-        raise exception.StreamBrokenError(_describe(error)) from error
+        raise exception.StreamBrokenError(
+            http_errors.describe(error)
+        ) from error
+    except exception.CopperloomError:
+        raise
+    except Exception as error:
+        raise http_errors.unforeseen(error) from error
 
 
 async def _fetch(
@@ -326,7 +341,7 @@
     if resp.status == _OK:
         return
     body = await _read_error(resp)
-    text = f"{resp.status} {body.error}"
+    text = f"{resp.status} {body.error[:_MAX_ERROR_BYTES]}"
     if resp.status == _NOT_FOUND:
         raise exception.StreamUnknownError(text)
     if resp.status == _FORBIDDEN:
@@ -355,7 +370,3 @@
         return decoder.decode(body)
     except malformed.ERRORS as error:
         raise exception.StreamBrokenError(str(error)) from error
-
-
-def _describe(error: BaseException) -> str:
-    return f"{type(error).__name__}: {error}"
--- a/copperloom/targets/tests/test_malformed_answers.py
+++ b/copperloom/targets/tests/test_malformed_answers.py
@@ -87,6 +87,26 @@
             ):
                 await self.call(answer)
 
+    async def test_cut_heads(self):
+        """Guards against errors whose text holds what a target has sent."""
+        for data in (
+            b"HTTP/1.1 2",
+            _OK,
+            _OK + b"X-Long: " + b"x" * 3000,
+            _OK + b"X-Long: " + b"x" * 3000 + b"\r\n",
+        ):
+
+            async def answer(writer, data=data):
+                writer.write(data)
+                await writer.drain()
+
+            with (
+                self.subTest(data[:30]),
+                self.assertRaises(exception.StreamBrokenError) as caught,
+            ):
+                await self.call(answer)
+            self.assertLess(len(str(caught.exception)), 300)
+
     async def test_body_that_a_reset_ends(self):
         """Guards against a part of an answer that passes for all of it."""
 
