Streams: an event without an id ends the resumption for good

Callers would have seen: foreign data lines that have the form of an event without an id, in a stream that is resumed after a later id.

Cause: a later id counted as an account of all that came before it.

Change: after an event with data but no id a stream isn't resumed any more. Fields without data or an id, such as a retry time at the begin, are no event and wait for the next one, as comments do.

Evidence: test_event_without_an_id_long_before_a_break fails with the earlier rule (the stream was complete); 14 tests of the module pass.

--- a/copperloom/ingress/events.py
+++ b/copperloom/ingress/events.py
@@ -19,12 +19,12 @@
 _ENDS = (b"\n\r\n", b"\n\n", b"\r\r")
 _MAX_END_BYTES = 3
 _ID = re.compile(rb"id: ?([^\r\n]*)")
-_NAMES = b"|".join((b"data", b"event", b"retry", *headers.EVENT_FIELDS))
+_NAMES = b"|".join((b"event", b"retry", *headers.EVENT_FIELDS))
 _VALUE = rb"[^\r\n\0]*"
 _LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
 _COMMENT = rb"(?::%b)" % _VALUE
-# The group is the id of the event.
-_FIELD = rb"(?:id(?::(%b))?|(?:%b)(?::%b)?)" % (_VALUE, _NAMES, _VALUE)
+# The groups are the id of the event, and the name of its data.
+_FIELD = rb"(?:id(?::(%b))?|(?:(data)|%b)(?::%b)?)" % (_VALUE, _NAMES, _VALUE)
 _COMMENTS = rb"(?:%b?%b)*" % (_COMMENT, _LINE_END)
 _EVENT = re.compile(
     # Comments precede it. It begins with a field: if it could begin with a
@@ -52,7 +52,7 @@
 
     Attributes:
         last_id: Id of the latest event that has one; "" without any.
-        is_last_numbered: Whether the latest event has an id.
+        is_resumable: Whether all events have an id.
         is_resumed: Whether the caller has the begin of the stream already.
         is_begun: Whether anything was checked.
         held: Comments and empty lines after the latest event.
@@ -60,7 +60,7 @@
 
     def __init__(self, last_id: str, *, is_resumed: bool):
         self.last_id = last_id
-        self.is_last_numbered = False
+        self.is_resumable = True
         self.is_resumed = is_resumed
         self.is_begun = False
         self.held = bytearray()
@@ -73,8 +73,7 @@
     Attributes:
         data: The bytes of the events, unchanged.
         last_id: The last id among the events, "" if none has one.
-        is_resumable: Whether the last event has an id, after which a stream
-            can be resumed.
+        is_resumable: Whether the stream can be resumed after them.
     """
 
     data: bytes
@@ -146,7 +145,7 @@
         return None
     complete = bytes(checker.held) + data[:end]
     checker.held[:] = data[end:]
-    return Events(complete, checker.last_id, checker.is_last_numbered)
+    return Events(complete, checker.last_id, checker.is_resumable)
 
 
 def _is_utf8(data: bytes) -> bool:
@@ -167,15 +166,24 @@
 
 
 def _read_events(checker: Checker, data: bytes) -> int:
-    """Reads the ids of events; returns where the last event ends, or 0."""
+    """Reads the ids of events; returns where the last event ends, or 0.
+
+    Fields without data or an id are no event; like comments, they belong to
+    the next one.
+    """
     end = 0
-    while found := _EVENT.match(data, end):
-        end = found.end()
-        event_id = found[1]
-        checker.is_last_numbered = bool(event_id)
+    offset = 0
+    while found := _EVENT.match(data, offset):
+        offset = found.end()
+        event_id, data_name = found.groups()
         if event_id:
             _record_id(checker, event_id.removeprefix(b" ").decode())
-    if end < len(data) and not _ONLY_COMMENTS.fullmatch(data, end):
+        elif data_name:
+            checker.is_resumable = False
+        else:
+            continue
+        end = offset
+    if offset < len(data) and not _ONLY_COMMENTS.fullmatch(data, offset):
         raise exception.StreamBrokenError("target sent bytes that are no event")
     return end
 
--- a/copperloom/ingress/exchange.py
+++ b/copperloom/ingress/exchange.py
@@ -88,8 +88,8 @@
         first_at: Time of the first event, or of a plain answer.
         last_at: Time of the last event.
         last_event: Id of the last complete event sent to the caller.
-        is_past_last_event: Whether the caller has bytes behind that event, so
-            that the stream can't be resumed.
+        has_unnumbered: Whether the caller has events without an id, so that
+            the stream can't be resumed.
         longest_gap_s: Longest gap between events.
         slow: Whether its target decodes slowly.
         answer_body: The body of its plain answer; None without one.
@@ -147,7 +147,7 @@
         self.last_at = now
         self.reservation = ""
         self.last_event = self.head.last_event_id
-        self.is_past_last_event = False
+        self.has_unnumbered = False
         self.longest_gap_s = 0.0
         self.slow = False
         self.answer_body: answer_limits.Body | None = None
--- a/copperloom/ingress/long_answers.py
+++ b/copperloom/ingress/long_answers.py
@@ -210,12 +210,12 @@
     """Returns whether a stream must not be resumed after an error.
 
     The id of the last event of an endless stream is worth nothing: a target
-    that resumed after it would end the stream as if it were complete. Bytes
-    behind the last event that has an id would come twice.
+    that resumed after it would end the stream as if it were complete. Events
+    without an id would come twice.
     """
     if ex.response is None:
         return False
-    if not ex.route.resumable or ex.is_past_last_event:
+    if not ex.route.resumable or ex.has_unnumbered:
         return True
     is_too_long = isinstance(error, exception.AnswerTooLongError)
     return is_too_long and error.place != "event"
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -130,7 +130,7 @@
     Only a stream that can be resumed is abandoned. Any other one continues
     until its deadline.
     """
-    if not ex.route.resumable or ex.is_past_last_event:
+    if not ex.route.resumable or ex.has_unnumbered:
         return None
     if not has_begun:
         return first_event_timeout_s(ex)
--- a/copperloom/ingress/responses.py
+++ b/copperloom/ingress/responses.py
@@ -64,7 +64,7 @@
     """Sends complete events, after the head if they are the first."""
     _record_event(ex, now)
     await _begin_stream(ex, head, now)
-    ex.is_past_last_event = not complete.is_resumable
+    ex.has_unnumbered |= not complete.is_resumable
     await ex.response.write(complete.data)
     if complete.last_id:
         ex.last_event = complete.last_id
--- a/copperloom/ingress/tests/test_events.py
+++ b/copperloom/ingress/tests/test_events.py
@@ -104,6 +104,14 @@
         self.assertEqual(found.data, b": a\n\nid: 1\n\n")
         self.assertEqual(bytes(checker.held), b": b\n\n")
 
+    def test_fields_without_data_are_held_as_well(self):
+        """Guards against a stream that a preamble makes final."""
+        checker = events.Checker("", is_resumed=False)
+        self.assertIsNone(events.check(checker, b"retry: 500\n\n"))
+        found = events.check(checker, b"id: 1\ndata: a\n\n")
+        self.assertEqual(found.data, b"retry: 500\n\nid: 1\ndata: a\n\n")
+        self.assertTrue(found.is_resumable)
+
     def test_ids_increase(self):
         """Guards against events that a target repeats."""
         for last_id, event_id, is_allowed in (
@@ -172,6 +180,20 @@
             b"".join(map(bad.make_event, (1, 2))) + bad.interjected,
         )
 
+    async def test_event_without_an_id_long_before_a_break(self):
+        """Guards against a resumption that later ids seem to allow."""
+        system = await _start(self)
+        bad = system.targets["engine-0"]
+        make_event = bad.make_event
+        bad.make_event = lambda n: b"data: x\n\n" if n == 2 else make_event(n)
+        bad.always = Fault.BREAK
+        bad.break_after = 4
+        answer = await _until_seen(self, system)
+        self.assertFalse(answer.complete)
+        self.assertEqual(
+            answer.body, b"".join(map(bad.make_event, (1, 2, 3, 4)))
+        )
+
     async def test_proper_streams_are_unchanged(self):
         """Guards against proper events that are taken for foreign bytes."""
         system = await _start(self)
