--- a/copperloom/decisions/tests/test_rowlog.py
+++ b/copperloom/decisions/tests/test_rowlog.py
@@ -17,6 +17,26 @@
 
 
 class RowLogTest(unittest.TestCase):
+    def test_rows_that_a_whole_table_lacks_count_as_removed(self):
+        """Guards against differences without removals that no row tells of."""
+        log = _log(("a", 3, b"1"), ("b", 4, b"2"), floor=4)
+        rowlog.replace(log, [_row("b", 4, b"2")], Version(0, 9))
+        self.assertEqual(
+            rowlog.since(log, Version(0, 4)),
+            rowlog.Difference(False, (_row("a", 9, None),)),
+        )
+        self.assertTrue(rowlog.since(log, Version(0, 3)).whole)
+
+    def test_fingerprint_tells_rows_and_not_removals(self):
+        """Guards against fetches between instances with the same rows."""
+        log = _log(("a", 3, b"1"), ("b", 4, b"2"), floor=4)
+        other = _log(("b", 4, b"2"), floor=9)
+        self.assertNotEqual(rowlog.fingerprint(log), rowlog.fingerprint(other))
+        rowlog.update(log, [_row("a", 7, None)])
+        self.assertEqual(rowlog.fingerprint(log), rowlog.fingerprint(other))
+        rowlog.update(log, [_row("b", 8, b"2")])
+        self.assertNotEqual(rowlog.fingerprint(log), rowlog.fingerprint(other))
+
     def test_difference_has_only_changed_rows(self):
         log = _log(("a", 3, b"1"), ("b", 4, b"2"), floor=4)
         rowlog.update(log, [rowlog.Row("b", Version(0, 7), b"3")])
--- a/copperloom/ingress/cold_checks.py
+++ b/copperloom/ingress/cold_checks.py
@@ -9,7 +9,7 @@
 
 from copperloom import exception, routing
 from copperloom.decisions import cold_start, registry
-from copperloom.ingress import answers, cold_grants, cold_targets, sender
+from copperloom.ingress import answers, cold_grants, cold_targets, health_checks
 from copperloom.ingress.state import IngressState
 from copperloom.platform import headers
 from copperloom.utils import waits
@@ -60,17 +60,8 @@
 async def _ask(state: IngressState, target: routing.TargetEntry) -> None:
     loop = asyncio.get_running_loop()
     begun_at = loop.time()
-    spec = state.table.services.get(target.service)
-    path = spec.health_path if spec is not None else routing.DEFAULT_CHECK_PATH
     try:
-        async with sender.send(
-            state.sender,
-            target.address,
-            "GET",
-            path,
-            headers.for_check(target.name),
-            b"",
-        ) as reply:
+        async with health_checks.send(state, target) as reply:
             if reply.status == answers.MISDIRECTED:
                 return
             facts = headers.read_reply(reply.headers)
--- a/copperloom/ingress/removed_targets.py
+++ b/copperloom/ingress/removed_targets.py
@@ -15,7 +15,7 @@
     removed_targets,
     rowlog,
 )
-from copperloom.ingress import sender, wire_knowledge
+from copperloom.ingress import health_checks, wire_knowledge
 from copperloom.ingress.state import IngressState, fleet_size
 from copperloom.platform import headers
 from copperloom.utils import waits
@@ -176,17 +176,8 @@
 
 async def _is_alive(state: IngressState, target: routing.TargetEntry) -> bool:
     """Returns whether a target says itself that it takes work."""
-    spec = state.table.services.get(target.service)
-    path = spec.health_path if spec is not None else routing.DEFAULT_CHECK_PATH
     try:
-        async with sender.send(
-            state.sender,
-            target.address,
-            "GET",
-            path,
-            headers.for_check(target.name),
-            b"",
-        ) as reply:
+        async with health_checks.send(state, target) as reply:
             drains = headers.read_reply(reply.headers).drains
             return reply.status == _OK and not drains
     except (
--- a/copperloom/ingress/tests/test_events.py
+++ b/copperloom/ingress/tests/test_events.py
@@ -9,6 +9,7 @@
 from copperloom import exception
 from copperloom.ingress import events
 from copperloom.ingress.tests import fixtures, partitions
+from copperloom.platform import headers
 from copperloom.platform.standins.links import Partition
 from copperloom.platform.standins.target import Fault
 
@@ -31,7 +32,7 @@
     b"id: 1\ndata: a\n\n",
     b"id:2\r\ndata: b\r\ndata: c\r\n\r\n",
     b": comment\r\rid: 3\rdata: d\r\r",
-    b"copperloom-weight-versions: 7\nid: 4\ndata\n\n",
+    min(headers.EVENT_FIELDS) + b": 7\nid: 4\ndata\n\n",
     b"id: 10\nevent: e\nretry: 5\ndata: \xc3\xa9: f\n\r\n",
     b"\n\nid: 11\ndata: " + b"x" * 9000 + b"\n\n",
 )
