Evacuations: an end that no reader saw reaches all instances

Callers would have seen: no capacity of a data centre for up to a minute after its evacuation had ended, if all readers restarted at that moment.

Cause: a reader that starts reads a table without the row, then learns of the evacuation from peers, and believes it.

Change: a report that is older than the reader's whole read, of the same era, and of a data centre that the table doesn't name, is answered with the end. If as many are known as are kept, nothing is concluded.

Evidence: EvacuationTest fails on the commit before and passes now; so does test_reader_that_never_knew_the_row.

--- a/copperloom/decisions/evacuation.py
+++ b/copperloom/decisions/evacuation.py
@@ -25,6 +25,7 @@
     "active",
     "end_lapsed",
     "is_name",
+    "missed_ends",
     "record",
     "record_whole",
     "to_share",
@@ -89,12 +90,14 @@
         known: The latest report and when it was passed on, by data centre.
             Ends of evacuations stay known, so that an older copy of the table
             can't bring an evacuation back.
+        read_version: Version of the table when it was last read as a whole.
         lapsing: Ends of evacuations that an older copy lacks, and the monotonic
             time at which they count, by data centre.
     """
 
     def __init__(self):
         self.known: dict[str, _Known] = {}
+        self.read_version = versions.NONE
         self.lapsing: dict[str, tuple[Report, float]] = {}
 
 
@@ -148,6 +151,31 @@
     return changes
 
 
+def missed_ends(
+    evacuations: Evacuations, told: Iterable[Report]
+) -> list[Report]:
+    """Returns the ends of evacuations that peers still take for active.
+
+    The row of an evacuation that is older than the last read of the whole
+    table, and that is not known from it, had been removed.
+
+    Args:
+        evacuations: What is known.
+        told: What peers report.
+    """
+    read = evacuations.read_version
+    if len(evacuations.known) >= MAX_KNOWN:
+        return []
+    return [
+        Report(report.data_centre, read, False)
+        for report in told
+        if report.active
+        and report.data_centre not in evacuations.known
+        and report.version.era == read.era
+        and report.version <= read
+    ]
+
+
 def _has_room(
     evacuations: Evacuations, report: Report, with_targets: Container[str]
 ) -> bool:
@@ -200,13 +228,15 @@
             evacuations.lapsing[name] = end, lapse_at
         else:
             ended.append(end)
-    return record(
+    changes = record(
         evacuations,
         [*reports, *ended],
         now,
         forwards=True,
         with_targets=with_targets,
     )
+    evacuations.read_version = max(evacuations.read_version, version)
+    return changes
 
 
 def end_lapsed(evacuations: Evacuations, now: float) -> list[Change]:
--- a/copperloom/decisions/tests/test_evacuation.py
+++ b/copperloom/decisions/tests/test_evacuation.py
@@ -54,6 +54,20 @@
         self.assertTrue(change.has_ended)
         self.assertEqual(evacuation.active(known), {"b"})
 
+    def test_reader_that_never_knew_the_row(self):
+        """Guards against an evacuation that goes on as its readers restart."""
+        reader = evacuation.Evacuations()
+        rows = [_report("b", 4, True)]
+        evacuation.record_whole(reader, rows, Version(0, 9), 0.0)
+        told = [_report("a", 3, True), _report("b", 4, True)]
+        (end,) = evacuation.missed_ends(reader, told)
+        self.assertEqual(end, _report("a", 9, False))
+        _record(reader, end, *told)
+        self.assertEqual(evacuation.active(reader), {"b"})
+        self.assertIn(end, _shared(reader, 0.1))
+        later = [_report("c", 10, True), _report("d", 3, True, era=1)]
+        self.assertEqual(evacuation.missed_ends(reader, later), [])
+
     def test_names_without_targets_are_bounded(self):
         """Guards against rows that fill memory and keep real ones out."""
         known = evacuation.Evacuations()
--- a/copperloom/ingress/evacuations.py
+++ b/copperloom/ingress/evacuations.py
@@ -113,15 +113,25 @@
     Returns:
         Whether anything was new.
     """
+    era = state.store.era or 0
+    told = [wire_knowledge.decode_evacuation(wire, era) for wire in wires]
+    with_targets = _data_centres(state)
+    ends = evacuation.missed_ends(state.evacuations, told)
+    if ends:
+        evacuation.record(
+            state.evacuations,
+            ends,
+            now,
+            forwards=True,
+            with_targets=with_targets,
+        )
+        state.digest_due.set()
     changes = evacuation.record(
         state.evacuations,
-        [
-            wire_knowledge.decode_evacuation(wire, state.store.era or 0)
-            for wire in wires
-        ],
+        told,
         now,
         forwards=forwards,
-        with_targets=_data_centres(state),
+        with_targets=with_targets,
     )
     _adopt(state, changes, now, source)
     return bool(changes)
--- a/copperloom/ingress/tests/test_missed_removals.py
+++ b/copperloom/ingress/tests/test_missed_removals.py
@@ -6,10 +6,11 @@
 
 import msgspec
 
-from copperloom.decisions import rowlog
+from copperloom.decisions import evacuation, rowlog
 from copperloom.ingress import (
     datagrams,
     digests,
+    evacuations,
     gossip,
     peer_fetch,
     table_watch,
@@ -143,6 +144,19 @@
         self.assertTrue(peer_fetch._is_ahead(reader, member))
 
 
+class EvacuationTest(unittest.IsolatedAsyncioTestCase):
+    async def test_end_that_no_reader_saw(self):
+        """Guards against followers that bring an ended evacuation back."""
+        reader, follower = _make_states()
+        evacuated = tables.EvacuationRow("a", Version(1, 3), True)
+        evacuations.apply_rows(follower, [evacuated], None)
+        evacuations.apply_rows(reader, [], Version(1, 9))
+        _tell(follower, reader)
+        self.assertEqual(evacuation.active(reader.evacuations), frozenset())
+        _tell(reader, follower)
+        self.assertEqual(evacuation.active(follower.evacuations), frozenset())
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         test_watchers.shorten_feeds(self)
