Streams: a checked event counts in the rate and the length of its stream

Callers would have seen: other streams that are late or refused while targets send tiny events without end.

Change: each checked event counts like 32 bytes more; ids are compared as numbers. The stand-in keeps its blocks.

--- a/copperloom/decisions/answer_limits.py
+++ b/copperloom/decisions/answer_limits.py
@@ -13,6 +13,7 @@
 from copperloom.decisions import framing
 
 __all__ = [
+    "CHECK_BYTES",
     "FRAMING",
     "Body",
     "BodyMemory",
@@ -41,6 +42,8 @@
 _STREAM_BYTES_S = 262_144.0
 # A stream that was held up by the network may catch up with this much.
 _STREAM_BURST_BYTES = 1_048_576.0
+# Checking an event takes time like passing on further bytes.
+CHECK_BYTES = 32
 
 
 def max_body_bytes(memory_bytes: float) -> int:
--- a/copperloom/ingress/events.py
+++ b/copperloom/ingress/events.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import operator
 import re
 
 from copperloom import exception
@@ -22,17 +23,19 @@
 _NAMES = b"|".join((b"event", b"retry", *headers.EVENT_FIELDS))
 _VALUE = rb"[^\r\n\0]*"
 _LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
-_COMMENT = rb"(?::%b)" % _VALUE
-# The groups are the id of the event, and the name of its data.
-_FIELD = rb"(?:id(?::(%b))?|(?:(data)|%b)(?::%b)?)" % (_VALUE, _NAMES, _VALUE)
-_COMMENTS = rb"(?:%b?%b)*" % (_COMMENT, _LINE_END)
+# Fields beside id and data, and comments.
+_OTHER = rb"(?:(?:%b)(?::%b)?|:%b)" % (_NAMES, _VALUE, _VALUE)
+# What precedes an event. Its lines begin differently from those that begin an
+# event, so that a mismatch is found in linear time.
+_BEFORE = rb"(?:%b?%b)*" % (_OTHER, _LINE_END)
+# The group is the id.
+_LINE = rb"(?:id(?::(%b))?|data(?::%b)?|%b)" % (_VALUE, _VALUE, _OTHER)
 _EVENT = re.compile(
-    # Comments precede it. It begins with a field: if it could begin with a
-    # comment, many comments would take quadratic time.
-    rb"%b(?![:\r\n])(?:(?:%b|%b)%b)+%b"
-    % (_COMMENTS, _FIELD, _COMMENT, _LINE_END, _LINE_END)
+    rb"%b(?=id|data)(?:%b%b)+%b" % (_BEFORE, _LINE, _LINE_END, _LINE_END)
 )
-_ONLY_COMMENTS = re.compile(_COMMENTS)
+_NO_EVENT = re.compile(_BEFORE)
+# Longer numbers take more than linear time to convert.
+_MAX_DIGITS = 18
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -56,6 +59,7 @@
         is_resumed: Whether the caller has the begin of the stream already.
         is_begun: Whether anything was checked.
         held: Comments and empty lines after the latest event.
+        count: Number of events.
     """
 
     def __init__(self, last_id: str, *, is_resumed: bool):
@@ -64,6 +68,7 @@
         self.is_resumed = is_resumed
         self.is_begun = False
         self.held = bytearray()
+        self.count = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,29 +176,40 @@
     Fields without data or an id are no event; like comments, they belong to
     the next one.
     """
+    ids = []
     end = 0
-    offset = 0
-    while found := _EVENT.match(data, offset):
-        offset = found.end()
-        event_id, data_name = found.groups()
-        if event_id:
-            _record_id(checker, event_id.removeprefix(b" ").decode())
-        elif data_name:
-            checker.is_resumable = False
+    while found := _EVENT.match(data, end):
+        end = found.end()
+        checker.count += 1
+        if found[1]:
+            ids.append(found[1].removeprefix(b" "))
         else:
-            continue
-        end = offset
-    if offset < len(data) and not _ONLY_COMMENTS.fullmatch(data, offset):
+            checker.is_resumable = False
+    if end < len(data) and not _NO_EVENT.fullmatch(data, end):
         raise exception.StreamBrokenError("target sent bytes that are no event")
+    if ids:
+        _record_ids(checker, ids)
     return end
 
 
-def _record_id(checker: Checker, event_id: str) -> None:
-    if not _is_increasing(checker.last_id, event_id):
+def _record_ids(checker: Checker, ids: list[bytes]) -> None:
+    if checker.last_id:
+        ids = [checker.last_id.encode(), *ids]
+    if not _are_increasing(ids):
         raise exception.StreamBrokenError(
             "target sent an event whose id is not above that of the last one"
         )
-    checker.last_id = event_id
+    checker.last_id = ids[-1].decode()
+
+
+def _are_increasing(ids: list[bytes]) -> bool:
+    # Comparing all pairs as texts would take most of the time of a stream of
+    # many events.
+    if b"".join(ids).isdigit() and len(max(ids, key=len)) <= _MAX_DIGITS:
+        numbers = list(map(int, ids))
+        return all(map(operator.lt, numbers, numbers[1:]))
+    texts = [event_id.decode() for event_id in ids]
+    return all(map(_is_increasing, texts, texts[1:]))
 
 
 def _is_increasing(last_id: str, event_id: str) -> bool:
--- a/copperloom/ingress/long_answers.py
+++ b/copperloom/ingress/long_answers.py
@@ -132,8 +132,9 @@
 
     Attributes:
         bound: Maximum number of bytes.
-        size: Bytes received.
+        size: Bytes received; each event that was checked counts like some.
         pace: Its rate.
+        unpaid_bytes: Those of `size` since the last pause.
         splitter: Splits it at the ends of events.
         checker: Checks its events; None for a stream that can't be resumed,
             which consists of whatever its only target sends.
@@ -145,6 +146,7 @@
         )
         self.size = 0
         self.pace = answer_limits.Pace()
+        self.unpaid_bytes = 0
         self.splitter = events.Splitter()
         self.checker: events.Checker | None = None
         if ex.route.resumable:
@@ -162,14 +164,19 @@
         copperloom.exception.StreamBrokenError: The bytes are no events, and
             the stream may be resumed.
     """
-    bounds.size += len(chunk)
+    size = len(chunk)
     if bounds.checker is None:
         complete = events.feed(bounds.splitter, chunk)
         rest_bytes = len(bounds.splitter.rest)
     else:
         data = events.split(bounds.splitter, chunk)
+        before = bounds.checker.count
         complete = data and events.check(bounds.checker, data)
+        checked = bounds.checker.count - before
+        size += checked * answer_limits.CHECK_BYTES
         rest_bytes = len(bounds.splitter.rest) + len(bounds.checker.held)
+    bounds.size += size
+    bounds.unpaid_bytes += size
     if rest_bytes > answer_limits.MAX_EVENT_BYTES:
         raise too_long("event", rest_bytes, answer_limits.MAX_EVENT_BYTES)
     if bounds.size > bounds.bound:
@@ -195,12 +202,13 @@
     return rest
 
 
-async def pause(bounds: StreamBounds, size: int) -> None:
+async def pause(bounds: StreamBounds) -> None:
     """Waits until a stream may be read again.
 
     Meanwhile the connection is not read, so that the target has to wait.
     """
     now = asyncio.get_running_loop().time()
+    size, bounds.unpaid_bytes = bounds.unpaid_bytes, 0
     delay_s = answer_limits.pause_s(bounds.pace, size, now)
     if delay_s > 0:
         await asyncio.sleep(delay_s)
--- a/copperloom/ingress/relay.py
+++ b/copperloom/ingress/relay.py
@@ -82,7 +82,7 @@
             break
         complete = long_answers.add_events(bounds, chunk)
         if complete is None:
-            await long_answers.pause(bounds, len(chunk))
+            await long_answers.pause(bounds)
             continue
         now = loop.time()
         if not has_begun:
@@ -96,7 +96,7 @@
         reachability.record_progress(ex.state.reachability, now)
         quarantines.record_written(ex, now)
         await responses.send_events(ex, head, complete, now)
-        await long_answers.pause(bounds, len(chunk))
+        await long_answers.pause(bounds)
     reply.check_complete()
     rest = long_answers.finish(bounds)
     await responses.end_stream(ex, head, loop.time(), rest=rest)
--- a/copperloom/platform/standins/raw_answers.py
+++ b/copperloom/platform/standins/raw_answers.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import functools
+import itertools
 
 from copperloom.platform.standins import crashes
 from copperloom.platform.standins.target_faults import Fault
@@ -133,6 +135,17 @@
     return response
 
 
+@functools.lru_cache(maxsize=64)
+def _make_block(repeated: bytes, number: int) -> bytes:
+    """Returns a block of an endless answer, with increasing ids of events."""
+    times = _BLOCK_BYTES // len(repeated)
+    block = repeated * times
+    if b"%d" not in repeated:
+        return block
+    first = number * times + 1
+    return block % tuple(range(first, first + times))
+
+
 async def write_endless(target, request, headers, fault: Fault) -> None:
     """Writes an answer without end, as fast as its receiver reads it."""
     transport = request.transport
@@ -143,14 +156,10 @@
     lines = [status, *(f"{k}: {v}" for k, v in headers.items()), *extra, ""]
     if fault is not Fault.ENDLESS_INTERIM:
         transport.write("\r\n".join(lines).encode() + begin)
-    times = _BLOCK_BYTES // len(repeated)
-    first = 1
+    numbers = itertools.count()
     while not transport.is_closing():
         if not transport.get_write_buffer_size():
-            block = repeated * times
-            if fault is Fault.ENDLESS_EVENTS:
-                block %= tuple(range(first, first + times))
-                first += times
+            block = _make_block(repeated, next(numbers))
             transport.write(block)
             target.endless_bytes += len(block)
         await asyncio.sleep(_POLL_S)
