--- a/copperloom/decisions/removed_targets.py
+++ b/copperloom/decisions/removed_targets.py
@@ -87,9 +87,7 @@
         removal = dataclasses.replace(before, version=version, is_back=False)
     else:
         return
-    known.removals[name] = removal
-    if len(known.removals) > MAX_REMOVALS:
-        forget(known, next(iter(known.removals)))
+    _keep(known, removal)
 
 
 def is_outdated(
@@ -145,13 +143,18 @@
             return False
         if _order(told) <= _order(own):
             return False
-    known.removals.pop(told.name, None)
-    known.removals[told.name] = told
     if told.is_back:
         known.told_at[told.name] = now
+    _keep(known, told)
+    return True
+
+
+def _keep(known: RemovedTargets, removal: Removal) -> None:
+    """Keeps a removal as the latest; forgets the oldest beyond the bound."""
+    known.removals.pop(removal.name, None)
+    known.removals[removal.name] = removal
     if len(known.removals) > MAX_REMOVALS:
         forget(known, next(iter(known.removals)))
-    return True
 
 
 def _is_same_start(own: Removal, told: Removal) -> bool:
--- a/copperloom/ingress/tests/test_events.py
+++ b/copperloom/ingress/tests/test_events.py
@@ -2,12 +2,13 @@
 
 import dataclasses
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies as st
 
 from copperloom import exception
-from copperloom.ingress import events
+from copperloom.ingress import events, long_answers
 from copperloom.ingress.tests import fixtures, partitions
 from copperloom.platform import headers
 from copperloom.platform.standins.links import Partition
@@ -140,6 +141,23 @@
         self.assertEqual(found.data, b"id: 2\n\n")
 
 
+class BoundsTest(unittest.TestCase):
+    def test_checked_events_count_like_further_bytes(self):
+        """Guards against tiny events without end that take others' time."""
+        ex = mock.Mock(response=None, last_event="")
+        ex.head.max_tokens = 10
+        ex.state.settings.memory_bytes = 1e9
+        bounds = long_answers.StreamBounds(ex)
+        data = b""
+        with self.assertRaises(exception.AnswerTooLongError):
+            for number in range(1, bounds.bound):
+                event = b"id: %d\n\n" % number
+                data += event
+                long_answers.add_events(bounds, event)
+        self.assertLess(len(data), bounds.bound / 2)
+        self.assertEqual(bounds.unpaid_bytes, bounds.size)
+
+
 class ForeignBytesTest(unittest.IsolatedAsyncioTestCase):
     async def test_foreign_bytes_at_each_place(self):
         """Guards against foreign bytes inside a complete resumed stream."""
